--- /dev/null
+++ b/crates/cell/src/task.rs
@@ -0,0 +1,258 @@
+//! Tasks: claimed, started, stopped, ended; one attempt at a time.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use myrtle_base::Millis;
+use myrtle_config::WhenCut;
+
+use crate::{Cell, Deny, End, Health, JobState, TaskId, Why};
+
+/// The wait after the first failure; it doubles with each further one.
+const BACKOFF: Millis = Millis(500);
+
+/// The longest wait after a failure.
+const MAX_BACKOFF: Millis = Millis(60_000);
+
+/// Where a task stands.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+pub enum State {
+    /// It waits for a worker.
+    #[default]
+    #[display("pending")]
+    Pending,
+    /// A worker was chosen and has not confirmed the start.
+    #[display("claimed by worker {_0}")]
+    Claimed(u32),
+    /// The worker runs it.
+    #[display("running on worker {_0}")]
+    Running(u32),
+    /// The worker is to stop it and has not confirmed.
+    #[display("stopping on worker {_0}: {_1}")]
+    Stopping(u32, Why),
+    /// It is over.
+    #[display("{_0}")]
+    Over(Over),
+}
+
+/// How a task is over for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+pub enum Over {
+    /// It did all its work.
+    #[display("done")]
+    Done,
+    /// Its job was cancelled.
+    #[display("cancelled")]
+    Cancelled,
+    /// It failed too often.
+    #[display("failed too often")]
+    Failed,
+}
+
+impl State {
+    /// The worker that may be running it.
+    pub fn worker(&self) -> Option<u32> {
+        match *self {
+            State::Claimed(w) | State::Running(w) | State::Stopping(w, _) => Some(w),
+            State::Pending | State::Over(_) => None,
+        }
+    }
+}
+
+impl Cell {
+    /// Gives a pending task to a worker that has room for it.
+    pub(crate) fn claim(&mut self, id: TaskId, attempt: u16, worker: u32) -> Result<(), Deny> {
+        let job = self.jobs.get(&id.job).ok_or(Deny::Missing)?;
+        let task = self.tasks.get_mut(&id).ok_or(Deny::Missing)?;
+        if task.state != State::Pending || job.state != JobState::Open {
+            return Err(Deny::State);
+        }
+        if attempt != task.attempt + 1 {
+            return Err(Deny::Old);
+        }
+        if self.now < task.wait {
+            return Err(Deny::Backoff);
+        }
+        let host = self.workers.get_mut(worker as usize).ok_or(Deny::Missing)?;
+        if host.health != Health::Up {
+            return Err(Deny::Down);
+        }
+        if !host.takes(self.now) {
+            return Err(Deny::Aside);
+        }
+        if !job.room.fits(&host.free()) {
+            return Err(Deny::Room);
+        }
+        host.used += job.room;
+        host.tasks.insert(id);
+        task.given = job.room;
+        task.attempt = attempt;
+        task.state = State::Claimed(worker);
+        task.since = self.now;
+        self.unqueue(id);
+        Ok(())
+    }
+
+    /// Notes that the worker runs the attempt.
+    pub(crate) fn started(&mut self, id: TaskId, attempt: u16) -> Result<(), Deny> {
+        let now = self.now;
+        let task = self.tasks.get_mut(&id).ok_or(Deny::Missing)?;
+        let State::Claimed(worker) = task.state else { return Err(Deny::State) };
+        if attempt != task.attempt {
+            return Err(Deny::Old);
+        }
+        task.state = State::Running(worker);
+        task.since = now;
+        Ok(())
+    }
+
+    /// Keeps the newest checkpoint of the attempt.
+    pub(crate) fn mark(&mut self, id: TaskId, attempt: u16, checkpoint: u32) -> Result<(), Deny> {
+        let task = self.tasks.get_mut(&id).ok_or(Deny::Missing)?;
+        if attempt != task.attempt || checkpoint <= task.checkpoint {
+            return Err(Deny::Old);
+        }
+        if task.state.worker().is_none() {
+            return Err(Deny::State);
+        }
+        task.checkpoint = checkpoint;
+        Ok(())
+    }
+
+    /// Decides that an attempt is to stop.
+    pub(crate) fn stop(&mut self, id: TaskId, attempt: u16, why: Why) -> Result<(), Deny> {
+        let now = self.now;
+        let task = self.tasks.get_mut(&id).ok_or(Deny::Missing)?;
+        if attempt != task.attempt {
+            return Err(Deny::Old);
+        }
+        let (State::Claimed(worker) | State::Running(worker)) = task.state else {
+            return Err(Deny::State);
+        };
+        task.state = State::Stopping(worker, why);
+        task.since = now;
+        Ok(())
+    }
+
+    /// Takes the worker's word that an attempt is over.
+    pub(crate) fn end(&mut self, id: TaskId, attempt: u16, end: End) -> Result<(), Deny> {
+        let task = self.tasks.get(&id).ok_or(Deny::Missing)?;
+        if attempt != task.attempt {
+            return Err(Deny::Old);
+        }
+        let state = task.state;
+        let worker = state.worker().ok_or(Deny::State)?;
+        self.leave_worker(id, worker, true);
+        match end {
+            End::Done => {
+                self.praise(worker);
+                self.finish(id, Over::Done);
+            }
+            End::Failed => {
+                self.blame(worker, id.job);
+                self.fail(id, worker);
+            }
+            End::Stopped(checkpoint) => self.resume(id, checkpoint, state),
+        }
+        Ok(())
+    }
+
+    /// An operator's word that a task of a lapsed worker runs nowhere.
+    pub(crate) fn release(&mut self, id: TaskId) -> Result<(), Deny> {
+        let task = self.tasks.get(&id).ok_or(Deny::Missing)?;
+        let state = task.state;
+        let worker = state.worker().ok_or(Deny::State)?;
+        if self.workers[worker as usize].health != Health::Lapsed {
+            return Err(Deny::State);
+        }
+        let checkpoint = task.checkpoint;
+        self.leave_worker(id, worker, false);
+        self.resume(id, checkpoint, state);
+        Ok(())
+    }
+
+    /// Frees the attempts of a worker that can no longer be running them.
+    ///
+    /// With `all` false, tasks that go on in a cut stay where they are.
+    pub(crate) fn free_worker(&mut self, worker: u32, all: bool) {
+        let ids: Vec<_> = self.workers[worker as usize].tasks.iter().copied().collect();
+        for id in ids {
+            let yields = self.jobs[&id.job].spec.when_cut == WhenCut::Yield;
+            if !all && !yields {
+                continue;
+            }
+            let (state, checkpoint) = (self.tasks[&id].state, self.tasks[&id].checkpoint);
+            self.leave_worker(id, worker, false);
+            self.resume(id, checkpoint, state);
+        }
+    }
+
+    /// Takes a task out of the pending queue.
+    pub(crate) fn unqueue(&mut self, id: TaskId) {
+        let price = self.jobs[&id.job].spec.price;
+        self.pending.remove(&(u32::MAX - price, id));
+    }
+
+    /// Gives back the room of an attempt and counts its use.
+    fn leave_worker(&mut self, id: TaskId, worker: u32, counted: bool) {
+        let task = &self.tasks[&id];
+        let host = &mut self.workers[worker as usize];
+        host.used = host.used.less(&task.given);
+        host.tasks.remove(&id);
+        if !counted || matches!(task.state, State::Claimed(_)) {
+            return;
+        }
+        let spec = &self.jobs[&id.job].spec;
+        let entry = self.usage.entry((spec.party.clone(), spec.class.clone())).or_default();
+        entry.busy += self.now.since(task.since);
+    }
+
+    /// Back to pending, or over if the job was cancelled.
+    fn resume(&mut self, id: TaskId, checkpoint: u32, was: State) {
+        if self.jobs[&id.job].state != JobState::Open {
+            return self.finish(id, Over::Cancelled);
+        }
+        let now = self.now;
+        let task = self.tasks.get_mut(&id).expect("callers looked it up");
+        task.checkpoint = task.checkpoint.max(checkpoint);
+        task.evictions += u16::from(matches!(was, State::Stopping(..)));
+        task.wait = now;
+        self.queue(id);
+    }
+
+    /// Back to pending after a wait, or over after too many failures.
+    fn fail(&mut self, id: TaskId, worker: u32) {
+        let limit = self.jobs[&id.job].spec.failures;
+        let open = self.jobs[&id.job].state == JobState::Open;
+        let now = self.now;
+        let task = self.tasks.get_mut(&id).expect("callers looked it up");
+        task.failures += 1;
+        task.avoid = Some(worker);
+        let wait = BACKOFF.0 << (task.failures - 1).min(16);
+        task.wait = now + Millis(wait.min(MAX_BACKOFF.0));
+        if !open {
+            return self.finish(id, Over::Cancelled);
+        }
+        if task.failures >= limit {
+            return self.finish(id, Over::Failed);
+        }
+        self.queue(id);
+    }
+
+    fn queue(&mut self, id: TaskId) {
+        let now = self.now;
+        let price = self.jobs[&id.job].spec.price;
+        let task = self.tasks.get_mut(&id).expect("callers looked it up");
+        task.state = State::Pending;
+        task.since = now;
+        self.pending.insert((u32::MAX - price, id));
+    }
+
+    fn finish(&mut self, id: TaskId, over: Over) {
+        let now = self.now;
+        let task = self.tasks.get_mut(&id).expect("callers looked it up");
+        task.state = State::Over(over);
+        task.since = now;
+        self.close_task(id, over);
+    }
+}
--- /dev/null
+++ b/crates/cell/tests/fold.rs
@@ -0,0 +1,254 @@
+//! The fold turns down whatever would break a promise.
+
+mod common;
+
+use common::{Log, end, job, room, suspect_worker};
+use rstest::rstest;
+
+use myrtle_base::{GUARD, LEASE, Millis};
+use myrtle_cell::{Deny, End, Health, JobState, Op, Over, State, Subject, TaskId, Unit, Why};
+use myrtle_config::WhenCut;
+
+/// Names a case and runs its steps on a log with two workers and three hosts.
+macro_rules! case {
+    ($name:ident, $log:ident => $body:block) => {
+        #[test]
+        fn $name() {
+            let mut $log = Log::with_workers(2);
+            $body
+        }
+    };
+}
+
+const T: TaskId = TaskId { job: 0, index: 0 };
+
+fn claim(task: TaskId, attempt: u16, worker: u32) -> Op {
+    Op::Claim { task, attempt, worker }
+}
+
+case!(two_hosts_claim_the_last_room, log => {
+    log.ok(job("big", 2, 20.0));
+    log.ok(claim(T, 1, 0));
+    assert_eq!(log.one(claim(TaskId::new(0, 1), 1, 0)), Err(Deny::Room));
+    log.ok(claim(TaskId::new(0, 1), 1, 1));
+});
+
+case!(a_task_is_claimed_once, log => {
+    log.ok(job("a", 1, 1.0));
+    log.ok(claim(T, 1, 0));
+    assert_eq!(log.one(claim(T, 1, 1)), Err(Deny::State));
+    assert_eq!(log.one(claim(T, 2, 1)), Err(Deny::State));
+});
+
+case!(an_attempt_is_not_skipped, log => {
+    log.ok(job("a", 1, 1.0));
+    assert_eq!(log.one(claim(T, 2, 0)), Err(Deny::Old));
+});
+
+case!(a_repeated_batch_does_nothing, log => {
+    log.ok(job("a", 1, 1.0));
+    let batch = log.batch(vec![claim(T, 1, 0)]);
+    assert_eq!(log.append(&batch), vec![Ok(())]);
+    assert_eq!(log.append(&batch), vec![Err(Deny::Repeated)]);
+    assert_eq!(log.cell.workers[0].used, room(1.0));
+});
+
+case!(a_batch_that_lands_late_does_nothing, log => {
+    log.ok(job("a", 1, 1.0));
+    let batch = log.batch(vec![claim(T, 1, 0)]);
+    log.pass(Millis(60_000));
+    assert_eq!(log.append(&batch), vec![Err(Deny::Expired)]);
+});
+
+case!(an_evicted_task_resumes_once_from_its_newest_checkpoint, log => {
+    log.ok(job("a", 1, 1.0));
+    log.ok(claim(T, 1, 0));
+    log.ok(Op::Started { task: T, attempt: 1 });
+    log.ok(Op::Mark { task: T, attempt: 1, checkpoint: 4 });
+    log.ok(Op::Stop { task: T, attempt: 1, why: Why::Operator });
+    assert_eq!(log.one(claim(T, 2, 1)), Err(Deny::State));
+    log.ok(end(T, 1, End::Stopped(7)));
+    assert_eq!(log.one(end(T, 1, End::Stopped(7))), Err(Deny::State));
+    log.ok(claim(T, 2, 1));
+    assert_eq!(log.one(claim(T, 2, 0)), Err(Deny::State));
+    let task = &log.cell.tasks[&T];
+    assert_eq!((task.checkpoint, task.evictions), (7, 1));
+});
+
+case!(a_job_that_no_worker_holds_is_rejected_with_the_reason, log => {
+    log.ok(job("huge", 3, 64.0));
+    let state = &log.cell.jobs[&0].state;
+    assert!(matches!(state, JobState::Rejected(..)));
+    assert!(state.to_string().contains("largest worker has 32 cores"), "{state}");
+    assert!(log.cell.pending.is_empty());
+});
+
+case!(cancelled_tasks_do_not_start, log => {
+    log.ok(job("a", 3, 1.0));
+    log.ok(claim(T, 1, 0));
+    log.ok(Op::Cancel { jobs: vec![0] });
+    assert_eq!(log.one(claim(TaskId::new(0, 1), 1, 0)), Err(Deny::State));
+    assert_eq!(log.cell.tasks[&T].state, State::Stopping(0, Why::Cancel));
+    log.ok(end(T, 1, End::Stopped(2)));
+    assert_eq!(log.cell.tasks[&T].state, State::Over(Over::Cancelled));
+    assert_eq!(log.cell.jobs[&0].open, 0);
+});
+
+case!(a_removal_does_not_touch_a_newer_job, log => {
+    log.ok(job("a", 1, 1.0));
+    assert_eq!(log.one(Op::Remove { name: "a".into(), version: 1 }), Err(Deny::Old));
+    log.ok(Op::Remove { name: "a".into(), version: 2 });
+    assert_eq!(log.cell.jobs[&0].state, JobState::Removed);
+});
+
+case!(a_failing_task_backs_off_elsewhere_and_then_stops, log => {
+    log.ok(job("bad", 1, 1.0));
+    for attempt in 1..=5 {
+        let worker = u32::from(attempt % 2);
+        log.ok(claim(T, attempt, worker));
+        log.ok(end(T, attempt, End::Failed));
+        if attempt < 5 {
+            assert_eq!(log.one(claim(T, attempt + 1, 0)), Err(Deny::Backoff));
+            assert_eq!(log.cell.tasks[&T].avoid, Some(worker));
+        }
+        log.pass(Millis(60_000));
+    }
+    assert_eq!(log.cell.tasks[&T].state, State::Over(Over::Failed));
+});
+
+case!(a_worker_that_fails_everything_is_set_aside_and_probed, log => {
+    for n in 0..4 {
+        log.ok(job(&format!("j{n}"), 1, 1.0));
+    }
+    for n in 0..3 {
+        log.ok(claim(TaskId::new(n, 0), 1, 0));
+        log.ok(end(TaskId::new(n, 0), 1, End::Failed));
+    }
+    assert_eq!(log.one(claim(TaskId::new(3, 0), 1, 0)), Err(Deny::Aside));
+    log.pass(Millis(31_000));
+    log.ok(claim(TaskId::new(3, 0), 1, 0));
+    assert_eq!(log.one(claim(T, 2, 0)), Err(Deny::Aside));
+    log.ok(end(TaskId::new(3, 0), 1, End::Done));
+    log.ok(claim(T, 2, 0));
+});
+
+case!(a_job_that_fails_everywhere_sets_no_worker_aside, log => {
+    log.ok(job("bad", 3, 1.0));
+    for n in 0..3 {
+        log.ok(claim(TaskId::new(0, n), 1, 0));
+        log.ok(end(TaskId::new(0, n), 1, End::Failed));
+    }
+    assert_eq!(log.cell.workers[0].aside, None);
+});
+
+case!(a_silent_worker_keeps_its_tasks_until_all_leases_lapsed, log => {
+    log.ok(job("a", 1, 1.0));
+    log.ok(claim(T, 1, 0));
+    let at = suspect_worker(&mut log, 0);
+    let lapse = |consents: &[&str]| Op::Lapse {
+        subject: Subject::Worker(0),
+        suspected: at,
+        consents: consents.iter().map(|c| c.to_string()).collect(),
+    };
+    assert_eq!(log.one(lapse(&["s1", "s2"])), Err(Deny::Early));
+    log.pass(LEASE + GUARD);
+    assert_eq!(log.one(lapse(&["s1"])), Err(Deny::Minority));
+    assert_eq!(log.one(lapse(&["s1", "s1", "x"])), Err(Deny::Minority));
+    assert_eq!(log.cell.tasks[&T].state, State::Claimed(0));
+    log.ok(lapse(&["s1", "s3"]));
+    log.ok(claim(T, 2, 1));
+    assert_eq!(log.one(end(T, 1, End::Done)), Err(Deny::Old));
+});
+
+case!(a_suspicion_that_was_cleared_gives_nothing_up, log => {
+    log.ok(job("a", 1, 1.0));
+    log.ok(claim(T, 1, 0));
+    let at = suspect_worker(&mut log, 0);
+    log.ok(Op::Clear { subject: Subject::Worker(0) });
+    let again = suspect_worker(&mut log, 0);
+    log.pass(LEASE + GUARD);
+    let consents = vec!["s1".into(), "s2".into()];
+    let lapse = Op::Lapse { subject: Subject::Worker(0), suspected: at, consents };
+    assert_eq!(log.one(lapse), Err(Deny::Old));
+    assert_ne!(at, again);
+});
+
+case!(a_restarted_worker_runs_nothing_of_its_earlier_life, log => {
+    log.ok(job("a", 1, 1.0));
+    log.ok(claim(T, 1, 0));
+    log.ok(common::worker(0, 2));
+    assert_eq!(log.cell.tasks[&T].state, State::Pending);
+    assert_eq!(log.one(common::worker(0, 1)), Err(Deny::Old));
+});
+
+case!(a_unit_has_one_keeper, log => {
+    log.ok(Op::Gate { name: "g1".into(), boot: 1 });
+    log.ok(Op::Gate { name: "g2".into(), boot: 1 });
+    let keep = |gate: &str| Op::Keep { unit: Unit::Keys(3), gate: gate.into() };
+    log.ok(keep("g1"));
+    assert_eq!(log.one(keep("g2")), Err(Deny::Kept));
+    let hand = |from: &str, to: &str| Op::Hand {
+        unit: Unit::Keys(3),
+        from: from.into(),
+        to: to.into(),
+    };
+    assert_eq!(log.one(hand("g2", "g1")), Err(Deny::Kept));
+    log.ok(hand("g1", "g2"));
+    assert_eq!(log.one(hand("g1", "g2")), Err(Deny::Kept));
+});
+
+case!(a_gates_next_life_waits_for_the_earlier_ones_leases, log => {
+    log.ok(Op::Gate { name: "g1".into(), boot: 1 });
+    log.ok(Op::Keep { unit: Unit::Keys(3), gate: "g1".into() });
+    let next = Op::Gate { name: "g1".into(), boot: 2 };
+    assert_eq!(log.one(next.clone()), Err(Deny::Early));
+    log.ok(Op::Leave { gate: "g1".into(), boot: 1 });
+    log.ok(next);
+});
+
+case!(usage_is_counted_once, log => {
+    log.ok(Op::Gate { name: "g1".into(), boot: 1 });
+    let used = |requests, busy| Op::Used {
+        gate: "g1".into(),
+        boot: 1,
+        party: "helios".into(),
+        class: "check".into(),
+        requests,
+        busy: Millis(busy),
+    };
+    log.ok(used(10, 100));
+    assert_eq!(log.one(used(10, 100)), Err(Deny::Old));
+    log.ok(used(15, 160));
+    let total = log.cell.usage[&("helios".to_string(), "check".to_string())];
+    assert_eq!((total.requests, total.busy), (15, Millis(160)));
+});
+
+#[rstest]
+#[case::yields(WhenCut::Yield, State::Pending)]
+#[case::continues(WhenCut::Continue, State::Running(0))]
+fn what_a_lapse_does_is_the_tasks_choice(#[case] when_cut: WhenCut, #[case] then: State) {
+    let mut log = Log::with_workers(2);
+    log.ok(common::job_with("a", 1, 1.0, when_cut));
+    log.ok(claim(T, 1, 0));
+    log.ok(Op::Started { task: T, attempt: 1 });
+    common::lapse_worker(&mut log, 0);
+    assert_eq!(log.cell.tasks[&T].state, then);
+    assert_eq!(log.cell.workers[0].health, Health::Lapsed);
+    if when_cut == WhenCut::Continue {
+        log.ok(Op::Release { task: T });
+        assert_eq!(log.cell.tasks[&T].state, State::Pending);
+    }
+}
+
+case!(a_snapshot_gives_the_same_state_and_never_an_older_one, log => {
+    log.ok(job("a", 2, 1.0));
+    let early = log.snapshot();
+    log.ok(claim(T, 1, 0));
+    let late = log.snapshot();
+    let mut fresh = myrtle_cell::Cell::default();
+    assert!(fresh.adopt(late.clone()));
+    assert_eq!(fresh, log.cell);
+    assert!(!fresh.adopt(early));
+    assert!(!fresh.adopt(late));
+    assert_eq!(fresh, log.cell);
+});
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,19 @@
+//! What operators want: files, checks, differences and the fold of the `config` stream.
+
+mod check;
+mod desired;
+mod diff;
+mod fold;
+mod read;
+mod settings;
+mod token;
+mod unit;
+
+pub use check::{PLATFORM, check_refs};
+pub use desired::{Centre, Class, Desired, Job, Party, Service, WhenCut};
+pub use diff::{Edit, diff};
+pub use fold::{Change, Config, ConfigRecord, Refusal, Scoped, Verdict};
+pub use read::{Fault, MAX_FILE, check_end, read, read_file};
+pub use settings::{Announce, Platform, Settings};
+pub use token::hash_token;
+pub use unit::{Megabytes, Span};
--- /dev/null
+++ b/crates/gate/src/admin.rs
@@ -0,0 +1,58 @@
+//! What the balancer and operators ask over HTTP.
+
+use std::sync::Arc;
+
+use myrtle_base::Stamp;
+use myrtle_platform::{Answer, answer, json, text};
+
+use crate::tables::Tables;
+
+/// Answers one of the gate's own paths, or nothing if the path is a service's.
+pub fn handle(tables: &Arc<Tables>, path: &str, query: &str) -> Option<Answer> {
+    Some(match path {
+        "/healthz" => text(200, "ok\n"),
+        "/readyz" => ready(tables),
+        "/metrics" => metrics(tables),
+        "/events" => events(tables, query),
+        "/status" => json(&status(tables)),
+        _ => return None,
+    })
+}
+
+fn ready(tables: &Tables) -> Answer {
+    match tables.ready() {
+        true => text(200, "ready\n"),
+        false => text(503, format!("not ready: {:?}\n", tables.state())),
+    }
+}
+
+fn metrics(tables: &Tables) -> Answer {
+    let (held, busy, waiting) = tables.core(|cores| {
+        let sum = |f: fn(&crate::core::Core) -> u32| cores.values().map(f).sum::<u32>();
+        (sum(|c| c.upstreams.held()), sum(|c| c.upstreams.busy()), sum(|c| c.waiting() as u32))
+    });
+    tables.meter.level("myrtle_slots", "held", i64::from(held));
+    tables.meter.level("myrtle_slots", "busy", i64::from(busy));
+    tables.meter.level("myrtle_slots", "waiting", i64::from(waiting));
+    answer(200, "text/plain; version=0.0.4", tables.meter.text().into_bytes())
+}
+
+fn events(tables: &Tables, query: &str) -> Answer {
+    let since = query.strip_prefix("since=").and_then(|s| s.parse().ok()).unwrap_or_default();
+    json(&tables.ring.since(Stamp(since)))
+}
+
+fn status(tables: &Tables) -> serde_json::Value {
+    let view = tables.view.load();
+    serde_json::json!({
+        "name": tables.name(),
+        "role": "gate",
+        "data_centre": tables.settings.data_centre,
+        "config": view.version,
+        "state": format!("{:?}", tables.state()),
+        "ready": tables.ready(),
+        "lease_left_ms": tables.lease_left().as_millis() as u64,
+        "keeps": tables.books(|b| b.units().len()),
+        "upstreams": view.peering.upstreams.len(),
+    })
+}
--- /dev/null
+++ b/crates/gate/src/run.rs
@@ -0,0 +1,157 @@
+//! Starts all parts of a gate and stops it as planned.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::Either;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use log::{info, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use myrtle_base::Room;
+use myrtle_config::{Announce, Settings};
+use myrtle_peer::{GatePeer, GatePeerRequest, GatePeerResponse, Wired};
+use myrtle_platform::{Host, Role};
+
+use crate::rpc::Server;
+use crate::serve::{Reply, serve};
+use crate::tables::Tables;
+use crate::{admin, borrow, drain, follow, usage};
+
+/// How long a caller may take to send the head of a request.
+const HEAD: Duration = Duration::from_secs(5);
+
+/// How long connections of callers may take to close at a stop.
+const CLOSE: Duration = Duration::from_secs(2);
+
+/// A running gate; dropping it stops all its parts at once.
+#[derive(Debug)]
+pub struct Gate {
+    /// Where it answers callers and operators.
+    pub http: SocketAddr,
+    /// Where it answers peers.
+    pub peer: SocketAddr,
+    tables: Arc<Tables>,
+    stop: watch::Sender<bool>,
+    accepting: JoinSet<GracefulShutdown>,
+    _parts: JoinSet<()>,
+}
+
+impl Gate {
+    /// Whether it serves.
+    pub fn ready(&self) -> bool {
+        self.tables.ready()
+    }
+
+    /// Stops as planned; returns whether everything in flight was finished.
+    pub async fn drain(mut self) -> bool {
+        drain::announce(&self.tables).await;
+        let _ = self.stop.send(true);
+        let finished = drain::finish(&self.tables).await;
+        drain::leave(&self.tables).await;
+        if let Some(Ok(connections)) = self.accepting.join_next().await {
+            let _ = tokio::time::timeout(CLOSE, connections.shutdown()).await;
+        }
+        finished
+    }
+}
+
+/// Starts a gate.
+pub async fn start(settings: Settings) -> std::io::Result<Gate> {
+    let (http, peer) =
+        (TcpListener::bind(settings.http).await?, TcpListener::bind(settings.peer).await?);
+    let (http_at, peer_at) = (http.local_addr()?, peer.local_addr()?);
+    let tables = Arc::new(Tables::new(settings));
+    info!("gate: {} answers at {http_at}, peers at {peer_at}", tables.name());
+    tables.ring.add("gate", "started");
+
+    let mut parts = JoinSet::new();
+    let server = Server(tables.clone());
+    parts.spawn(async move {
+        let run = |channel: Wired<GatePeerRequest, GatePeerResponse>| {
+            myrtle_peer::run!(channel, server.clone().serve());
+        };
+        if let Err(e) = myrtle_peer::listen(peer, run).await {
+            warn!("gate: cannot answer peers: {e}");
+        }
+    });
+    if tables.settings.announce == Announce::Itself {
+        announce(&tables, http_at, peer_at).await;
+    }
+    parts.spawn(follow::follow_list(tables.clone()));
+    parts.spawn(follow::follow_view(tables.clone()));
+    parts.spawn(follow::renew(tables.clone()));
+    parts.spawn(follow::rebalance(tables.clone()));
+    parts.spawn(borrow::run(tables.clone()));
+    parts.spawn(usage::run(tables.clone()));
+    let (stop, stopped) = watch::channel(false);
+    let mut accepting = JoinSet::new();
+    accepting.spawn(accept(tables.clone(), http, stopped));
+    Ok(Gate { http: http_at, peer: peer_at, tables, stop, accepting, _parts: parts })
+}
+
+/// Accepts callers until the gate stops; returns the connections that are still open.
+async fn accept(
+    tables: Arc<Tables>,
+    listener: TcpListener,
+    mut stopped: watch::Receiver<bool>,
+) -> GracefulShutdown {
+    let connections = GracefulShutdown::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    connection(&tables, stream, &connections);
+                }
+            }
+            _ = stopped.changed() => return connections,
+        }
+    }
+}
+
+fn connection(tables: &Arc<Tables>, stream: TcpStream, connections: &GracefulShutdown) {
+    let _ = stream.set_nodelay(true);
+    let tables = tables.clone();
+    let service = service_fn(move |request| answer(tables.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::spawn(connections.watch(connection));
+}
+
+async fn answer(tables: Arc<Tables>, request: Request<Incoming>) -> Result<Reply, Infallible> {
+    let query = request.uri().query().unwrap_or_default();
+    match admin::handle(&tables, request.uri().path(), query) {
+        Some(answer) => Ok(answer.map(Either::Left)),
+        None => serve(tables, request).await,
+    }
+}
+
+/// Enters the process into the host list; tries until the list takes it.
+async fn announce(tables: &Tables, http: SocketAddr, peer: SocketAddr) {
+    let host = Host {
+        name: tables.name().into(),
+        role: Role::Gate,
+        data_centre: tables.settings.data_centre.clone(),
+        rack: String::new(),
+        http,
+        peer,
+        service: String::new(),
+        room: Room::default(),
+        leaving: false,
+    };
+    while let Err(e) = tables.list.enter(&host).await {
+        warn!("gate: the host list does not take this host: {e}");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+}
--- /dev/null
+++ b/crates/gate/src/serve.rs
@@ -0,0 +1,323 @@
+//! The way of a request from its caller to an upstream and back.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use hyper::{Request, Response};
+use tokio::time::timeout;
+
+use myrtle_base::Kind;
+use myrtle_route::{Arrival, Ticket};
+
+use crate::attempt::{self, Outcome, Payload, Slot, passed};
+use crate::call::{Call, Fault};
+use crate::refusal::{RAN, refusal};
+use crate::tables::Tables;
+
+/// How long a caller may take to send its body.
+const BODY: Duration = Duration::from_secs(5);
+
+/// An attempt at a safe request is tried elsewhere after this many usual latencies.
+const PATIENCE: f64 = 8.0;
+
+/// The least time that an attempt gets.
+const LEAST: Duration = Duration::from_millis(40);
+
+/// The most attempts at one request.
+const ATTEMPTS: u32 = 3;
+
+/// An answer to a caller: whole, or passed on as it comes.
+pub type Reply = Response<Either<Full<Bytes>, Passing>>;
+
+/// An upstream's answer that is passed on as it comes, with the slot that it holds.
+#[derive(Debug)]
+pub struct Passing {
+    body: Incoming,
+    _slot: Slot,
+}
+
+impl Body for Passing {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A refusal in the making.
+#[derive(Debug)]
+pub struct Refusal {
+    /// Its kind.
+    pub kind: Kind,
+    /// When to come back.
+    pub after: Option<Duration>,
+    /// What exactly is wrong.
+    pub detail: String,
+}
+
+impl From<Fault> for Refusal {
+    fn from((kind, detail): Fault) -> Self {
+        Self { kind, after: None, detail }
+    }
+}
+
+impl Refusal {
+    /// A refusal that says when to come back.
+    pub fn after(kind: Kind, after: Duration) -> Self {
+        Self { kind, after: Some(after), detail: String::new() }
+    }
+}
+
+impl From<Kind> for Refusal {
+    fn from(kind: Kind) -> Self {
+        Self { kind, after: None, detail: String::new() }
+    }
+}
+
+/// Serves one request to its end, even if its caller goes away.
+pub async fn serve(tables: Arc<Tables>, request: Request<Incoming>) -> Result<Reply, Infallible> {
+    let served = tokio::spawn(serve_whole(tables, request)).await;
+    Ok(served.unwrap_or_else(|_| refusal(Kind::Unknown, None, "").map(Either::Left)))
+}
+
+async fn serve_whole(tables: Arc<Tables>, request: Request<Incoming>) -> Reply {
+    let began = tables.now();
+    let (head, body) = request.into_parts();
+    let view = tables.view.load_full();
+    let (class, result) = match Call::read(&head, &view) {
+        Ok(call) => (call.class.clone(), admitted(&tables, &call, head, body, began).await),
+        Err(fault) => (String::new(), Err(fault.into())),
+    };
+    let took = tables.now().saturating_sub(began);
+    match result {
+        Ok(reply) => {
+            tables.meter.took("myrtle_answer_us", &class, took);
+            tables.meter.count("myrtle_answered", &class);
+            reply
+        }
+        Err(r) => {
+            tables.meter.count("myrtle_refused", r.kind.word());
+            refusal(r.kind, r.after, &r.detail).map(Either::Left)
+        }
+    }
+}
+
+/// Serves a request whose marks are in order.
+async fn admitted(
+    tables: &Arc<Tables>,
+    call: &Call,
+    head: Parts,
+    body: Incoming,
+    began: Duration,
+) -> Result<Reply, Refusal> {
+    if !tables.ready() && tables.lease_left().is_zero() {
+        return Err(Refusal::after(Kind::NotReady, Duration::from_secs(1)));
+    }
+    take_rate(tables, call)?;
+    let deadline = began + call.limit;
+    if call.watch {
+        return watch(tables, call, head, body, deadline).await;
+    }
+    let body = read_body(call, body).await?;
+    match call.key.filter(|_| !call.safe) {
+        Some(key) => crate::keyed::serve(tables, call, head, body, deadline, key).await,
+        None => {
+            let answer = exchange(tables, call, &Arc::new(head), &body, deadline).await?;
+            Ok(whole(answer))
+        }
+    }
+}
+
+/// Runs a request: safe ones again elsewhere when an attempt fails, unsafe ones at most once.
+pub async fn exchange(
+    tables: &Arc<Tables>,
+    call: &Call,
+    head: &Arc<Parts>,
+    body: &Bytes,
+    deadline: Duration,
+) -> Result<Response<Bytes>, Refusal> {
+    let mut avoid = None;
+    let mut given = false;
+    tables.core(|cores| cores.get_mut(&call.service).into_iter().for_each(|c| c.budget.earn()));
+    for attempt in 1..=ATTEMPTS {
+        let slot = match slot(tables, call, deadline, avoid).await {
+            Ok(slot) => slot,
+            // What an earlier attempt may have done is not undone by a refusal.
+            Err(_) if given => return Err(Kind::Unknown.into()),
+            Err(refusal) => return Err(refusal),
+        };
+        avoid = slot.upstream();
+        let since = tables.now();
+        let left = deadline.saturating_sub(since);
+        let limit = if call.safe { patience(tables, call, attempt).min(left) } else { left };
+        let run = attempt::run(slot, head.clone(), Payload::Whole(body.clone()), false);
+        match timeout(limit, tokio::spawn(run)).await {
+            Ok(Ok(Outcome::Answer(answer))) => {
+                let failed = answer.status().is_server_error();
+                if !(failed && call.safe && attempt < ATTEMPTS && may_retry(tables, call)) {
+                    note_served(tables, call, tables.now().saturating_sub(since));
+                    return Ok(answer);
+                }
+                given = true;
+            }
+            Ok(Ok(Outcome::NotRun)) => {
+                if !may_retry(tables, call) {
+                    break;
+                }
+            }
+            Ok(_) => {
+                given = true;
+                if !call.safe || !may_retry(tables, call) {
+                    break;
+                }
+            }
+            Err(_) => {
+                given = true;
+                note_late(tables, call, avoid);
+                if tables.now() >= deadline {
+                    return Err(Kind::Late.into());
+                }
+                if !call.safe || !may_retry(tables, call) {
+                    break;
+                }
+            }
+        }
+    }
+    Err(match given {
+        true => Kind::Unknown.into(),
+        false => Refusal::after(Kind::NoUpstream, Duration::from_millis(500)),
+    })
+}
+
+/// Passes a long-held exchange through, both ways.
+async fn watch(
+    tables: &Arc<Tables>,
+    call: &Call,
+    head: Parts,
+    body: Incoming,
+    deadline: Duration,
+) -> Result<Reply, Refusal> {
+    let slot = slot(tables, call, deadline, None).await?;
+    let run = attempt::run(slot, Arc::new(head), Payload::Stream(body), true);
+    match run.await {
+        Outcome::Stream(answer, slot) => {
+            let (mut head, body) = answer.into_parts();
+            head.headers = passed(&head.headers);
+            note_served(tables, call, Duration::ZERO);
+            Ok(Response::from_parts(head, Either::Right(Passing { body, _slot: slot })))
+        }
+        Outcome::Answer(answer) => Ok(whole(answer)),
+        Outcome::NotRun => Err(Refusal::after(Kind::NoUpstream, Duration::from_millis(500))),
+        Outcome::Unknown => Err(Kind::Unknown.into()),
+    }
+}
+
+/// Waits for a slot, or for a refusal.
+async fn slot(
+    tables: &Arc<Tables>,
+    call: &Call,
+    deadline: Duration,
+    avoid: Option<u32>,
+) -> Result<Slot, Refusal> {
+    let now = tables.now();
+    let arrival = Arrival { id: 0, party: call.number, price: call.price, deadline };
+    let entered = tables.core(|cores| {
+        let core = cores.get_mut(&call.service).ok_or(Kind::NoUpstream)?;
+        core.set_slots(now);
+        Ok(core.enter(arrival, now, avoid))
+    });
+    let ticket: Ticket =
+        match entered.map_err(|k: Kind| Refusal::after(k, Duration::from_secs(1)))? {
+            Ok(ticket) => ticket,
+            Err(turn) => {
+                tables.needy.notify_one();
+                match turn.await {
+                    Ok(Ok(ticket)) => ticket,
+                    Ok(Err((kind, after))) => return Err(Refusal::after(kind, after)),
+                    Err(_) => return Err(Refusal::after(Kind::NotReady, Duration::from_secs(1))),
+                }
+            }
+        };
+    Ok(Slot::new(tables.clone(), &call.service, ticket))
+}
+
+fn take_rate(tables: &Tables, call: &Call) -> Result<(), Refusal> {
+    let now = tables.now();
+    let unit = myrtle_cell::Unit::Party(call.party.clone()).to_string();
+    let taken = tables.core(|cores| {
+        let Some(core) = cores.get_mut(&call.service) else { return Ok(()) };
+        let share = core.shares.usable(&unit, now);
+        core.rates.entry(call.party.clone()).or_default().take(share, now)
+    });
+    taken.map_err(|after| Refusal::after(Kind::OverLimit, after))
+}
+
+async fn read_body(call: &Call, body: Incoming) -> Result<Bytes, Refusal> {
+    let limited = Limited::new(body, call.max_body as usize).collect();
+    match timeout(BODY.min(call.limit), limited).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            let detail = format!("the body is larger than {} bytes", call.max_body);
+            Err((Kind::TooLarge, detail).into())
+        }
+        Ok(Err(_)) => Err((Kind::BadRequest, "the body was cut".to_string()).into()),
+        Err(_) => Err(Kind::SlowCaller.into()),
+    }
+}
+
+/// The time that an attempt at a safe request gets; later ones get more.
+fn patience(tables: &Tables, call: &Call, attempt: u32) -> Duration {
+    let usual = tables.core(|cores| cores.get(&call.service).map_or(0.1, |c| c.upstreams.common()));
+    Duration::from_secs_f64(usual * PATIENCE * f64::from(attempt)).max(LEAST)
+}
+
+fn may_retry(tables: &Tables, call: &Call) -> bool {
+    let spent = tables.core(|cores| cores.get_mut(&call.service).map(|c| c.budget.spend()));
+    spent.unwrap_or(false)
+}
+
+fn note_late(tables: &Tables, call: &Call, upstream: Option<u32>) {
+    let now = tables.now();
+    let Some(upstream) = upstream else { return };
+    let ticket = Ticket { upstream, since: now };
+    tables.core(|cores| {
+        cores.get_mut(&call.service).into_iter().for_each(|c| c.upstreams.late(ticket, now));
+    });
+}
+
+fn note_served(tables: &Tables, call: &Call, busy: Duration) {
+    tables.served(|served| {
+        let used = served.entry((call.party.clone(), call.class.clone())).or_default();
+        used.requests += 1;
+        // Whole milliseconds are paid for, at least one.
+        used.busy.0 += (busy.as_millis() as u64).max(1);
+    });
+}
+
+/// An upstream's whole answer as the caller gets it.
+pub fn whole(answer: Response<Bytes>) -> Reply {
+    let (mut head, body) = answer.into_parts();
+    head.headers = passed(&head.headers);
+    head.headers.insert(RAN, HeaderValue::from_static("yes"));
+    Response::from_parts(head, Either::Left(Full::from(body)))
+}
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,41 @@
+//! `myrtle-load`: drives the demo and checks the promises. Not shipped.
+
+mod callers;
+mod check;
+mod demo;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Puts load on a running system and checks what came of it.
+#[derive(FromArgs)]
+struct Args {
+    /// what to do
+    #[argh(subcommand)]
+    command: Command,
+}
+
+/// What to do.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    /// Runs the demo.
+    Demo(demo::Demo),
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let kept = match args.command {
+        Command::Demo(demo) => demo::run(&demo).await,
+    };
+    match kept {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(e) => {
+            eprintln!("error: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/baseline.rs
@@ -0,0 +1,44 @@
+//! Baselines that a policy must beat.
+
+use crate::{Fleet, Machine, Placer, Want};
+
+/// The first machine with room.
+#[derive(Debug, Default)]
+pub struct FirstFit;
+
+/// The machine that is left fullest by declared size.
+#[derive(Debug, Default)]
+pub struct BestFit;
+
+/// The machine with the smallest share of its room taken.
+#[derive(Debug, Default)]
+pub struct LeastLoaded;
+
+impl Placer for FirstFit {
+    fn place(&mut self, fleet: &Fleet, want: &Want) -> Option<u32> {
+        candidates(fleet, want).next().map(|c| c.0)
+    }
+}
+
+impl Placer for BestFit {
+    fn place(&mut self, fleet: &Fleet, want: &Want) -> Option<u32> {
+        let fullest = candidates(fleet, want).max_by(|a, b| a.1.filled().total_cmp(&b.1.filled()));
+        fullest.map(|c| c.0)
+    }
+}
+
+impl Placer for LeastLoaded {
+    fn place(&mut self, fleet: &Fleet, want: &Want) -> Option<u32> {
+        let emptiest = candidates(fleet, want).min_by(|a, b| a.1.filled().total_cmp(&b.1.filled()));
+        emptiest.map(|c| c.0)
+    }
+}
+
+/// The machines that take the task.
+pub(crate) fn candidates<'a>(
+    fleet: &'a Fleet,
+    want: &'a Want,
+) -> impl Iterator<Item = (u32, &'a Machine)> {
+    let all = fleet.machines.iter().enumerate().map(|(n, m)| (n as u32, m));
+    all.filter(|(n, m)| want.avoid != Some(*n) && m.takes(want))
+}
--- /dev/null
+++ b/crates/place/src/learned.rs
@@ -0,0 +1,97 @@
+//! Places by learned costs: services keep their targets, batch fills the rest.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::baseline::candidates;
+use crate::{Costs, Fleet, Headroom, Machine, Placer, Sample, Want};
+
+/// Machines that are looked at before the whole fleet is searched.
+const LOOKS: usize = 24;
+
+/// The weight of the measured tail against the modelled one; the measured one is late.
+const MEASURED: f64 = 0.5;
+
+/// Places by learned pair costs.
+#[derive(Debug)]
+pub struct Learned {
+    costs: Costs,
+    headroom: Headroom,
+    rng: ChaCha8Rng,
+}
+
+impl Learned {
+    /// Nothing learned yet.
+    pub fn new(services: usize, kinds: usize, seed: u64) -> Self {
+        Self {
+            costs: Costs::new(services, kinds),
+            headroom: Headroom::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes in a measurement.
+    pub fn learn(&mut self, sample: &Sample) {
+        self.headroom.seen(sample.tail);
+        self.costs.learn(sample);
+    }
+
+    /// The learned costs.
+    pub fn costs(&self) -> &Costs {
+        &self.costs
+    }
+
+    /// The expected tail against the target on a machine as it is, and with the task.
+    fn expect(&self, machine: &Machine, want: &Want) -> (f64, f64) {
+        let cores = f64::from(machine.room.cpu.max(1));
+        let parts = machine.kinds.iter().map(|(k, cpu)| (*k, f64::from(*cpu) / cores));
+        let model = self.costs.expect(machine.service, parts);
+        let late = if machine.tail > 0.0 { machine.tail } else { model };
+        let now = model.max(model * (1.0 - MEASURED) + late * MEASURED);
+        let more = self.costs.of(machine.service, want.kind) * machine.part(&want.room);
+        (now, now + more)
+    }
+
+    /// The cost of a machine, or nothing if the service would suffer.
+    fn cost(&self, machine: &Machine, want: &Want) -> Option<f64> {
+        let (now, then) = self.expect(machine, want);
+        let over = then > self.headroom.plan();
+        if over && !want.urgent {
+            return None;
+        }
+        // Fill machines where the task disturbs least; among equals, the fuller one.
+        let harm = then - now;
+        let tight = if over { 10.0 * then } else { 0.0 };
+        Some(tight + harm + 0.1 * then - 0.05 * machine.filled())
+    }
+
+    fn sampled(&mut self, fleet: &Fleet, want: &Want) -> Option<u32> {
+        let n = fleet.machines.len();
+        let mut best: Option<(f64, u32)> = None;
+        for _ in 0..LOOKS.min(n * 2) {
+            let at = self.rng.random_range(0..n) as u32;
+            let machine = &fleet.machines[at as usize];
+            if want.avoid == Some(at) || !machine.takes(want) {
+                continue;
+            }
+            let Some(cost) = self.cost(machine, want) else { continue };
+            if best.is_none_or(|(c, _)| cost < c) {
+                best = Some((cost, at));
+            }
+        }
+        best.map(|b| b.1)
+    }
+}
+
+impl Placer for Learned {
+    fn place(&mut self, fleet: &Fleet, want: &Want) -> Option<u32> {
+        if fleet.machines.is_empty() {
+            return None;
+        }
+        if let Some(at) = self.sampled(fleet, want) {
+            return Some(at);
+        }
+        let costs = candidates(fleet, want).filter_map(|(n, m)| Some((self.cost(m, want)?, n)));
+        costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|c| c.1)
+    }
+}
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,15 @@
+//! Where a task runs, and what gives way when a service suffers: pure and seeded.
+
+mod baseline;
+mod costs;
+mod fleet;
+mod headroom;
+mod learned;
+mod relief;
+
+pub use baseline::{BestFit, FirstFit, LeastLoaded};
+pub use costs::{Costs, Sample};
+pub use fleet::{Fleet, Machine, Placer, Want};
+pub use headroom::Headroom;
+pub use learned::Learned;
+pub use relief::{Act, Relief, Tenant};
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,16 @@
+//! Clients of what the platform gives: the log service, the host list and the workers.
+
+mod call;
+mod hosts;
+mod log;
+mod serve;
+mod worker;
+
+pub use call::{Caller, Failure};
+pub use hosts::{Host, HostList, Role};
+pub use log::{Entry, LogClient, Page, ReadError};
+pub use serve::{Answer, Ask, answer, json, serve, text};
+pub use worker::{
+    Report, RunState, Start, Stop, SyncReply, SyncRequest, TaskUse, Throttle, UsageReport,
+    WorkerClient,
+};
--- /dev/null
+++ b/crates/route/src/rate.rs
@@ -0,0 +1,50 @@
+//! A token bucket for a party's share of its rate.
+
+use std::time::Duration;
+
+/// Tokens that can be saved up, in seconds of the rate.
+const BURST: f64 = 1.0;
+
+/// A bucket that fills at the share's rate.
+#[derive(Debug, Clone, Default)]
+pub struct Rate {
+    tokens: f64,
+    filled: Duration,
+    /// Requests asked for since the last look, allowed or not.
+    asked: u32,
+    looked: Duration,
+    recent: f64,
+}
+
+impl Rate {
+    /// Takes a token; `share` is in requests a second.
+    ///
+    /// Returns the wait after which there will be one if there is none now.
+    pub fn take(&mut self, share: u32, now: Duration) -> Result<(), Duration> {
+        self.asked += 1;
+        let rate = f64::from(share);
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        self.filled = now;
+        self.tokens = (self.tokens + passed * rate).min(rate * BURST);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let wait = if share == 0 { 1.0 } else { (1.0 - self.tokens) / rate };
+        Err(Duration::from_secs_f64(wait))
+    }
+
+    /// The requests a second that callers asked for lately.
+    pub fn demand(&mut self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.looked).as_secs_f64();
+        if passed < 0.2 {
+            return self.recent;
+        }
+        let fresh = f64::from(self.asked) / passed;
+        // Demand is believed at once when it grows and given up slowly when it falls.
+        self.recent = fresh.max(self.recent * 0.5);
+        self.asked = 0;
+        self.looked = now;
+        self.recent
+    }
+}
--- /dev/null
+++ b/crates/route/src/score.rs
@@ -0,0 +1,84 @@
+//! What a gate knows of an upstream from its own requests: latency and failures, with decay.
+
+use std::time::Duration;
+
+/// The weight of a new sample.
+const WEIGHT: f64 = 0.2;
+
+/// How fast a score that gets no samples returns to the common one, in seconds.
+///
+/// Neighbours move every ten seconds or so; an upstream that is shunned is tried again sooner.
+const FORGET: f64 = 4.0;
+
+/// One sample moves a score by at most this factor, so that one late answer does not condemn.
+const STEP: f64 = 4.0;
+
+/// Failures above this share put an upstream out of the choice for a while.
+const BAD: f64 = 0.5;
+
+/// The first time out; it doubles up to [`MAX_OUT`] while probes fail.
+const OUT: Duration = Duration::from_millis(500);
+
+/// The longest time out.
+const MAX_OUT: Duration = Duration::from_secs(10);
+
+/// Recent latency and failures of one upstream.
+#[derive(Debug, Clone)]
+pub struct Score {
+    latency: f64,
+    failing: f64,
+    seen: Duration,
+    out: Duration,
+    until: Duration,
+}
+
+impl Default for Score {
+    fn default() -> Self {
+        let zero = Duration::ZERO;
+        Self { latency: 0.0, failing: 0.0, seen: zero, out: OUT, until: zero }
+    }
+}
+
+impl Score {
+    /// Seconds that a request is expected to take; `common` is the mean over all upstreams.
+    pub fn expect(&self, now: Duration, common: f64) -> f64 {
+        if self.latency == 0.0 {
+            return common;
+        }
+        let idle = now.saturating_sub(self.seen).as_secs_f64();
+        let keep = FORGET / (FORGET + idle);
+        let latency = common + (self.latency - common) * keep;
+        // A failure costs a repeat: count it as the time of the repeat.
+        latency * (1.0 + 4.0 * self.failing * keep)
+    }
+
+    /// Whether it is out of the choice until a probe is due.
+    pub fn is_out(&self, now: Duration) -> bool {
+        now < self.until
+    }
+
+    /// Takes in an answer.
+    pub fn answered(&mut self, now: Duration, took: Duration) {
+        let took = took.as_secs_f64();
+        let bounded = match self.latency {
+            0.0 => took,
+            known => took.clamp(known / STEP, known * STEP),
+        };
+        let old = if self.latency == 0.0 { bounded } else { self.latency };
+        self.latency = old + (bounded - old) * WEIGHT;
+        self.failing *= 1.0 - WEIGHT;
+        self.seen = now;
+        self.out = OUT;
+        self.until = Duration::ZERO;
+    }
+
+    /// Takes in a failure; its speed is no merit.
+    pub fn failed(&mut self, now: Duration) {
+        self.failing += (1.0 - self.failing) * WEIGHT.max(0.34);
+        self.seen = now;
+        if self.failing > BAD {
+            self.until = now + self.out;
+            self.out = (self.out * 2).min(MAX_OUT);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/claims.rs
@@ -0,0 +1,129 @@
+//! Which pending task goes to which worker: builds the fleet from the fold and asks a placer.
+
+use std::collections::BTreeMap;
+
+use myrtle_base::Room;
+use myrtle_cell::{Cell, Health, Job, Op, State, TaskId, Why};
+use myrtle_place::{Fleet, Machine, Placer, Want};
+
+/// Claims proposed at a time.
+const MOST: usize = 256;
+
+/// Pending tasks looked at before giving up; the rest does not fit either.
+const MISSES: usize = 32;
+
+/// A dearer task displaces only tasks of classes at most this part of its price.
+const DEARER: f64 = 0.5;
+
+/// Numbers for the kinds of tasks.
+#[derive(Debug, Default)]
+pub struct Kinds {
+    numbers: BTreeMap<String, u16>,
+}
+
+impl Kinds {
+    /// The number of a kind, the same for the life of this host.
+    pub fn number(&mut self, kind: &str) -> u16 {
+        let next = self.numbers.len() as u16;
+        *self.numbers.entry(kind.into()).or_insert(next)
+    }
+}
+
+/// The fleet as the fold has it; `tails` are measured tails by worker.
+pub fn fleet(cell: &Cell, kinds: &mut Kinds, tails: &BTreeMap<u32, f64>) -> Fleet {
+    let mut racks = BTreeMap::new();
+    let mut machines = Vec::with_capacity(cell.workers.len());
+    for (no, worker) in cell.workers.iter().enumerate() {
+        let next = racks.len() as u32;
+        let mut machine = Machine {
+            room: worker.room,
+            free: worker.room,
+            rack: *racks.entry(&worker.rack).or_insert(next),
+            tail: tails.get(&(no as u32)).copied().unwrap_or_default(),
+            up: worker.health == Health::Up && worker.takes(cell.now),
+            ..Machine::default()
+        };
+        for (_, task, job) in cell.tasks_on(no as u32) {
+            machine.add(&task.given, kinds.number(&job.spec.kind));
+        }
+        machines.push(machine);
+    }
+    Fleet { machines }
+}
+
+/// Claims for pending tasks, the dearest first.
+pub fn claims<P: Placer>(
+    cell: &Cell,
+    fleet: &mut Fleet,
+    kinds: &mut Kinds,
+    placer: &mut P,
+) -> Vec<Op> {
+    let mut ops = Vec::new();
+    let mut misses = 0;
+    for (id, task, job) in cell.waiting() {
+        if ops.len() >= MOST || misses >= MISSES {
+            break;
+        }
+        if cell.now < task.wait {
+            continue;
+        }
+        let want = Want {
+            room: job.room,
+            kind: kinds.number(&job.spec.kind),
+            avoid: task.avoid,
+            urgent: job.spec.price > 0 && job.spec.watcher(),
+            group: id.job,
+        };
+        match placer.place(fleet, &want) {
+            Some(worker) => {
+                fleet.machines[worker as usize].add(&want.room, want.kind);
+                ops.push(Op::Claim { task: id, attempt: task.attempt + 1, worker });
+            }
+            None => {
+                misses += 1;
+                if misses == 1 {
+                    ops.extend(displace(cell, job));
+                }
+            }
+        }
+    }
+    ops
+}
+
+/// Stops the cheapest tasks of one worker so that a much dearer one fits.
+fn displace(cell: &Cell, job: &Job) -> Vec<Op> {
+    let under_way = cell.tasks.values().any(|t| matches!(t.state, State::Stopping(_, Why::Dearer)));
+    if under_way {
+        return Vec::new();
+    }
+    let plans = (0..cell.workers.len() as u32).filter_map(|no| plan(cell, no, job));
+    let cheapest = plans.min_by_key(|(price, _)| *price);
+    cheapest.map(|(_, ops)| ops).unwrap_or_default()
+}
+
+/// The price and the stops that make room for the job on one worker.
+fn plan(cell: &Cell, no: u32, job: &Job) -> Option<(u64, Vec<Op>)> {
+    let worker = &cell.workers[no as usize];
+    if worker.health != Health::Up || !worker.takes(cell.now) || !job.room.fits(&worker.room) {
+        return None;
+    }
+    let limit = (f64::from(job.spec.price) * DEARER) as u32;
+    let mut cheap: Vec<(u32, TaskId, u16, Room)> = cell
+        .tasks_on(no)
+        .filter(|(_, t, j)| j.spec.price <= limit && matches!(t.state, State::Running(_)))
+        .map(|(id, t, j)| (j.spec.price, id, t.attempt, t.given))
+        .collect();
+    cheap.sort_by_key(|c| c.0);
+    let mut free = worker.free();
+    let mut price = 0;
+    let mut ops = Vec::new();
+    for (cost, task, attempt, room) in cheap {
+        if job.room.fits(&free) {
+            break;
+        }
+        free += room;
+        price += u64::from(cost) + 1;
+        ops.push(Op::Stop { task, attempt, why: Why::Dearer });
+    }
+    (job.room.fits(&free) && !ops.is_empty()).then_some((price, ops))
+}
--- /dev/null
+++ b/crates/sched/src/duties.rs
@@ -0,0 +1,197 @@
+//! What one host does for the whole cell: jobs, keepers, claims, lapses.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+
+use myrtle_base::{GUARD, LEASE, Millis, winner};
+use myrtle_cell::{Cell, Health, JobState, Op, Spec, Subject, Unit};
+use myrtle_config::{Config, Desired, Job};
+use myrtle_peer::{GateSeen, Proposal};
+use myrtle_place::Learned;
+use myrtle_platform::{Host, Role};
+use myrtle_route::KeyTable;
+
+use crate::claims::{Kinds, claims, fleet};
+use crate::tables::Tables;
+
+/// The time between two rounds.
+const ROUND: Duration = Duration::from_millis(200);
+
+/// How long a gate may be silent before it is suspected.
+const GATE_SILENT: Millis = Millis(3_000);
+
+/// The time after the start in which gates are not suspected, since none was heard yet.
+const GRACE: Millis = Millis(5_000);
+
+/// Kinds of tasks that are told apart.
+const MAX_KINDS: usize = 256;
+
+/// Does the cell's duties when it is this host's turn, until the future is dropped.
+pub async fn run(tables: Arc<Tables>) {
+    let mut placer = Learned::new(1, MAX_KINDS, tables.writer);
+    let mut kinds = Kinds::default();
+    loop {
+        tokio::time::sleep(ROUND).await;
+        if !tables.lit() || !tables.mine("writer") {
+            continue;
+        }
+        let mut ops = standing_ops(&tables);
+        ops.extend(lapses(&tables).await);
+        ops.extend(tables.cell(|c| {
+            let mut fleet = fleet(&c.cell, &mut kinds, &BTreeMap::new());
+            claims(&c.cell, &mut fleet, &mut kinds, &mut placer)
+        }));
+        propose(&tables, ops).await;
+    }
+}
+
+async fn propose(tables: &Tables, ops: Vec<Op>) {
+    if ops.is_empty() {
+        return;
+    }
+    let Proposal::Folded(verdicts) = tables.commit(ops.clone()).await else { return };
+    for (op, verdict) in ops.iter().zip(&verdicts) {
+        if verdict.is_err() {
+            continue;
+        }
+        if let Some(word) = word(op) {
+            info!("cell: {word}");
+            tables.ring.add("cell", word);
+        }
+    }
+}
+
+/// Jobs, keepers and gates that the fold does not have yet.
+fn standing_ops(tables: &Tables) -> Vec<Op> {
+    let seen = tables.gates_seen(GATE_SILENT);
+    let settled = tables.now() > GRACE;
+    let centre = tables.centre();
+    tables.config(|config| {
+        tables.cell(|c| {
+            let mut ops = job_ops(config, &c.cell, centre);
+            let hosts = tables.peers(|p| p.hosts.clone());
+            ops.extend(gate_ops(config, &c.cell, &hosts, centre));
+            if settled {
+                ops.extend(silent_gates(&c.cell, &seen));
+            }
+            ops
+        })
+    })
+}
+
+/// Commands that bring the cell's jobs in line with the configuration.
+pub fn job_ops(config: &Config, cell: &Cell, centre: &str) -> Vec<Op> {
+    let Some(platform) = config.platform() else { return Vec::new() };
+    let mut ops = Vec::new();
+    if let (true, Some(place)) = (cell.voters.is_empty(), platform.data_centres.get(centre)) {
+        ops.push(Op::Genesis { hosts: place.hosts.clone() });
+    }
+    let mut wanted = BTreeMap::new();
+    for scoped in config.scopes.values() {
+        let here = scoped.desired.jobs.iter().filter(|j| j.1.data_centre == centre);
+        wanted.extend(here.map(|(name, job)| (name.as_str(), (scoped.version, job))));
+    }
+    for (name, (version, job)) in &wanted {
+        let Some(spec) = spec(platform, job) else { continue };
+        let known = cell.job_named(name);
+        let same = known.is_some_and(|(_, j)| j.spec == spec && j.state != JobState::Removed);
+        if !same {
+            ops.push(Op::Job { name: name.to_string(), version: *version, spec });
+        }
+    }
+    let open = cell.jobs.values().filter(|j| j.state == JobState::Open);
+    for job in open.filter(|j| !wanted.contains_key(j.name.as_str())) {
+        ops.push(Op::Remove { name: job.name.clone(), version: config.version });
+    }
+    ops
+}
+
+/// What a configured job asks for.
+fn spec(platform: &Desired, job: &Job) -> Option<Spec> {
+    let class = platform.classes.get(&job.class)?;
+    Some(Spec {
+        party: job.party.clone(),
+        class: job.class.clone(),
+        price: class.price.try_into().unwrap_or(u32::MAX),
+        kind: job.kind.clone(),
+        tasks: job.tasks,
+        room: job.room(),
+        run_time: job.run_time.map(|t| t.0),
+        when_cut: job.when_cut,
+        failures: job.failures,
+    })
+}
+
+/// Commands that give every unit a keeper.
+pub fn gate_ops(config: &Config, cell: &Cell, hosts: &[Host], centre: &str) -> Vec<Op> {
+    let up: Vec<&str> =
+        cell.gates.iter().filter(|g| g.1.health == Health::Up).map(|g| g.0.as_str()).collect();
+    if up.is_empty() {
+        return Vec::new();
+    }
+    let upstreams = hosts
+        .iter()
+        .filter(|h| h.role == Role::Worker && h.data_centre == centre && !h.service.is_empty())
+        .map(|h| Unit::Upstream(h.name.clone()));
+    let parties = config.platform().into_iter().flat_map(|p| p.parties.keys().cloned());
+    let units = upstreams
+        .chain(parties.map(Unit::Party))
+        .chain(KeyTable::buckets().map(Unit::Keys))
+        .filter(|unit| !cell.units.contains_key(unit));
+    let keep = units.filter_map(|unit| {
+        let gate = winner(up.iter().copied(), &unit.to_string())?.to_string();
+        Some(Op::Keep { unit, gate })
+    });
+    keep.collect()
+}
+
+/// Suspicions of gates that no host has heard of, or that came back with another life.
+fn silent_gates(cell: &Cell, seen: &[GateSeen]) -> Vec<Op> {
+    let silent = cell.gates.iter().filter(|(name, gate)| {
+        let heard = seen.iter().any(|s| s.name == **name && s.boot == gate.boot);
+        gate.health == Health::Up && !heard
+    });
+    silent.map(|(name, _)| Op::Suspect { subject: Subject::Gate(name.clone()) }).collect()
+}
+
+/// Lapses of suspects whose leases have run out, with the promises of a majority.
+async fn lapses(tables: &Tables) -> Vec<Op> {
+    let now = tables.log_now().unwrap_or_default();
+    let due: Vec<(Subject, u64)> = tables.cell(|c| {
+        let over = |subject: &Subject| {
+            let health = c.cell.health(subject);
+            matches!(health, Some(Health::Suspect { since, .. })
+                if now.since(since) >= LEASE + GUARD)
+        };
+        c.cell.suspects().filter(|(subject, _)| over(subject)).collect()
+    });
+    let mut ops = Vec::new();
+    for (subject, suspected) in due {
+        let consents = tables.consents(&subject, suspected).await;
+        if tables.cell(|c| c.cell.majority(&consents)) {
+            ops.push(Op::Lapse { subject, suspected, consents });
+        }
+    }
+    ops
+}
+
+/// The words of a command in the time line.
+fn word(op: &Op) -> Option<String> {
+    match op {
+        Op::Genesis { hosts } => Some(format!("hosts named: {}", hosts.join(", "))),
+        Op::Job { name, .. } => Some(format!("job {name} entered")),
+        Op::Remove { name, .. } => Some(format!("job {name} removed")),
+        Op::Claim { task, attempt, worker } => {
+            Some(format!("task {task} attempt {attempt} claimed for worker {worker}"))
+        }
+        Op::Stop { task, why, .. } => Some(format!("task {task} is to stop: {why}")),
+        Op::Suspect { subject } => Some(format!("{subject} suspected")),
+        Op::Lapse { subject, consents, .. } => {
+            Some(format!("{subject} given up on the word of {}", consents.join(", ")))
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/sched/src/peers.rs
@@ -0,0 +1,81 @@
+//! Keeps up with the host list and with the other scheds of the data centre.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+
+use myrtle_base::Millis;
+use myrtle_peer::{Link, SchedPeerClient};
+use myrtle_platform::{Host, Role};
+
+use crate::tables::{Peer, Tables};
+
+/// The time between two looks at the host list.
+const LIST: Duration = Duration::from_millis(1_000);
+
+/// The time between two pulses.
+const PULSE: Duration = Duration::from_millis(700);
+
+/// How long a pulse may take.
+const LIMIT: Duration = Duration::from_millis(600);
+
+/// Reads the host list again and again, until the future is dropped.
+pub async fn follow_list(tables: Arc<Tables>) {
+    loop {
+        if let Ok(hosts) = tables.list.list().await {
+            take_list(&tables, hosts);
+        }
+        tokio::time::sleep(LIST).await;
+    }
+}
+
+/// Asks the other scheds how they are, until the future is dropped.
+pub async fn pulse(tables: Arc<Tables>) {
+    loop {
+        join_all(tables.peer_links().into_iter().map(|(name, link)| {
+            let tables = tables.clone();
+            async move { ask(&tables, &name, &link).await }
+        }))
+        .await;
+        tokio::time::sleep(PULSE).await;
+    }
+}
+
+fn take_list(tables: &Tables, hosts: Vec<Host>) {
+    let changed = tables.peers(|peers| {
+        let own = |h: &&Host| h.role == Role::Sched && h.data_centre == tables.centre();
+        let scheds = hosts.iter().filter(own).filter(|h| h.name != tables.name());
+        for host in scheds {
+            let known = peers.scheds.get(&host.name).is_some_and(|p| p.link.at() == host.peer);
+            if !known {
+                let link = Arc::new(Link::new(host.peer));
+                peers.scheds.insert(host.name.clone(), Peer { link, pulse: None });
+            }
+        }
+        let listed = |name: &String| hosts.iter().any(|h| h.name == *name);
+        peers.scheds.retain(|name, _| listed(name));
+        let changed = peers.hosts != hosts;
+        peers.hosts = hosts;
+        changed
+    });
+    if changed {
+        tables.wake();
+    }
+}
+
+async fn ask(tables: &Tables, name: &str, link: &Link<SchedPeerClient>) {
+    let stamp = tables.ring.clock().tick();
+    let call = |c: SchedPeerClient, x| async move { c.pulse(x, stamp).await };
+    let Some(pulse) = link.call(LIMIT, call).await else { return };
+    tables.ring.clock().merge(pulse.stamp);
+    let now = tables.now();
+    tables.peers(|p| {
+        if let Some(peer) = p.scheds.get_mut(name) {
+            peer.pulse = Some((pulse, now));
+        }
+    });
+}
+
+/// Gates heard of within this time are told to peers.
+pub const GATE_AGE: Millis = Millis(6_000);
--- /dev/null
+++ b/crates/sched/src/rpc.rs
@@ -0,0 +1,114 @@
+//! Answers the calls of scheds and gates.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tarpc::context::Context;
+use tokio::time::{Instant, timeout_at};
+
+use myrtle_base::{Millis, Stamp};
+use myrtle_cell::{Grant, Health, Op, Subject};
+use myrtle_peer::{GateView, Known, Proposal, Pulse, SchedPeer, Whole, WorkerLoad};
+
+use crate::peers::GATE_AGE;
+use crate::tables::Tables;
+
+/// The longest that a view waits for a change.
+const MAX_WAIT: Duration = Duration::from_secs(2);
+
+/// The service towards peers.
+#[derive(Debug, Clone)]
+pub struct Server(pub Arc<Tables>);
+
+impl SchedPeer for Server {
+    async fn pulse(self, _: Context, stamp: Stamp) -> Pulse {
+        let tables = &self.0;
+        tables.ring.clock().merge(stamp);
+        let now = tables.now();
+        let gates = tables.peers(|p| {
+            let own = p.gates.iter().map(|(name, (boot, at))| myrtle_peer::GateSeen {
+                name: name.clone(),
+                boot: *boot,
+                age: now.since(*at),
+            });
+            own.filter(|g| g.age < GATE_AGE).collect()
+        });
+        Pulse {
+            stamp: tables.ring.clock().tick(),
+            age: tables.age(),
+            config: tables.config(|c| c.version),
+            next: tables.cell(|c| c.cell.next),
+            gates,
+            loads: loads(tables),
+        }
+    }
+
+    async fn allow(self, _: Context, subject: Subject) -> bool {
+        self.0.allow(&subject)
+    }
+
+    async fn consent(self, _: Context, subject: Subject, suspected: u64) -> bool {
+        self.0.consent(&subject, suspected)
+    }
+
+    async fn whole(self, _: Context) -> Whole {
+        let config = self.0.config(|c| c.clone());
+        let cell = self.0.cell(|c| c.cell.clone());
+        Whole { config, cell }
+    }
+
+    async fn propose(self, _: Context, stamp: Stamp, ops: Vec<Op>) -> Proposal {
+        self.0.ring.clock().merge(stamp);
+        self.0.commit(ops).await
+    }
+
+    async fn renew(self, _: Context, gate: String, boot: u64, clock: Millis) -> Option<Grant> {
+        let tables = self.0;
+        let arrived = tables.now();
+        tables.peers(|p| p.gates.insert(gate.clone(), (boot, arrived)));
+        let subject = Subject::Gate(gate.clone());
+        let known = tables.cell(|c| c.cell.gates.get(&gate).map(|g| (g.boot, g.health)));
+        let enter = Op::Gate { name: gate, boot };
+        match known {
+            Some((known, Health::Up)) if known == boot => {
+                tables.grant(&subject, clock, arrived).await
+            }
+            Some((known, Health::Suspect { .. })) if known == boot => {
+                tables.propose(vec![Op::Clear { subject }]).await;
+                None
+            }
+            // An earlier life must lapse first: the cell's writer sees to it.
+            Some((known, Health::Up | Health::Suspect { .. })) if known < boot => None,
+            Some((known, _)) if known > boot => None,
+            _ => {
+                tables.propose(vec![enter]).await;
+                None
+            }
+        }
+    }
+
+    async fn view(self, _: Context, known: Known, wait: Millis) -> GateView {
+        let end = Instant::now() + wait.std().min(MAX_WAIT);
+        let mut changed = self.0.changed.subscribe();
+        loop {
+            let view = self.0.gate_view(&known);
+            let news = view.platform.is_some() || view.peering.is_some();
+            if news || timeout_at(end, changed.changed()).await.is_err() {
+                return view;
+            }
+        }
+    }
+}
+
+/// The loads of the workers that this host looks after.
+fn loads(tables: &Tables) -> Vec<WorkerLoad> {
+    tables.cell(|c| {
+        tables.links(|links| {
+            let load = |(name, link): (&String, &crate::warden::WorkerLink)| {
+                let no = c.cell.worker_named(name)?;
+                link.load(no, &c.cell.workers[no as usize].room)
+            };
+            links.iter().filter_map(load).collect()
+        })
+    })
+}
--- /dev/null
+++ b/crates/sched/src/views.rs
@@ -0,0 +1,71 @@
+//! What gates need to know of the cell.
+
+use std::hash::{Hash, Hasher};
+
+use xxhash_rust::xxh3::Xxh3Default;
+
+use myrtle_cell::Health;
+use myrtle_config::PLATFORM;
+use myrtle_peer::{GateView, Known, Peering, UpstreamView};
+use myrtle_platform::{Host, Role};
+
+use crate::tables::Tables;
+
+impl Tables {
+    /// What a gate does not know yet.
+    pub fn gate_view(&self, known: &Known) -> GateView {
+        let platform = self.config(|c| {
+            let scoped = c.scopes.get(PLATFORM)?;
+            (scoped.version > known.config).then(|| scoped.clone())
+        });
+        let peering = self.peering();
+        let mark = mark(&peering);
+        GateView {
+            stamp: self.ring.clock().tick(),
+            platform,
+            mark,
+            peering: (mark != known.mark).then_some(peering),
+        }
+    }
+
+    fn peering(&self) -> Peering {
+        self.cell(|c| {
+            self.peers(|p| {
+                let up = c.cell.gates.iter().filter(|g| g.1.health == Health::Up);
+                let gates = p.hosts.iter().filter(|h| h.role == Role::Gate);
+                let own = |h: &&Host| h.role == Role::Worker && h.data_centre == self.centre();
+                let upstreams = p.hosts.iter().filter(own).filter(|h| !h.service.is_empty());
+                let drained = |h: &Host| {
+                    let no = c.cell.worker_named(&h.name);
+                    no.is_some_and(|no| c.cell.workers[no as usize].leaving)
+                };
+                Peering {
+                    next: c.cell.next,
+                    units: c.cell.units.clone(),
+                    gates: up.map(|(name, gate)| (name.clone(), gate.boot)).collect(),
+                    peers: gates
+                        .map(|h| (h.name.clone(), (h.data_centre.clone(), h.peer)))
+                        .collect(),
+                    upstreams: upstreams
+                        .map(|h| UpstreamView {
+                            name: h.name.clone(),
+                            service: h.service.clone(),
+                            at: h.peer,
+                            leaving: h.leaving || drained(h),
+                        })
+                        .collect(),
+                }
+            })
+        })
+    }
+}
+
+/// A hash over what matters to gates; the offset alone does not.
+fn mark(peering: &Peering) -> u64 {
+    let mut hasher = Xxh3Default::new();
+    peering.units.hash(&mut hasher);
+    peering.gates.hash(&mut hasher);
+    peering.peers.hash(&mut hasher);
+    peering.upstreams.hash(&mut hasher);
+    hasher.finish().max(1)
+}
--- /dev/null
+++ b/crates/standin/src/world.rs
@@ -0,0 +1,191 @@
+//! A whole platform on loopback, with a control interface for faults.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use tokio::net::TcpListener;
+
+use myrtle_base::Room;
+use myrtle_platform::{Answer, Ask, Host, Role, json, serve, text};
+
+use crate::{Hosts, Log, LogMode, Record, Upstream, UpstreamMode, Worker, WorkerMode};
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The data centres.
+    pub centres: Vec<String>,
+    /// Workers in each data centre.
+    pub workers: usize,
+    /// The service that every worker runs an upstream of.
+    pub service: String,
+    /// What each worker has for tasks.
+    pub room: Room,
+    /// What tasks use against what they were given.
+    pub scale: f64,
+    /// How late the host list is.
+    pub lag: Duration,
+    /// Records that the log keeps of each stream.
+    pub kept: usize,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            centres: vec!["attiki-a".into()],
+            workers: 4,
+            service: "nomgate".into(),
+            room: Room::new(32.0, 125_000, 2),
+            scale: 0.7,
+            lag: Duration::from_millis(300),
+            kept: 100_000,
+        }
+    }
+}
+
+/// Workers in one rack.
+const RACK: usize = 8;
+
+/// An order to fail or to recover.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Control {
+    /// To the log.
+    Log(LogMode),
+    /// To a worker.
+    Worker(String, WorkerMode),
+    /// To an upstream, by the name of its worker.
+    Upstream(String, UpstreamMode),
+    /// A host leaves, says the list.
+    Leave(String),
+    /// A host is gone, says the list.
+    Remove(String),
+}
+
+/// The running stand-ins.
+#[derive(Debug)]
+pub struct World {
+    /// Where the log listens.
+    pub log_at: SocketAddr,
+    /// Where the host list and the control interface listen.
+    pub hosts_at: SocketAddr,
+    /// What was seen.
+    pub record: Arc<Record>,
+    /// The log.
+    pub log: Arc<Log>,
+    /// The host list.
+    pub hosts: Arc<Hosts>,
+    workers: BTreeMap<String, Arc<Worker>>,
+    upstreams: BTreeMap<String, Arc<Upstream>>,
+}
+
+impl World {
+    /// Starts everything on ports that the system chooses.
+    pub async fn start(plan: &Plan) -> std::io::Result<Arc<Self>> {
+        let record = Arc::new(Record::default());
+        let log = Arc::new(Log::new(plan.kept));
+        let hosts = Arc::new(Hosts::new(plan.lag));
+        let (log_port, hosts_port) = (bind().await?, bind().await?);
+        let mut world = Self {
+            log_at: log_port.local_addr()?,
+            hosts_at: hosts_port.local_addr()?,
+            record,
+            log,
+            hosts,
+            workers: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+        };
+        for centre in &plan.centres {
+            for n in 0..plan.workers {
+                world.add_worker(plan, centre, n).await?;
+            }
+        }
+        let world = Arc::new(world);
+        let log = world.log.clone();
+        let on_log = move |ask| {
+            let log = log.clone();
+            async move { log.handle(ask).await }
+        };
+        tokio::spawn(serve(log_port, on_log));
+        let shared = world.clone();
+        let on_hosts = move |ask| {
+            let world = shared.clone();
+            async move { world.handle(ask).await }
+        };
+        tokio::spawn(serve(hosts_port, on_hosts));
+        Ok(world)
+    }
+
+    /// Carries out an order.
+    pub fn control(&self, control: Control) -> Result<(), String> {
+        match control {
+            Control::Log(mode) => self.log.set(mode),
+            Control::Worker(name, mode) => {
+                self.workers.get(&name).ok_or(format!("there is no worker {name}"))?.set(mode);
+            }
+            Control::Upstream(name, mode) => {
+                self.upstreams.get(&name).ok_or(format!("there is no upstream {name}"))?.set(mode);
+            }
+            Control::Leave(name) => self.hosts.leave(&name),
+            Control::Remove(name) => self.hosts.remove(&name),
+        }
+        Ok(())
+    }
+
+    async fn handle(&self, ask: Ask) -> Answer {
+        match ask.path.as_str() {
+            "/hosts" => self.hosts.handle(ask).await,
+            "/record" => {
+                let mut summary = self.record.summary();
+                (summary.appends, summary.append_bytes) = self.log.appends();
+                json(&summary)
+            }
+            "/runs" => json(&self.record.runs()),
+            "/control" => match serde_json::from_slice(&ask.body) {
+                Ok(control) => match self.control(control) {
+                    Ok(()) => json(&()),
+                    Err(e) => text(404, e),
+                },
+                Err(e) => text(400, e.to_string()),
+            },
+            _ => text(404, "there are /hosts, /record, /runs and /control"),
+        }
+    }
+
+    async fn add_worker(&mut self, plan: &Plan, centre: &str, n: usize) -> std::io::Result<()> {
+        let name = format!("{centre}-w{n:02}");
+        let (control_port, upstream_port) = (bind().await?, bind().await?);
+        let host = Host {
+            name: name.clone(),
+            role: Role::Worker,
+            data_centre: centre.into(),
+            rack: format!("{centre}-r{}", n / RACK),
+            http: control_port.local_addr()?,
+            peer: upstream_port.local_addr()?,
+            service: plan.service.clone(),
+            room: plan.room,
+            leaving: false,
+        };
+        let worker = Arc::new(Worker::new(&name, plan.room, plan.scale, self.record.clone()));
+        let upstream = Arc::new(Upstream::new(&name, self.record.clone()));
+        tokio::spawn(worker.clone().run());
+        tokio::spawn(upstream.clone().run(upstream_port));
+        let shared = worker.clone();
+        let on_sync = move |ask| {
+            let worker = shared.clone();
+            async move { worker.handle(ask).await }
+        };
+        tokio::spawn(serve(control_port, on_sync));
+        self.hosts.enter(host);
+        self.workers.insert(name.clone(), worker);
+        self.upstreams.insert(name, upstream);
+        Ok(())
+    }
+}
+
+async fn bind() -> std::io::Result<TcpListener> {
+    TcpListener::bind("127.0.0.1:0").await
+}
