--- a/crates/base/src/kind.rs
+++ b/crates/base/src/kind.rs
@@ -75,8 +75,8 @@
     NoTime = "no_time", 503, No, "come back later or allow more time";
     /// The host is stopping or has no configuration or lease yet.
     NotReady = "not_ready", 503, No, "repeat it at another host";
-    /// The keeper of the key cannot be asked.
-    NoKeeper = "no_keeper", 503, No, "come back after the time in retry-after with the same key";
+    /// The keeper of the key cannot be asked; an earlier sending of the key may have run.
+    NoKeeper = "no_keeper", 503, Unknown, "this sending was not run; come back with the same key";
     /// The key is not a version 7 UUID of about now.
     BadKey = "bad_key", 400, No, "send a fresh version 7 UUID as 'idempotency-key'";
     /// The same key is running.
--- a/crates/cell/src/fold.rs
+++ b/crates/cell/src/fold.rs
@@ -138,7 +138,8 @@
         *health = Health::Lapsed;
         match subject {
             Subject::Worker(no) => self.free_worker(*no, false),
-            Subject::Gate(name) => self.free_units(name),
+            // Its last lease ended a guard ago at the latest.
+            Subject::Gate(name) => self.free_units(name, now - GUARD),
         }
         Ok(())
     }
--- a/crates/cell/src/gates.rs
+++ b/crates/cell/src/gates.rs
@@ -37,7 +37,7 @@
             return Err(Deny::Old);
         }
         gate.health = Health::Lapsed;
-        self.free_units(name);
+        self.free_units(name, self.now);
         Ok(())
     }
 
@@ -50,7 +50,8 @@
         if self.units.contains_key(unit) {
             return Err(Deny::Kept);
         }
-        let (since, term) = (self.now, self.term());
+        let since = self.freed.remove(unit).unwrap_or_default();
+        let term = self.term();
         self.units.insert(unit.clone(), Keep { gate: name.into(), since, term, handed: false });
         Ok(())
     }
@@ -72,9 +73,10 @@
         Ok(())
     }
 
-    /// Frees what a gate kept, after it left or its lease lapsed.
-    pub(crate) fn free_units(&mut self, name: &str) {
-        self.units.retain(|_, keep| keep.gate != name);
+    /// Frees what a gate kept; it has not acted on it after `last`.
+    pub(crate) fn free_units(&mut self, name: &str, last: Millis) {
+        let units = self.units.extract_if(.., |_, keep| keep.gate == name);
+        self.freed.extend(units.map(|(unit, _)| (unit, last)));
     }
 
     /// Adds what a gate served since its last report; a repeated report adds nothing.
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -110,7 +110,7 @@
 pub struct Keep {
     /// The gate.
     pub gate: String,
-    /// The log time from which what is known of the unit is complete.
+    /// The log time after which no earlier keeper acted on the unit; 0 if there was none.
     pub since: Millis,
     /// Grows with each change of the keeper.
     pub term: u64,
@@ -148,6 +148,8 @@
     pub gates: BTreeMap<String, Gate>,
     /// The keepers of units.
     pub units: BTreeMap<Unit, Keep>,
+    /// When units that nobody keeps were surely no longer used by their last keeper.
+    pub freed: BTreeMap<Unit, Millis>,
     /// Usage by party and class.
     pub usage: BTreeMap<(String, String), Usage>,
     pub(crate) next_job: u32,
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use myrtle_route::Ticket;
+use myrtle_route::{Fault, Ticket};
 
 use crate::pool::{Connection, Outgoing};
 use crate::tables::Tables;
@@ -97,11 +97,11 @@
     }
 
     /// Gives the slot back after a failure.
-    fn failed(mut self) {
+    fn failed(mut self, fault: Fault) {
         let now = self.tables.now();
         let ticket = self.ticket.take();
         let Some(ticket) = ticket else { return };
-        self.with_core(|core| core.failed(ticket, now));
+        self.with_core(|core| core.failed(ticket, now, fault));
     }
 
     fn with_core(&self, change: impl FnOnce(&mut crate::core::Core)) {
@@ -149,7 +149,7 @@
             None => connect(at).await,
         };
         let Ok(mut connection) = connection else {
-            slot.failed();
+            slot.failed(Fault::Broken);
             return Outcome::NotRun;
         };
         let request = request(&head, payload);
@@ -157,12 +157,12 @@
             Ok(answer) => return take_answer(slot, connection, at, idle, answer, watch).await,
             Err(mut e) => {
                 let Some(unsent) = e.take_message() else {
-                    slot.failed();
+                    slot.failed(Fault::Broken);
                     return Outcome::Unknown;
                 };
                 // Nothing of it was written: an idle connection had closed, try a fresh one.
                 if !reused {
-                    slot.failed();
+                    slot.failed(Fault::Broken);
                     return Outcome::NotRun;
                 }
                 payload = match unsent.into_body() {
@@ -191,7 +191,7 @@
     }
     if answer.status() == StatusCode::SERVICE_UNAVAILABLE && answer.headers().contains_key(NOT_RUN)
     {
-        slot.failed();
+        slot.failed(Fault::Bad);
         return Outcome::NotRun;
     }
     if watch {
@@ -208,14 +208,14 @@
                 tables.pool(|p| p.put(at, connection, idle));
             }
             if head.status.is_server_error() {
-                slot.failed()
+                slot.failed(Fault::Bad)
             } else {
                 slot.done()
             }
             Outcome::Answer(Response::from_parts(head, whole.to_bytes()))
         }
         _ => {
-            slot.failed();
+            slot.failed(Fault::Broken);
             Outcome::Unknown
         }
     }
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -10,7 +10,9 @@
 
 use myrtle_base::Kind;
 use myrtle_peer::UpstreamView;
-use myrtle_route::{Admit, Arrival, Budget, Dropped, Rate, Scored, Shares, Ticket, Upstreams};
+use myrtle_route::{
+    Admit, Arrival, Budget, Dropped, Fault, Rate, Scored, Shares, Ticket, Upstreams,
+};
 
 /// The time over which the most slots in use are remembered.
 const PEAK: Duration = Duration::from_secs(1);
@@ -45,6 +47,7 @@
     pub rates: HashMap<String, Rate>,
     /// What this gate may use of each unit.
     pub shares: Shares,
+    potential: u32,
     peak: u32,
     last_peak: u32,
     looked: Duration,
@@ -63,6 +66,7 @@
             budget: Budget::default(),
             rates: HashMap::new(),
             shares: Shares::default(),
+            potential: 0,
             peak: 0,
             last_peak: 0,
             looked: Duration::ZERO,
@@ -90,6 +94,11 @@
         }
     }
 
+    /// Sets the slots that an even split among the gates would give.
+    pub fn set_potential(&mut self, slots: u32) {
+        self.potential = slots;
+    }
+
     /// Brings the slots in line with the shares, which grow, shrink and lapse.
     pub fn set_slots(&mut self, now: Duration) {
         for no in 0..self.places.len() {
@@ -118,7 +127,7 @@
         self.next += 1;
         let (sender, turn) = oneshot::channel();
         self.waiting.insert(id, sender);
-        let slots = self.upstreams.held();
+        let slots = self.slots();
         let dropped = self.admit.enter(Arrival { id, ..arrival }, slots, now);
         self.refuse(dropped);
         self.note_peak();
@@ -142,7 +151,7 @@
                 self.upstreams.give_back(ticket);
             }
         }
-        let slots = self.upstreams.held();
+        let slots = self.slots();
         dropped.extend(self.admit.sweep(slots, now));
         self.refuse(dropped);
     }
@@ -155,8 +164,8 @@
     }
 
     /// Gives a slot back after a failure.
-    pub fn failed(&mut self, ticket: Ticket, now: Duration) {
-        self.upstreams.failed(ticket, now);
+    pub fn failed(&mut self, ticket: Ticket, now: Duration, fault: Fault) {
+        self.upstreams.failed(ticket, now, fault);
         self.dispatch(now);
     }
 
@@ -175,6 +184,11 @@
         self.peak.max(self.last_peak)
     }
 
+    /// The slots to reckon with: a gate that was quiet holds few and gets more when it asks.
+    fn slots(&self) -> u32 {
+        self.upstreams.held().max(self.potential)
+    }
+
     fn note_peak(&mut self) {
         let needed = self.upstreams.busy() + self.admit.len() as u32;
         self.peak = self.peak.max(needed);
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -164,11 +164,15 @@
 fn set_cores(tables: &Tables) {
     let view = tables.view.load_full();
     tables.core(|cores| {
-        for name in view.services.keys() {
+        for (name, service) in &view.services {
             let seed = rand::rng().random();
             let core = cores.entry(name.clone()).or_insert_with(|| Core::new(seed));
             let own = view.peering.upstreams.iter().filter(|u| u.service == *name);
-            core.set_upstreams(&own.cloned().collect::<Vec<_>>());
+            let own: Vec<_> = own.cloned().collect();
+            let there = own.iter().filter(|u| !u.leaving).count() as u32;
+            let gates = view.peering.gates.len().max(1) as u32;
+            core.set_upstreams(&own);
+            core.set_potential(there * service.slots / gates);
         }
     });
 }
--- a/crates/gate/src/keyed.rs
+++ b/crates/gate/src/keyed.rs
@@ -17,8 +17,9 @@
 use myrtle_route::{Begin, Saved, bucket_of};
 
 use crate::call::Call;
+use crate::exchange::exchange;
 use crate::refusal::RAN;
-use crate::serve::{Refusal, Reply, exchange, whole};
+use crate::serve::{Refusal, Reply, take_rate, whole};
 use crate::tables::{Tables, wall};
 
 /// How long a keeper is looked for; a bucket changes hands within it.
@@ -59,7 +60,10 @@
         Begin::Replay(saved) => Ok(replay(saved)),
         Begin::Refuse(kind) => Err(kind.into()),
         Begin::Run => {
-            let result = exchange(tables, call, &Arc::new(head), &body, deadline).await;
+            let result = match take_rate(tables, call) {
+                Ok(()) => exchange(tables, call, &Arc::new(head), &body, deadline).await,
+                Err(refusal) => Err(refusal),
+            };
             let done = match &result {
                 Ok(answer) => Done::Answered(saved(answer)),
                 Err(refusal) if refusal.kind.ran() == Ran::No => Done::NotRun,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -9,6 +9,7 @@
 mod call;
 mod core;
 mod drain;
+mod exchange;
 mod follow;
 mod keeper;
 mod keyed;
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -19,20 +19,15 @@
 
 use crate::attempt::{self, Outcome, Payload, Slot, passed};
 use crate::call::{Call, Fault};
+use crate::exchange::exchange;
 use crate::refusal::{RAN, refusal};
 use crate::tables::Tables;
 
 /// How long a caller may take to send its body.
 const BODY: Duration = Duration::from_secs(5);
 
-/// An attempt at a safe request is tried elsewhere after this many usual latencies.
-const PATIENCE: f64 = 8.0;
-
-/// The least time that an attempt gets.
-const LEAST: Duration = Duration::from_millis(40);
-
-/// The most attempts at one request.
-const ATTEMPTS: u32 = 3;
+/// When to come back to a gate that no keeper lends to.
+const SHARELESS: Duration = Duration::from_secs(1);
 
 /// An answer to a caller: whole, or passed on as it comes.
 pub type Reply = Response<Either<Full<Bytes>, Passing>>;
@@ -130,83 +125,20 @@
     body: Incoming,
     began: Duration,
 ) -> Result<Reply, Refusal> {
-    if !tables.ready() && tables.lease_left().is_zero() {
-        return Err(Refusal::after(Kind::NotReady, Duration::from_secs(1)));
+    let deadline = began + call.limit;
+    if let Some(key) = call.key.filter(|_| !call.safe && !call.watch) {
+        let body = read_body(call, body).await?;
+        // The keeper is asked first: whatever refuses the request after it is told to the keeper,
+        // so that "not run" is true of the key and not only of this sending.
+        return crate::keyed::serve(tables, call, head, body, deadline, key).await;
     }
     take_rate(tables, call)?;
-    let deadline = began + call.limit;
     if call.watch {
         return watch(tables, call, head, body, deadline).await;
     }
     let body = read_body(call, body).await?;
-    match call.key.filter(|_| !call.safe) {
-        Some(key) => crate::keyed::serve(tables, call, head, body, deadline, key).await,
-        None => {
-            let answer = exchange(tables, call, &Arc::new(head), &body, deadline).await?;
-            Ok(whole(answer))
-        }
-    }
-}
-
-/// Runs a request: safe ones again elsewhere when an attempt fails, unsafe ones at most once.
-pub async fn exchange(
-    tables: &Arc<Tables>,
-    call: &Call,
-    head: &Arc<Parts>,
-    body: &Bytes,
-    deadline: Duration,
-) -> Result<Response<Bytes>, Refusal> {
-    let mut avoid = None;
-    let mut given = false;
-    tables.core(|cores| cores.get_mut(&call.service).into_iter().for_each(|c| c.budget.earn()));
-    for attempt in 1..=ATTEMPTS {
-        let slot = match slot(tables, call, deadline, avoid).await {
-            Ok(slot) => slot,
-            // What an earlier attempt may have done is not undone by a refusal.
-            Err(_) if given => return Err(Kind::Unknown.into()),
-            Err(refusal) => return Err(refusal),
-        };
-        avoid = slot.upstream();
-        let since = tables.now();
-        let left = deadline.saturating_sub(since);
-        let limit = if call.safe { patience(tables, call, attempt).min(left) } else { left };
-        let run = attempt::run(slot, head.clone(), Payload::Whole(body.clone()), false);
-        match timeout(limit, tokio::spawn(run)).await {
-            Ok(Ok(Outcome::Answer(answer))) => {
-                let failed = answer.status().is_server_error();
-                if !(failed && call.safe && attempt < ATTEMPTS && may_retry(tables, call)) {
-                    note_served(tables, call, tables.now().saturating_sub(since));
-                    return Ok(answer);
-                }
-                given = true;
-            }
-            Ok(Ok(Outcome::NotRun)) => {
-                if !may_retry(tables, call) {
-                    break;
-                }
-            }
-            Ok(_) => {
-                given = true;
-                if !call.safe || !may_retry(tables, call) {
-                    break;
-                }
-            }
-            Err(_) => {
-                given = true;
-                note_late(tables, call, avoid);
-                if tables.now() >= deadline {
-                    return Err(Kind::Late.into());
-                }
-                if !call.safe || !may_retry(tables, call) {
-                    break;
-                }
-            }
-        }
-    }
-    Err(match given {
-        true => Kind::Unknown.into(),
-        false => Refusal::after(Kind::NoUpstream, Duration::from_millis(500)),
-    })
+    let answer = exchange(tables, call, &Arc::new(head), &body, deadline).await?;
+    Ok(whole(answer))
 }
 
 /// Passes a long-held exchange through, both ways.
@@ -233,7 +165,7 @@
 }
 
 /// Waits for a slot, or for a refusal.
-async fn slot(
+pub async fn slot(
     tables: &Arc<Tables>,
     call: &Call,
     deadline: Duration,
@@ -261,15 +193,20 @@
     Ok(Slot::new(tables.clone(), &call.service, ticket))
 }
 
-fn take_rate(tables: &Tables, call: &Call) -> Result<(), Refusal> {
+/// Takes one request out of the party's share, which is nothing while no keeper lends.
+pub fn take_rate(tables: &Tables, call: &Call) -> Result<(), Refusal> {
     let now = tables.now();
     let unit = myrtle_cell::Unit::Party(call.party.clone()).to_string();
     let taken = tables.core(|cores| {
         let Some(core) = cores.get_mut(&call.service) else { return Ok(()) };
         let share = core.shares.usable(&unit, now);
-        core.rates.entry(call.party.clone()).or_default().take(share, now)
+        let taken = core.rates.entry(call.party.clone()).or_default().take(share, now);
+        taken.map_err(|after| match share {
+            0 => (Kind::NotReady, SHARELESS),
+            _ => (Kind::OverLimit, after),
+        })
     });
-    taken.map_err(|after| Refusal::after(Kind::OverLimit, after))
+    taken.map_err(|(kind, after)| Refusal::after(kind, after))
 }
 
 async fn read_body(call: &Call, body: Incoming) -> Result<Bytes, Refusal> {
@@ -285,27 +222,8 @@
     }
 }
 
-/// The time that an attempt at a safe request gets; later ones get more.
-fn patience(tables: &Tables, call: &Call, attempt: u32) -> Duration {
-    let usual = tables.core(|cores| cores.get(&call.service).map_or(0.1, |c| c.upstreams.common()));
-    Duration::from_secs_f64(usual * PATIENCE * f64::from(attempt)).max(LEAST)
-}
-
-fn may_retry(tables: &Tables, call: &Call) -> bool {
-    let spent = tables.core(|cores| cores.get_mut(&call.service).map(|c| c.budget.spend()));
-    spent.unwrap_or(false)
-}
-
-fn note_late(tables: &Tables, call: &Call, upstream: Option<u32>) {
-    let now = tables.now();
-    let Some(upstream) = upstream else { return };
-    let ticket = Ticket { upstream, since: now };
-    tables.core(|cores| {
-        cores.get_mut(&call.service).into_iter().for_each(|c| c.upstreams.late(ticket, now));
-    });
-}
-
-fn note_served(tables: &Tables, call: &Call, busy: Duration) {
+/// Counts what a party used.
+pub fn note_served(tables: &Tables, call: &Call, busy: Duration) {
     tables.served(|served| {
         let used = served.entry((call.party.clone(), call.class.clone())).or_default();
         used.requests += 1;
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -4,7 +4,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -13,17 +12,11 @@
 use hyper_util::rt::TokioExecutor;
 use uuid::Uuid;
 
-use myrtle_base::Millis;
-use myrtle_config::{
-    Announce, Change, ConfigRecord, Desired, Platform, Settings, Span, hash_token, read,
-};
+use myrtle_config::hash_token;
 use myrtle_gate::Gate;
-use myrtle_platform::{Caller, LogClient, Role};
+use myrtle_platform::Role;
 use myrtle_sched::Sched;
-use myrtle_standin::{Control, Plan, World};
-
-/// How long anything may take to come true; tests judge what, not when.
-const PATIENCE: Duration = Duration::from_secs(40);
+use myrtle_standin::{Control, Plan, World, until};
 
 /// A running data centre.
 pub struct Site {
@@ -110,7 +103,7 @@
         let world = World::start(&plan).await.unwrap();
         let http = Client::builder(TokioExecutor::new()).build_http();
         let mut site = Self { world, scheds: Vec::new(), gates: Vec::new(), http };
-        site.apply(desired).await;
+        site.world.apply(desired, 0).await;
         for n in 0..3 {
             site.add_sched(&format!("s{n}")).await;
         }
@@ -122,41 +115,16 @@
     }
 
     pub async fn add_sched(&mut self, name: &str) {
-        self.scheds.push(myrtle_sched::start(self.settings(name)).await.unwrap());
+        self.scheds.push(myrtle_sched::start(self.world.settings(name, "attiki-a")).await.unwrap());
     }
 
     pub async fn add_gate(&mut self, name: &str) {
-        self.gates.push(myrtle_gate::start(self.settings(name)).await.unwrap());
+        self.gates.push(myrtle_gate::start(self.world.settings(name, "attiki-a")).await.unwrap());
     }
 
     /// Waits until all gates serve.
     pub async fn until_ready(&self) {
         until("all gates are ready", || self.gates.iter().all(Gate::ready)).await;
-        let held = || async {
-            for gate in &self.gates {
-                let status: serde_json::Value = Caller::default()
-                    .get(gate.http, "/status", Duration::from_secs(5))
-                    .await
-                    .unwrap();
-                if status["keeps"].as_u64() == Some(0) {
-                    return false;
-                }
-            }
-            true
-        };
-        let _ = held().await;
-    }
-
-    /// Puts a desired state into the log.
-    pub async fn apply(&self, text: &str) {
-        let desired: Desired = read("test", text).unwrap();
-        let base = match self.scheds.first() {
-            None => 0,
-            Some(_) => panic!("apply it before the start"),
-        };
-        let change = Change { id: Uuid::now_v7(), base, by: "test".into(), desired };
-        let log = LogClient::new(Caller::default(), self.world.log_at);
-        log.append("config", ConfigRecord::Change(change).encode()).await.unwrap();
     }
 
     /// Gives an order to the stand-ins.
@@ -179,20 +147,6 @@
     pub fn runs(&self, id: &str) -> u32 {
         self.world.record.summary().requests.get(id).copied().unwrap_or_default()
     }
-
-    fn settings(&self, name: &str) -> Settings {
-        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-        Settings {
-            name: name.into(),
-            data_centre: "attiki-a".into(),
-            region: "attiki".into(),
-            http: any,
-            peer: any,
-            platform: Platform { log: self.world.log_at, hosts: self.world.hosts_at },
-            announce: Announce::Itself,
-            drain: Span(Millis(10_000)),
-        }
-    }
 }
 
 /// Sends a request; nothing if there was no whole answer.
@@ -211,12 +165,3 @@
     let body = body.collect().await.ok()?.to_bytes();
     Some(Got { status: head.status.as_u16(), headers: head.headers, body })
 }
-
-/// Waits until something is so.
-pub async fn until(what: &str, so: impl Fn() -> bool) {
-    let end = tokio::time::Instant::now() + PATIENCE;
-    while !so() {
-        assert!(tokio::time::Instant::now() < end, "not within {PATIENCE:?}: {what}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
--- /dev/null
+++ b/crates/gate/tests/requests.rs
@@ -0,0 +1,318 @@
+//! Requests through real gates to upstreams that fail in every way.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Send, Site};
+use futures::future::join_all;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use uuid::Uuid;
+
+use myrtle_standin::{Control, LogMode, UpstreamMode, body_mark, until};
+
+/// Names a case that runs on a site with some workers and gates.
+macro_rules! case {
+    ($name:ident, $workers:literal, $gates:literal, $site:ident => $body:block) => {
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            #[allow(unused_mut)]
+            let mut $site = Site::start($workers, $gates).await;
+            $body
+        }
+    };
+}
+
+fn all(site: &Site, mode: UpstreamMode) {
+    for name in site.workers() {
+        site.order(Control::Upstream(name, mode));
+    }
+}
+
+case!(an_answer_is_whole_and_its_callers_own, 2, 2, site => {
+    let sends = (0..200).map(|n| {
+        let site = &site;
+        async move {
+            let body = format!("body of {n}");
+            let send = Send::new("GET", &format!("own-{n}")).body(&body);
+            let got = site.send(n % 2, &send).await.unwrap();
+            let text = String::from_utf8(got.body.to_vec()).unwrap();
+            assert!(text.contains(&format!("\"own-{n}\"")), "{text}");
+            assert!(text.contains(&body_mark(body.as_bytes())), "{text}");
+            assert_eq!(got.ran(), "yes");
+        }
+    });
+    join_all(sends).await;
+});
+
+case!(callers_without_a_token_are_told_so, 1, 1, site => {
+    let got = site.send(0, &Send::new("GET", "a").with("authorization", "Bearer x")).await.unwrap();
+    assert_eq!((got.status, got.kind(), got.ran()), (401, "no_token", "no"));
+    let kyma = Send::new("GET", "b").with("authorization", "Bearer demo-kyma");
+    let got = site.send(0, &kyma.with("myrtle-class", "dear")).await.unwrap();
+    assert_eq!((got.status, got.kind()), (403, "no_class"));
+    assert_eq!(site.runs("a") + site.runs("b"), 0);
+});
+
+case!(bad_headers_and_large_bodies_are_refused, 1, 1, site => {
+    let refused = [
+        (Send::new("GET", "r").with("myrtle-deadline-ms", "soon"), "bad_request"),
+        (Send::new("GET", "r").with("myrtle-deadline-ms", "0"), "bad_request"),
+        (Send::new("GET", "r").with("myrtle-repeat", "maybe"), "bad_request"),
+        (Send::new("GET", "r").with("myrtle-service", "other"), "no_service"),
+        (Send::new("POST", "r").with("idempotency-key", "7"), "bad_key"),
+        (Send::new("POST", "r").key(Uuid::new_v4()), "bad_key"),
+        (Send::new("POST", "r").body(&"x".repeat(2001)), "too_large"),
+    ];
+    for (send, kind) in refused {
+        let got = site.send(0, &send).await.unwrap();
+        assert_eq!((got.kind(), got.ran()), (kind, "no"), "{send:?}");
+    }
+    assert_eq!(site.runs("r"), 0);
+});
+
+case!(a_slow_caller_is_refused_and_holds_no_slot, 1, 1, site => {
+    let mut stream = TcpStream::connect(site.gates[0].http).await.unwrap();
+    let head = "POST /x HTTP/1.1\r\nhost: a\r\nauthorization: Bearer demo-helios\r\n\
+                content-length: 100\r\nx-request-id: slow\r\n\r\nonly this";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 4096];
+    let n = stream.read(&mut answer).await.unwrap();
+    let text = String::from_utf8_lossy(&answer[..n]);
+    assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+    assert_eq!(site.runs("slow"), 0);
+});
+
+case!(an_upstream_that_did_not_run_it_is_not_the_last_one_asked, 4, 1, site => {
+    for name in site.workers().into_iter().take(2) {
+        site.order(Control::Upstream(name, UpstreamMode::Refuse));
+    }
+    for n in 0..40 {
+        let id = format!("moved-{n}");
+        let got = site.send(0, &Send::new("POST", &id)).await.unwrap();
+        // An unsafe request goes on elsewhere too, since the first one surely did not run it.
+        assert!(got.status == 200 || got.kind() == "no_upstream", "{got:?}");
+        assert_eq!(site.runs(&id), u32::from(got.status == 200));
+    }
+});
+
+case!(a_refusal_as_not_run_is_true, 2, 1, site => {
+    all(&site, UpstreamMode::Refuse);
+    let got = site.send(0, &Send::new("GET", "refused")).await.unwrap();
+    assert_eq!((got.kind(), got.ran()), ("no_upstream", "no"));
+    assert!(got.headers.contains_key("retry-after"));
+    assert_eq!(site.runs("refused"), 0);
+});
+
+case!(an_unsafe_request_whose_answer_is_lost_is_not_run_again, 3, 1, site => {
+    all(&site, UpstreamMode::Close);
+    for n in 0..5 {
+        let id = format!("lost-{n}");
+        let got = site.send(0, &Send::new("POST", &id)).await.unwrap();
+        assert_eq!((got.kind(), got.ran()), ("outcome_unknown", "unknown"));
+        assert_eq!(site.runs(&id), 1);
+    }
+});
+
+case!(a_cut_answer_is_never_passed_off_as_whole, 2, 1, site => {
+    all(&site, UpstreamMode::Cut);
+    let got = site.send(0, &Send::new("POST", "cut")).await.unwrap();
+    assert_eq!((got.kind(), got.ran()), ("outcome_unknown", "unknown"));
+    let got = site.send(0, &Send::new("GET", "cut-safe")).await.unwrap();
+    assert_eq!(got.ran(), "unknown");
+});
+
+case!(garbage_is_no_answer, 2, 1, site => {
+    all(&site, UpstreamMode::Garbage);
+    let got = site.send(0, &Send::new("POST", "garbage")).await.unwrap();
+    assert!(!got.kind().is_empty(), "{got:?}");
+    assert_eq!(site.runs("garbage"), 0);
+});
+
+case!(half_of_the_upstreams_dead_loses_hardly_any_safe_request, 8, 2, site => {
+    for name in site.workers().into_iter().take(4) {
+        site.order(Control::Upstream(name, UpstreamMode::Close));
+    }
+    let mut good = 0;
+    for round in 0..50 {
+        let sends = (0..20).map(|n| {
+            let id = format!("half-{round}-{n}");
+            let site = &site;
+            async move { site.send(n % 2, &Send::new("GET", &id)).await }
+        });
+        let got = join_all(sends).await;
+        good += got.iter().flatten().filter(|g| g.status == 200).count();
+    }
+    assert!(good >= 999, "{good} of 1000");
+});
+
+case!(retries_do_not_multiply_when_all_upstreams_fail, 4, 1, site => {
+    all(&site, UpstreamMode::Fail);
+    let count = 300;
+    for n in 0..count {
+        site.send(0, &Send::new("GET", &format!("fail-{n}"))).await.unwrap();
+    }
+    let attempts: u32 = (0..count).map(|n| site.runs(&format!("fail-{n}"))).sum();
+    assert!(f64::from(attempts) <= 1.2 * f64::from(count), "{attempts} attempts");
+});
+
+case!(one_key_runs_once_at_two_gates_at_the_same_moment, 2, 3, site => {
+    for n in 0..30 {
+        let id = format!("twin-{n}");
+        let send = Send::new("POST", &id).key(Uuid::now_v7()).with("x-work-us", "20000");
+        let (a, b) = tokio::join!(site.send(n % 3, &send), site.send((n + 1) % 3, &send));
+        let (a, b) = (a.unwrap(), b.unwrap());
+        assert_eq!(site.runs(&id), 1, "{a:?} {b:?}");
+        assert!(a.status == 200 || b.status == 200, "{a:?} {b:?}");
+    }
+});
+
+case!(a_repeat_of_an_ended_key_gets_the_first_answer, 2, 3, site => {
+    let send = Send::new("POST", "again").key(Uuid::now_v7()).body("once");
+    let first = site.send(0, &send).await.unwrap();
+    assert_eq!(first.status, 200);
+    let mut replayed = 0;
+    for gate in [1, 2, 0, 1] {
+        let got = site.send(gate, &send).await.unwrap();
+        if got.kind() == "running" {
+            continue;
+        }
+        replayed += 1;
+        assert_eq!((got.status, &got.body), (200, &first.body));
+        assert!(got.headers.contains_key("myrtle-replayed"));
+    }
+    assert!(replayed > 0);
+    let other = send.clone().body("another");
+    assert_eq!(site.send(1, &other).await.unwrap().kind(), "key_reused");
+    assert_eq!(site.runs("again"), 1);
+});
+
+case!(a_key_may_run_after_it_was_refused_as_not_run, 2, 2, site => {
+    all(&site, UpstreamMode::Refuse);
+    let send = Send::new("POST", "later").key(Uuid::now_v7());
+    assert_eq!(site.send(0, &send).await.unwrap().ran(), "no");
+    all(&site, UpstreamMode::Ok);
+    let mut got = site.send(1, &send).await.unwrap();
+    for _ in 0..100 {
+        if got.status == 200 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        got = site.send(1, &send).await.unwrap();
+    }
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_eq!(site.runs("later"), 1);
+});
+
+case!(a_key_is_not_run_again_after_its_gate_and_its_keeper_died, 2, 3, site => {
+    let keys: Vec<Uuid> = (0..30).map(|_| Uuid::now_v7()).collect();
+    let id = |n: usize| format!("orphan-{n}");
+    let send = |n: usize| Send::new("POST", &id(n)).key(keys[n]).with("x-work-us", "400000");
+    // All go to the gate that dies while they run; it keeps a third of the keys as well.
+    let at = site.gates[0].http;
+    let http = site.http.clone();
+    let sends: Vec<_> = (0..keys.len()).map(send).collect();
+    let running = tokio::spawn(async move {
+        join_all(sends.iter().map(|s| common::send_to(&http, at, s))).await;
+    });
+    until("some run", || (0..30).any(|n| site.runs(&id(n)) > 0)).await;
+    drop(site.gates.remove(0));
+    running.abort();
+    for n in 0..keys.len() {
+        let got = site.send(n % 2, &send(n)).await.unwrap();
+        assert!(site.runs(&id(n)) <= 1, "{got:?}");
+    }
+    // The cell gives the dead gate up; a new keeper must not run the old keys either.
+    site.add_gate("g3").await;
+    site.until_ready().await;
+    for n in 0..keys.len() {
+        let before = site.runs(&id(n));
+        let got = site.send(n % 3, &send(n)).await.unwrap();
+        let after = site.runs(&id(n));
+        assert!(after <= 1, "{got:?}");
+        if got.ran() == "no" {
+            assert_eq!(before, 0, "{got:?}");
+        }
+    }
+});
+
+case!(slots_and_connections_hold_while_gates_come_and_go, 2, 3, site => {
+    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let mut loads = Vec::new();
+    for gate in &site.gates {
+        for n in 0..30 {
+            let (http, at, stop) = (site.http.clone(), gate.http, stop.clone());
+            loads.push(tokio::spawn(async move {
+                let send = Send::new("GET", &format!("load-{n}")).with("x-work-us", "15000");
+                while !stop.load(std::sync::atomic::Ordering::Relaxed) {
+                    if common::send_to(&http, at, &send).await.is_none() {
+                        return;
+                    }
+                }
+            }));
+        }
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    // One gate dies with its shares, another stops as planned, a third one comes.
+    drop(site.gates.remove(0));
+    site.add_gate("g3").await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let leaving = site.gates.remove(0);
+    let finished = leaving.drain().await;
+    until("the dead gate's units have a keeper again", || site.gates.iter().all(|g| g.ready())).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    stop.store(true, std::sync::atomic::Ordering::Relaxed);
+    join_all(loads).await;
+    assert!(finished);
+    let seen = site.world.record.summary().upstreams;
+    for (name, seen) in seen {
+        assert!(seen.begun > 100, "{name} {seen:?}");
+        assert!(seen.most_busy <= 8 && seen.most_open <= 64, "{name} {seen:?}");
+    }
+});
+
+case!(a_planned_stop_cuts_nothing_off, 2, 2, site => {
+    let gate = site.gates.remove(0);
+    let (at, http) = (gate.http, site.http.clone());
+    let running = tokio::spawn(async move {
+        let sends = (0..10).map(|n| {
+            let send = Send::new("GET", &format!("kept-{n}")).with("x-work-us", "1500000");
+            let http = http.clone();
+            async move { common::send_to(&http, at, &send).await }
+        });
+        join_all(sends).await
+    });
+    until("all run", || (0..10).all(|n| site.runs(&format!("kept-{n}")) == 1)).await;
+    assert!(gate.drain().await);
+    for got in running.await.unwrap() {
+        assert_eq!(got.expect("it was cut off").status, 200);
+    }
+});
+
+case!(an_upstream_that_says_it_is_leaving_gets_nothing_new, 3, 2, site => {
+    let name = site.workers()[0].clone();
+    site.order(Control::Upstream(name.clone(), UpstreamMode::Leaving));
+    let send = |n: usize| Send::new("GET", &format!("leaving-{n}"));
+    let begun = |site: &Site| site.world.record.summary().upstreams[&name].begun;
+    let before = site.world.record.summary().upstreams.get(&name).map_or(0, |u| u.begun);
+    for n in 0..200 {
+        site.send(n % 2, &send(n)).await.unwrap();
+    }
+    // Each gate hears it with its first answer, and may have had a few more under way.
+    assert!(begun(&site) - before <= 2 * 2, "{}", begun(&site) - before);
+});
+
+case!(requests_go_on_while_the_log_is_away_for_longer_than_a_lease, 2, 2, site => {
+    site.order(Control::Log(LogMode::Away));
+    let end = tokio::time::Instant::now() + Duration::from_secs(12);
+    let mut n = 0;
+    while tokio::time::Instant::now() < end {
+        n += 1;
+        let keyed = Send::new("POST", &format!("dark-{n}")).key(Uuid::now_v7());
+        let got = site.send(n % 2, &keyed).await.unwrap();
+        assert_eq!(got.status, 200, "{got:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!((1..=n).all(|n| site.runs(&format!("dark-{n}")) == 1));
+});
--- a/crates/place/src/learned.rs
+++ b/crates/place/src/learned.rs
@@ -55,7 +55,8 @@
     /// The cost of a machine, or nothing if the service would suffer.
     fn cost(&self, machine: &Machine, want: &Want) -> Option<f64> {
         let (now, then) = self.expect(machine, want);
-        let over = then > self.headroom.plan();
+        // A service that was never measured has no requests: there is nothing to protect.
+        let over = machine.tail > 0.0 && then > self.headroom.plan();
         if over && !want.urgent {
             return None;
         }
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -4,7 +4,7 @@
 const EARNED: f64 = 0.1;
 
 /// Retries that a quiet gate may always do at once.
-const RESERVE: f64 = 5.0;
+const RESERVE: f64 = 20.0;
 
 /// The most retries that can be saved up.
 const MOST: f64 = 50.0;
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -93,12 +93,17 @@
         let b = view.sample(rng)?;
         let busy = |u: u32| view.all[u as usize].busy;
         let pick = if busy(a) <= busy(b) { a } else { b };
-        if view.avoid == Some(pick) { walk(view) } else { Some(pick) }
+        if view.avoid == Some(pick) { other(view) } else { Some(pick) }
     }
 }
 
-/// The first usable upstream, or any that need not be avoided: a bad one is better than none.
+/// The first usable upstream; while any good one is only busy, a bad one is not better.
 fn walk(view: &View) -> Option<u32> {
-    let usable = view.free.iter().find(|u| view.usable(**u));
-    usable.or_else(|| view.free.iter().find(|u| view.avoid != Some(**u))).copied()
+    let usable = view.free.iter().find(|u| view.usable(**u)).copied();
+    usable.or_else(|| if view.all_out() { other(view) } else { None })
+}
+
+/// Any upstream but the one to avoid.
+fn other(view: &View) -> Option<u32> {
+    view.free.iter().find(|u| view.avoid != Some(**u)).copied()
 }
--- a/crates/route/src/keys.rs
+++ b/crates/route/src/keys.rs
@@ -3,8 +3,9 @@
 //! Each bucket of keys has one keeper at a time. The keeper knows every key issued after it took
 //! over. A key issued before that, which it does not know, may have run under an earlier keeper:
 //! its outcome is unknown and it is not run again. The time of issue is part of the key (UUID
-//! version 7). A keeper accepts a key only if its time is within [`MAX_SKEW`] of the keeper's own
-//! clock, so a key that an earlier keeper accepted is always older than the takeover and the skew.
+//! version 7). A keeper accepts a key only if its time is at most [`MAX_SKEW`] ahead of the keeper's own
+//! clock, so a key that an earlier keeper accepted is never newer than that keeper's end and a
+//! margin.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -17,7 +18,11 @@
 const BUCKETS: u16 = 32;
 
 /// How far a key's time may be ahead of the keeper's clock.
-pub const MAX_SKEW: Millis = Millis(2_000);
+pub const MAX_SKEW: Millis = Millis(1_000);
+
+/// How far keys of an earlier keeper may be ahead of the log's clock: the skew, and what the
+/// clocks of hosts and log may differ by.
+const MARGIN: Millis = Millis(2_000);
 
 /// How long a key is known; an older one is answered as unknown.
 const KEPT: Millis = Millis(10 * 60 * 1000);
@@ -118,9 +123,9 @@
 }
 
 impl Bucket {
-    /// An empty bucket that is complete for keys issued after `since` and the skew.
+    /// An empty bucket; keys issued up to a margin after `since` may have run elsewhere.
     pub fn since(since: Millis) -> Self {
-        Self { floor: since + MAX_SKEW, ..Self::default() }
+        Self { floor: since + MARGIN, ..Self::default() }
     }
 
     /// Decides on a request with a key; `now` is wall time.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,6 +18,6 @@
 pub use keys::{Begin, Bucket, Entry, KeyTable, MAX_SKEW, Saved, bucket_of, issued};
 pub use lend::{Ask, LOAN, Ledger, Loan, Offer};
 pub use rate::Rate;
-pub use score::Score;
+pub use score::{Fault, Score};
 pub use shares::{Share, Shares};
 pub use table::{Free, Ticket, Upstreams};
--- a/crates/route/src/score.rs
+++ b/crates/route/src/score.rs
@@ -22,6 +22,15 @@
 /// The longest time out.
 const MAX_OUT: Duration = Duration::from_secs(10);
 
+/// How an upstream failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// The connection broke or could not be made.
+    Broken,
+    /// It answered with an error, or takes too long.
+    Bad,
+}
+
 /// Recent latency and failures of one upstream.
 #[derive(Debug, Clone)]
 pub struct Score {
@@ -73,12 +82,23 @@
     }
 
     /// Takes in a failure; its speed is no merit.
-    pub fn failed(&mut self, now: Duration) {
-        self.failing += (1.0 - self.failing) * WEIGHT.max(0.34);
+    pub fn failed(&mut self, now: Duration, fault: Fault) {
+        let weight = match fault {
+            Fault::Broken => 0.6,
+            Fault::Bad => 0.34,
+        };
+        self.failing += (1.0 - self.failing) * weight;
         self.seen = now;
         if self.failing > BAD {
             self.until = now + self.out;
             self.out = (self.out * 2).min(MAX_OUT);
         }
     }
+
+    /// Notes that a request is sent; to an upstream that failed only one at a time goes.
+    pub fn tried(&mut self, now: Duration) {
+        if self.failing > BAD {
+            self.until = now + self.out;
+        }
+    }
 }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use crate::{Choice, Score};
+use crate::{Choice, Fault, Score};
 
 /// How much one answer moves the common latency.
 const COMMON_WEIGHT: f64 = 0.02;
@@ -109,7 +109,9 @@
     pub fn take(&mut self, now: Duration, avoid: Option<u32>) -> Option<Ticket> {
         let view = View { all: &self.all, free: &self.free, common: self.common, now, avoid };
         let upstream = self.choice.choose(&view, &mut self.rng)?;
-        self.all[upstream as usize].busy += 1;
+        let free = &mut self.all[upstream as usize];
+        free.busy += 1;
+        free.score.tried(now);
         self.index(upstream);
         Some(Ticket { upstream, since: now })
     }
@@ -124,14 +126,14 @@
     }
 
     /// Gives a slot back after a failure.
-    pub fn failed(&mut self, ticket: Ticket, now: Duration) {
-        self.all[ticket.upstream as usize].score.failed(now);
+    pub fn failed(&mut self, ticket: Ticket, now: Duration, fault: Fault) {
+        self.all[ticket.upstream as usize].score.failed(now, fault);
         self.give_back(ticket);
     }
 
     /// Notes that an attempt takes too long; its slot stays in use until it ends.
-    pub fn late(&mut self, ticket: Ticket, now: Duration) {
-        self.all[ticket.upstream as usize].score.failed(now);
+    pub fn late(&mut self, upstream: u32, now: Duration) {
+        self.all[upstream as usize].score.failed(now, Fault::Bad);
     }
 
     /// Gives a slot back without a word on the upstream.
@@ -181,6 +183,12 @@
         (n > 0).then(|| self.free[rng.random_range(0..n)])
     }
 
+    /// Whether every upstream with slots failed lately; stops at the first that did not.
+    pub fn all_out(&self) -> bool {
+        let good = |f: &Free| f.held > 0 && !f.leaving && !f.score.is_out(self.now);
+        !self.all.iter().any(good)
+    }
+
     /// Whether it may be chosen at all.
     pub fn usable(&self, upstream: u32) -> bool {
         self.avoid != Some(upstream) && !self.all[upstream as usize].score.is_out(self.now)
--- /dev/null
+++ b/crates/sched/tests/cells.rs
@@ -0,0 +1,300 @@
+//! Scheds and workers while everything fails; the stand-ins' record is the judge.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rstest::rstest;
+use serde_json::Value;
+
+use myrtle_config::hash_token;
+use myrtle_platform::{Caller, RunState};
+use myrtle_sched::Sched;
+use myrtle_standin::{Control, LogMode, Plan, Run, Summary, WorkerMode, World, until};
+
+const CENTRE: &str = "attiki-a";
+
+/// How long an operator waits for an answer.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// A cell of three scheds.
+struct Site {
+    world: Arc<World>,
+    scheds: Vec<Sched>,
+}
+
+impl Site {
+    async fn start(plan: &Plan, jobs: &str) -> Self {
+        let world = World::start(plan).await.unwrap();
+        world.apply(&desired(jobs), 0).await;
+        let mut site = Self { world, scheds: Vec::new() };
+        for n in 0..3 {
+            site.add(&format!("s{n}")).await;
+        }
+        site
+    }
+
+    async fn add(&mut self, name: &str) {
+        let settings = self.world.settings(name, CENTRE);
+        self.scheds.push(myrtle_sched::start(settings).await.unwrap());
+    }
+
+    fn order(&self, control: Control) {
+        self.world.control(control).unwrap();
+    }
+
+    fn worker(&self, n: usize, mode: WorkerMode) {
+        self.order(Control::Worker(format!("{CENTRE}-w{n:02}"), mode));
+    }
+
+    fn runs(&self) -> Vec<Run> {
+        self.world.record.runs()
+    }
+
+    fn running(&self) -> usize {
+        self.runs().iter().filter(|r| r.to.is_none()).count()
+    }
+
+    fn done(&self) -> usize {
+        self.runs().iter().filter(|r| r.end == Some(RunState::Done)).count()
+    }
+
+    async fn ask(&self, sched: usize, path: &str) -> Value {
+        Caller::default().get(self.scheds[sched].http, path, LIMIT).await.unwrap()
+    }
+
+    async fn post(&self, sched: usize, path: &str, body: &Value) -> Value {
+        Caller::default().post(self.scheds[sched].http, path, body, LIMIT).await.unwrap()
+    }
+
+    /// Nothing ran or ended twice, no worker was given too much, no confirmed work was lost.
+    fn judge(&self) -> Summary {
+        let seen = self.world.record.summary();
+        assert_eq!(seen.doubled_tasks, Vec::<String>::new());
+        assert_eq!(seen.done_twice, Vec::<String>::new());
+        assert_eq!(seen.lost_work, Vec::<String>::new());
+        assert_eq!(seen.overcommits, Vec::<String>::new());
+        seen
+    }
+}
+
+fn desired(jobs: &str) -> String {
+    let token = hash_token("t");
+    format!(
+        "scope: platform\ndata_centres:\n  {CENTRE}:\n    region: attiki\n    \
+         hosts: [s0, s1, s2]\nservices:\n  nomgate:\n    slots: 8\n    connections: 64\n    \
+         target: 150ms\nclasses:\n  dear:\n    price: 9\n    deadline: 2s\n  cheap:\n    \
+         price: 1\n    deadline: 2s\nparties:\n  helios:\n    token_sha256: {token}\n    \
+         rate: 100\n    classes: [dear, cheap]\njobs:\n{jobs}"
+    )
+}
+
+fn job(name: &str, class: &str, tasks: u32, cores: u32, run_time: &str) -> String {
+    let run_time = match run_time {
+        "" => "watcher: true".to_string(),
+        time => format!("run_time: {time}"),
+    };
+    format!(
+        "  {name}:\n    party: helios\n    class: {class}\n    kind: {name}\n    \
+         data_centre: {CENTRE}\n    tasks: {tasks}\n    cores: {cores}\n    memory: 1GB\n    \
+         {run_time}\n"
+    )
+}
+
+fn plan(workers: usize) -> Plan {
+    Plan { workers, ..Plan::default() }
+}
+
+macro_rules! case {
+    ($name:ident, $workers:literal, $jobs:expr, $site:ident => $body:block) => {
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            #[allow(unused_mut)]
+            let mut $site = Site::start(&plan($workers), &$jobs).await;
+            $body
+        }
+    };
+}
+
+case!(all_tasks_of_a_job_end_once, 3, job("a", "cheap", 60, 4, "500ms"), site => {
+    until("all are done", || site.done() == 60).await;
+    assert_eq!(site.judge().started, 60);
+});
+
+case!(dearer_work_takes_the_room_of_cheaper_and_that_resumes, 1, job("a", "cheap", 8, 4, "4s"),
+site => {
+    until("the worker is full", || site.running() == 8).await;
+    let both = job("a", "cheap", 8, 4, "4s") + &job("urgent", "dear", 1, 16, "1s");
+    site.world.apply(&desired(&both), 1).await;
+    until("all are done", || site.done() == 9).await;
+    let seen = site.judge();
+    assert!(seen.stopped >= 4 && seen.resumed >= 4, "{seen:?}");
+});
+
+#[rstest]
+#[case::that_died(WorkerMode::Down)]
+#[case::that_was_frozen(WorkerMode::Paused)]
+#[case::that_was_cut_off(WorkerMode::Cut)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_of_a_worker(#[case] mode: WorkerMode) {
+    let jobs = job("w", "dear", 6, 4, "");
+    let site = Site::start(&plan(3), &jobs).await;
+    until("all run", || site.running() == 6).await;
+    site.worker(0, mode);
+    let first = format!("{CENTRE}-w00");
+    let moved = |site: &Site| {
+        let runs = site.runs();
+        let gone = runs.iter().filter(|r| r.worker == first).count();
+        let elsewhere = runs.iter().filter(|r| r.worker != first && r.to.is_none()).count();
+        gone > 0 && elsewhere == 6 || gone == 0
+    };
+    until("all run elsewhere", || moved(&site)).await;
+    site.worker(0, WorkerMode::Ok);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    site.judge();
+    assert_eq!(site.running(), 6);
+}
+
+case!(work_goes_on_while_the_log_is_away_for_longer_than_a_lease, 3,
+job("a", "cheap", 6, 4, "12s") + &job("w", "dear", 3, 1, ""), site => {
+    until("all run", || site.running() == 9).await;
+    // Hosts give their word only after they have been up for longer than a lease.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    site.order(Control::Log(LogMode::Away));
+    tokio::time::sleep(Duration::from_secs(14)).await;
+    let seen = site.judge();
+    assert_eq!((seen.started, seen.stopped, seen.done), (9, 0, 6));
+    site.order(Control::Log(LogMode::Ok));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let jobs = site.ask(0, "/jobs").await;
+    let a = jobs.as_array().unwrap().iter().find(|j| j["job"] == "a").unwrap();
+    assert_eq!((&a["done"], &a["open"]), (&6.into(), &0.into()));
+    assert_eq!(site.judge().started, 9);
+});
+
+case!(appends_whose_answers_are_lost_double_nothing, 3, job("a", "cheap", 1, 1, "100ms"), site => {
+    until("the first one is done", || site.done() == 1).await;
+    site.order(Control::Log(LogMode::Lose));
+    let more = job("a", "cheap", 1, 1, "100ms") + &job("b", "cheap", 30, 2, "300ms");
+    // The change itself is taken in although the log says that it failed.
+    let world = site.world.clone();
+    let text = desired(&more);
+    let applied = tokio::spawn(async move { world.apply(&text, 1).await });
+    assert!(applied.await.is_err());
+    until("all are done", || site.done() == 31).await;
+    assert_eq!(site.judge().started, 31);
+});
+
+case!(hosts_with_nothing_on_disk_take_over, 3, job("a", "cheap", 9, 4, "6s"), site => {
+    until("all run", || site.running() == 9).await;
+    site.scheds.clear();
+    // The leases must not lapse before the new hosts renew them.
+    for n in 0..3 {
+        site.add(&format!("s{n}")).await;
+    }
+    until("all are done", || site.done() == 9).await;
+    assert_eq!(site.judge().started, 9);
+});
+
+case!(a_sched_dies_at_any_time, 3, job("a", "cheap", 40, 4, "1s"), site => {
+    for n in 0..3 {
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        drop(site.scheds.remove(0));
+        site.add(&format!("s{n}")).await;
+    }
+    until("all are done", || site.done() == 40).await;
+    site.judge();
+});
+
+case!(a_host_that_starts_without_the_log_takes_the_state_of_a_peer, 2, job("w", "dear", 2, 1, ""),
+site => {
+    until("all run", || site.running() == 2).await;
+    site.order(Control::Log(LogMode::Away));
+    drop(site.scheds.remove(2));
+    site.add("s2").await;
+    let fresh = site.scheds[2].http;
+    let config = || async {
+        let status: Value = Caller::default().get(fresh, "/status", LIMIT).await.unwrap();
+        status["config"].as_u64().unwrap()
+    };
+    for _ in 0..200 {
+        if config().await > 0 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(config().await, 1);
+    assert_eq!(site.ask(2, "/jobs").await[0]["job"], "w");
+});
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_starts_from_a_snapshot_when_the_first_records_are_gone() {
+    let plan = Plan { kept: 400, ..plan(2) };
+    let mut site = Site::start(&plan, &job("w", "dear", 2, 1, "")).await;
+    until("all run", || site.running() == 2).await;
+    let log = site.world.log_client();
+    // Records that nobody can read count too, and push the first ones out.
+    for _ in 0..600 {
+        log.append(&format!("cell/{CENTRE}"), vec![0xff; 8]).await.unwrap();
+        log.append("config", vec![b'?'; 8]).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for _ in 0..300 {
+        log.append(&format!("cell/{CENTRE}"), vec![0xff; 8]).await.unwrap();
+    }
+    // All hosts are replaced: only the log knows.
+    site.scheds.clear();
+    for n in 0..3 {
+        site.add(&format!("s{n}")).await;
+    }
+    let mut jobs = Value::Null;
+    for _ in 0..200 {
+        jobs = site.ask(0, "/jobs").await;
+        if jobs[0]["job"] == "w" {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(jobs[0]["job"], "w");
+    assert_eq!(site.ask(0, "/status").await["config"], 1);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!((site.judge().started, site.running()), (2, 2));
+}
+
+case!(a_burst_of_cancellations_leaves_nothing_running, 2, {
+    let many = (0..500).map(|n| job(&format!("j{n}"), "cheap", 20, 1, "30s"));
+    many.collect::<String>()
+}, site => {
+    until("the workers are full", || site.running() >= 64).await;
+    let names: Vec<String> = (0..500).map(|n| format!("j{n}")).collect();
+    let answer = site.post(0, "/cancel", &serde_json::json!(names)).await;
+    assert_eq!((&answer["cancelled"], &answer["stopping"]), (&500.into(), &0.into()));
+    let accepted = site.world.record.now();
+    assert_eq!(site.running(), 0);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let late = site.runs().into_iter().filter(|r| r.from > accepted).count();
+    assert_eq!((late, site.running()), (0, 0));
+    site.judge();
+});
+
+case!(a_worker_that_fails_everything_is_set_aside, 3, job("a", "cheap", 40, 4, "400ms"), site => {
+    site.worker(1, WorkerMode::Failing);
+    until("all are done", || site.done() == 40).await;
+    let failed = site.runs().iter().filter(|r| r.end == Some(RunState::Failed)).count();
+    assert!(failed <= 20, "{failed} attempts failed");
+    site.judge();
+});
+
+case!(two_operators_race_and_the_fold_takes_one, 2, job("a", "cheap", 1, 1, "100ms"), site => {
+    until("the first one is done", || site.done() == 1).await;
+    let one = desired(&job("b", "cheap", 4, 1, "100ms"));
+    let two = desired(&job("c", "cheap", 4, 1, "100ms"));
+    tokio::join!(site.world.apply(&one, 1), site.world.apply(&two, 1));
+    until("one of them is done", || site.done() == 5).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(site.done(), 5);
+    let versions = [0, 1, 2].map(|n| site.ask(n, "/status"));
+    for status in futures::future::join_all(versions).await {
+        assert!(matches!(status["config"].as_u64(), Some(2 | 3)), "{status}");
+    }
+    site.judge();
+});
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 mod hosts;
 mod log;
 mod record;
+mod site;
 mod upstream;
 mod worker;
 mod world;
@@ -12,6 +13,7 @@
 pub use hosts::Hosts;
 pub use log::{Log, LogMode};
 pub use record::{Record, Run, RunEnd, Summary, UpstreamSeen};
+pub use site::until;
 pub use upstream::{Upstream, UpstreamMode, body_mark};
 pub use worker::{Worker, WorkerMode};
 pub use world::{Control, Plan, World};
