Routing under noise: wait for a good slot instead of taking a slow one

Change: a slow upstream (twice the usual time) is taken only if all who wait would wait a quarter of the difference, or as a probe after 150 ms of silence; a sample after a gap weighs more; a further attempt at a safe request begins after 2.5 usual times, within the budget, and not while others wait.

--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -118,7 +118,7 @@
     ) -> Result<Ticket, oneshot::Receiver<Turn>> {
         if self.admit.is_empty()
             && !self.admit.too_late(&arrival, now)
-            && let Some(ticket) = self.upstreams.take(now, avoid)
+            && let Some(ticket) = self.upstreams.take(now, avoid, 1)
         {
             self.note_peak();
             return Ok(ticket);
@@ -139,7 +139,8 @@
     pub fn dispatch(&mut self, now: Duration) {
         let mut dropped = Vec::new();
         while !self.admit.is_empty() {
-            let Some(ticket) = self.upstreams.take(now, None) else { break };
+            let waiting = self.admit.len();
+            let Some(ticket) = self.upstreams.take(now, None, waiting) else { break };
             let Some(taken) = self.admit.next(now, &mut dropped) else {
                 self.upstreams.give_back(ticket);
                 break;
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -19,7 +19,7 @@
 use crate::tables::Tables;
 
 /// A safe request is tried elsewhere too after this many usual latencies.
-const PATIENCE: f64 = 8.0;
+const PATIENCE: f64 = 2.5;
 
 /// The least time before that.
 const LEAST: Duration = Duration::from_millis(40);
@@ -121,7 +121,11 @@
         if self.tables.now() >= self.deadline {
             return Err(Kind::Late.into());
         }
-        if !self.try_again().await {
+        let crowded = self.tables.core(|cores| {
+            let core = cores.get(&self.call.service);
+            core.is_some_and(|c| c.waiting() > 0)
+        });
+        if crowded || !self.try_again().await {
             // No more attempts: wait for those that run.
             self.attempts = ATTEMPTS;
         }
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,7 @@
+//! Load, experiments and their judgement. Not shipped.
+
+pub mod callers;
+pub mod check;
+pub mod demo;
+pub mod policy;
+pub mod toll;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,13 +1,11 @@
 //! `myrtle-load`: drives the demo and checks the promises. Not shipped.
 
-mod callers;
-mod check;
-mod demo;
-
 use std::process::ExitCode;
 
 use argh::FromArgs;
 
+use myrtle_load::{demo, policy, toll};
+
 /// Puts load on a running system and checks what came of it.
 #[derive(FromArgs)]
 struct Args {
@@ -22,6 +20,10 @@
 enum Command {
     /// Runs the demo.
     Demo(demo::Demo),
+    /// Compares ways to route requests.
+    Routing(policy::Routing),
+    /// Measures what a gate adds.
+    Toll(toll::Toll),
 }
 
 #[tokio::main]
@@ -29,6 +31,8 @@
     let args: Args = argh::from_env();
     let kept = match args.command {
         Command::Demo(demo) => demo::run(&demo).await,
+        Command::Routing(routing) => policy::run(&routing),
+        Command::Toll(toll) => toll::run(&toll).await,
     };
     match kept {
         Ok(true) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/load/src/policy/sim.rs
@@ -0,0 +1,336 @@
+//! One run of a policy on a scene, event by event.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use myrtle_base::Kind;
+use myrtle_route::{
+    Admit, Arrival, Budget, Choice, Fault, LeastBusy, Random, RoundRobin, Scored, Ticket,
+    TwoChoices, Upstreams,
+};
+
+use super::scene::{CLASSES, SLOTS, Scene};
+
+/// A safe request is tried elsewhere too after this many usual latencies, as in the gate.
+const PATIENCE: f64 = 2.5;
+const LEAST: Duration = Duration::from_millis(40);
+const ATTEMPTS: u32 = 3;
+
+/// How long an abandoned attempt holds its slot, as in the gate.
+const ABANDONED: Duration = Duration::from_secs(30);
+
+/// Slots that a policy without admission thinks it has.
+const ENDLESS: u32 = 1 << 20;
+
+/// A way to route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// The gate's own way: late choice by score, admission by price and deadline.
+    Own,
+    /// Any upstream, queueing there.
+    Random,
+    /// One after the other, queueing there.
+    RoundRobin,
+    /// The one with the fewest requests, queueing there.
+    LeastBusy,
+    /// The less busy of two, queueing there.
+    TwoChoices,
+}
+
+impl Policy {
+    /// All policies.
+    pub const ALL: [Policy; 5] =
+        [Policy::Own, Policy::Random, Policy::RoundRobin, Policy::LeastBusy, Policy::TwoChoices];
+}
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Latencies in microseconds by class.
+    pub latency: Vec<Histogram<u64>>,
+    /// Requests offered, by class.
+    pub offered: Vec<u64>,
+    /// Requests answered within their deadline, by class.
+    pub good: Vec<u64>,
+    /// Refusals by kind.
+    pub refused: BTreeMap<Kind, u64>,
+    /// Attempts at upstreams.
+    pub attempts: u64,
+    /// The most requests at one upstream at once.
+    pub most: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    /// An attempt of a request ends at its upstream; true if it failed.
+    End(u64, Ends),
+    /// A request has waited long enough for its newest attempt.
+    Late(u64, u32),
+    /// A slot of a stalled upstream is given up.
+    Abandon(u32),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Ends {
+    upstream: u32,
+    since: Duration,
+    failed: bool,
+}
+
+#[derive(Debug)]
+struct Request {
+    class: usize,
+    came: Duration,
+    attempts: u32,
+    running: u32,
+}
+
+struct Sim<'a, C> {
+    scene: &'a Scene,
+    own: bool,
+    now: Duration,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    order: u64,
+    table: Upstreams<C>,
+    admit: Admit,
+    budget: Budget,
+    queues: Vec<VecDeque<(u64, Ticket)>>,
+    running: Vec<u32>,
+    requests: HashMap<u64, Request>,
+    next: u64,
+    rng: ChaCha8Rng,
+    outcome: Outcome,
+}
+
+/// Runs a policy on a scene.
+pub fn simulate(policy: Policy, scene: &Scene, seed: u64) -> Outcome {
+    match policy {
+        Policy::Own => Sim::new(scene, true, Scored, seed).run(),
+        Policy::Random => Sim::new(scene, false, Random, seed).run(),
+        Policy::RoundRobin => Sim::new(scene, false, RoundRobin::default(), seed).run(),
+        Policy::LeastBusy => Sim::new(scene, false, LeastBusy, seed).run(),
+        Policy::TwoChoices => Sim::new(scene, false, TwoChoices, seed).run(),
+    }
+}
+
+impl<'a, C: Choice> Sim<'a, C> {
+    fn new(scene: &'a Scene, own: bool, choice: C, seed: u64) -> Self {
+        let mut table = Upstreams::new(choice, ChaCha8Rng::seed_from_u64(seed + 1000));
+        for _ in 0..scene.upstreams {
+            let upstream = table.add();
+            table.hold(upstream, if own { SLOTS } else { ENDLESS });
+        }
+        let classes = CLASSES.len();
+        let fresh = || Histogram::new_with_max(120_000_000, 3).expect("the bounds are valid");
+        Self {
+            scene,
+            own,
+            now: Duration::ZERO,
+            events: BinaryHeap::new(),
+            order: 0,
+            table,
+            admit: Admit::default(),
+            budget: Budget::default(),
+            queues: vec![VecDeque::new(); scene.upstreams],
+            running: vec![0; scene.upstreams],
+            requests: HashMap::new(),
+            next: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            outcome: Outcome {
+                latency: (0..classes).map(|_| fresh()).collect(),
+                offered: vec![0; classes],
+                good: vec![0; classes],
+                refused: BTreeMap::new(),
+                attempts: 0,
+                most: 0,
+            },
+        }
+    }
+
+    fn run(mut self) -> Outcome {
+        self.at(Duration::ZERO, Event::Arrive);
+        while let Some(Reverse((time, _, event))) = self.events.pop() {
+            self.now = time;
+            match event {
+                Event::Arrive => self.arrive(),
+                Event::End(id, ends) => self.end(id, ends),
+                Event::Late(id, attempts) => self.late(id, attempts),
+                Event::Abandon(upstream) => self.leave(upstream),
+            }
+        }
+        self.outcome
+    }
+
+    fn arrive(&mut self) {
+        if self.now > self.scene.length {
+            return;
+        }
+        let gap = self.scene.gap(self.now, &mut self.rng);
+        self.at(self.now + gap, Event::Arrive);
+        let mut roll: f64 = self.rng.random();
+        let class = CLASSES.iter().position(|c| {
+            roll -= c.part;
+            roll <= 0.0
+        });
+        let class = class.unwrap_or(0);
+        let id = self.next;
+        self.next += 1;
+        self.outcome.offered[class] += 1;
+        let came = self.now;
+        self.requests.insert(id, Request { class, came, attempts: 0, running: 0 });
+        self.budget.earn();
+        self.enter(id, None);
+    }
+
+    /// Gives a request a slot, a place to wait, or a refusal.
+    fn enter(&mut self, id: u64, avoid: Option<u32>) {
+        if !self.own {
+            if let Some(ticket) = self.table.take(self.now, avoid, 1) {
+                self.queues[ticket.upstream as usize].push_back((id, ticket));
+                self.serve(ticket.upstream);
+            }
+            return;
+        }
+        let request = &self.requests[&id];
+        let class = &CLASSES[request.class];
+        let deadline = request.came + class.deadline;
+        let arrival = Arrival { id, party: 0, price: class.price, deadline };
+        if self.admit.is_empty()
+            && !self.admit.too_late(&arrival, self.now)
+            && let Some(ticket) = self.table.take(self.now, avoid, 1)
+        {
+            return self.begin(id, ticket);
+        }
+        let slots = self.table.held();
+        let dropped = self.admit.enter(arrival, slots, self.now);
+        dropped.into_iter().for_each(|d| self.refuse(d.id, d.kind));
+        self.dispatch();
+    }
+
+    fn dispatch(&mut self) {
+        let mut dropped = Vec::new();
+        while !self.admit.is_empty() {
+            let waiting = self.admit.len();
+            let Some(ticket) = self.table.take(self.now, None, waiting) else { break };
+            match self.admit.next(self.now, &mut dropped) {
+                Some(taken) => self.begin(taken.id, ticket),
+                None => {
+                    self.table.give_back(ticket);
+                    break;
+                }
+            }
+        }
+        let slots = self.table.held();
+        dropped.extend(self.admit.sweep(slots, self.now));
+        dropped.into_iter().for_each(|d| self.refuse(d.id, d.kind));
+    }
+
+    /// A baseline's upstream takes the next request from its queue.
+    fn serve(&mut self, upstream: u32) {
+        while self.running[upstream as usize] < SLOTS {
+            let Some((id, ticket)) = self.queues[upstream as usize].pop_front() else { return };
+            self.begin(id, ticket);
+        }
+    }
+
+    fn begin(&mut self, id: u64, ticket: Ticket) {
+        let upstream = ticket.upstream;
+        let running = &mut self.running[upstream as usize];
+        *running += 1;
+        self.outcome.most = self.outcome.most.max(*running);
+        self.outcome.attempts += 1;
+        let (took, failed) = self.scene.serve(upstream, self.now, &mut self.rng);
+        // A baseline's score counts from the moment it was chosen.
+        let ends = Ends { upstream, since: ticket.since, failed };
+        match took {
+            Some(took) => self.at(self.now + took, Event::End(id, ends)),
+            None => self.at(self.now + ABANDONED, Event::Abandon(upstream)),
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.attempts += 1;
+        request.running += 1;
+        if self.own && request.attempts < ATTEMPTS {
+            let attempts = request.attempts;
+            let usual = self.table.common() * PATIENCE * f64::from(attempts);
+            let wait = Duration::from_secs_f64(usual).max(LEAST);
+            self.at(self.now + wait, Event::Late(id, attempts));
+        }
+    }
+
+    fn end(&mut self, id: u64, ends: Ends) {
+        let ticket = Ticket { upstream: ends.upstream, since: ends.since };
+        if ends.failed {
+            self.table.failed(ticket, self.now, Fault::Bad);
+        } else {
+            self.admit.served(self.now.saturating_sub(ends.since));
+            self.table.done(ticket, self.now);
+        }
+        self.freed(ends.upstream);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.running -= 1;
+        if !ends.failed {
+            return self.answer(id);
+        }
+        let again = request.attempts < ATTEMPTS && self.budget.spend();
+        if again {
+            return self.enter(id, Some(ends.upstream));
+        }
+        if self.requests[&id].running == 0 {
+            self.refuse(id, Kind::Unknown);
+        }
+    }
+
+    fn late(&mut self, id: u64, attempts: u32) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if request.attempts != attempts || request.running == 0 {
+            return;
+        }
+        let deadline = request.came + CLASSES[request.class].deadline;
+        if self.now < deadline && self.admit.is_empty() && self.budget.spend() {
+            self.enter(id, None);
+        }
+    }
+
+    /// A stalled attempt is given up by its upstream's gate.
+    fn leave(&mut self, upstream: u32) {
+        self.table.failed(Ticket { upstream, since: self.now }, self.now, Fault::Bad);
+        self.freed(upstream);
+    }
+
+    fn freed(&mut self, upstream: u32) {
+        self.running[upstream as usize] -= 1;
+        match self.own {
+            true => self.dispatch(),
+            false => self.serve(upstream),
+        }
+    }
+
+    fn answer(&mut self, id: u64) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        let took = self.now - request.came;
+        let class = &CLASSES[request.class];
+        self.outcome.latency[request.class].saturating_record(took.as_micros() as u64);
+        self.outcome.good[request.class] += u64::from(took <= class.deadline);
+    }
+
+    fn refuse(&mut self, id: u64, kind: Kind) {
+        // A further attempt was refused while an earlier one runs: that one may still answer.
+        if self.requests.get(&id).is_some_and(|r| r.running > 0) {
+            return;
+        }
+        if self.requests.remove(&id).is_some() {
+            *self.outcome.refused.entry(kind).or_default() += 1;
+        }
+    }
+
+    fn at(&mut self, time: Duration, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse((time, self.order, event)));
+    }
+}
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -16,6 +16,9 @@
 /// The part of its time left that a request may plan to wait; the rest is for being slow.
 const MARGIN: f64 = 0.7;
 
+/// A request with less time left than this many usual times in a slot is refused.
+const LATE: f64 = 1.5;
+
 /// Waiting requests per slot above which the cheapest are refused, whatever their deadlines.
 const DEPTH: usize = 16;
 
@@ -117,7 +120,7 @@
 
     /// Whether a request has too little time to be run at all.
     pub fn too_late(&self, arrival: &Arrival, now: Duration) -> bool {
-        arrival.deadline.saturating_sub(now).as_secs_f64() < self.service * 0.5
+        arrival.deadline.saturating_sub(now).as_secs_f64() < self.service * LATE
     }
 
     /// The request that gets the next free slot; those that are too late are refused.
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -9,6 +9,15 @@
 /// Upstreams that [`Scored`] looks at.
 const LOOKS: usize = 5;
 
+/// An upstream that takes this many times the usual time is slow.
+const SLOW: f64 = 2.0;
+
+/// How much a second of waiting weighs against a second in a slow slot: who waits holds up others.
+const HASTE: f64 = 4.0;
+
+/// Free upstreams that are walked through when draws found none worth taking.
+const MOST_WALKED: usize = 64;
+
 /// Draws until a usable upstream is found; after them the free ones are walked through once.
 const DRAWS: usize = 8;
 
@@ -48,17 +57,33 @@
             if !view.usable(upstream) {
                 continue;
             }
-            let free = &view.all[upstream as usize];
-            let load = f64::from(free.busy) / f64::from(free.held.max(1));
-            let cost = free.score.expect(view.now, view.common) * (1.0 + 0.25 * load);
+            let cost = cost(view, upstream);
             if best.is_none_or(|(c, _)| cost < c) {
                 best = Some((cost, upstream));
             }
         }
-        best.map(|b| b.1).or_else(|| walk(view))
+        match best {
+            Some((cost, upstream)) if worth(view, upstream, cost) => Some(upstream),
+            _ => walk(view),
+        }
     }
 }
 
+/// Seconds that an upstream is expected to take, a little more the busier it is.
+fn cost(view: &View, upstream: u32) -> f64 {
+    let free = &view.all[upstream as usize];
+    let load = f64::from(free.busy) / f64::from(free.held.max(1));
+    free.score.expect(view.now, view.common) * (1.0 + 0.25 * load)
+}
+
+/// Whether the upstream answers sooner than a good one for which the request would wait.
+fn worth(view: &View, upstream: u32, cost: f64) -> bool {
+    let free = &view.all[upstream as usize];
+    let slow = cost > view.common * SLOW;
+    let probe = free.busy == 0 && free.score.is_stale(view.now);
+    !slow || probe || cost - view.common < view.wait * HASTE
+}
+
 impl Choice for Random {
     fn choose(&mut self, view: &View, rng: &mut ChaCha8Rng) -> Option<u32> {
         let draws = (0..DRAWS).filter_map(|_| view.sample(rng));
@@ -97,10 +122,11 @@
     }
 }
 
-/// The first usable upstream; while any good one is only busy, a bad one is not better.
+/// The first usable upstream; while a good one is only busy, a bad or slow one is not better.
 fn walk(view: &View) -> Option<u32> {
-    let usable = view.free.iter().find(|u| view.usable(**u)).copied();
-    usable.or_else(|| if view.all_out() { other(view) } else { None })
+    let worth = |u: &u32| view.usable(*u) && worth(view, *u, cost(view, *u));
+    let found = view.free.iter().take(MOST_WALKED).copied().find(worth);
+    found.or_else(|| if view.all_out() { other(view) } else { None })
 }
 
 /// Any upstream but the one to avoid.
--- a/crates/route/src/score.rs
+++ b/crates/route/src/score.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-/// The weight of a new sample.
-const WEIGHT: f64 = 0.2;
+/// The least weight of a new sample.
+const WEIGHT: f64 = 0.1;
+
+/// A sample after a gap weighs more: what was known is this many seconds old, or older.
+const MEMORY: f64 = 0.3;
 
 /// How fast a score that gets no samples returns to the common one, in seconds.
 ///
@@ -13,6 +16,9 @@
 /// One sample moves a score by at most this factor, so that one late answer does not condemn.
 const STEP: f64 = 4.0;
 
+/// A slow upstream gets one request after this time, to find out whether it still is.
+const STALE: Duration = Duration::from_millis(150);
+
 /// Failures above this share put an upstream out of the choice for a while.
 const BAD: f64 = 0.5;
 
@@ -39,12 +45,13 @@
     seen: Duration,
     out: Duration,
     until: Duration,
+    probed: Duration,
 }
 
 impl Default for Score {
     fn default() -> Self {
         let zero = Duration::ZERO;
-        Self { latency: 0.0, failing: 0.0, seen: zero, out: OUT, until: zero }
+        Self { latency: 0.0, failing: 0.0, seen: zero, out: OUT, until: zero, probed: zero }
     }
 }
 
@@ -61,6 +68,11 @@
         latency * (1.0 + 4.0 * self.failing * keep)
     }
 
+    /// Whether it was not heard of for so long that one request may find out how it is now.
+    pub fn is_stale(&self, now: Duration) -> bool {
+        now.saturating_sub(self.seen.max(self.probed)) > STALE
+    }
+
     /// Whether it is out of the choice until a probe is due.
     pub fn is_out(&self, now: Duration) -> bool {
         now < self.until
@@ -74,7 +86,9 @@
             known => took.clamp(known / STEP, known * STEP),
         };
         let old = if self.latency == 0.0 { bounded } else { self.latency };
-        self.latency = old + (bounded - old) * WEIGHT;
+        let gap = now.saturating_sub(self.seen).as_secs_f64();
+        let weight = WEIGHT.max(gap / (gap + MEMORY));
+        self.latency = old + (bounded - old) * weight;
         self.failing *= 1.0 - WEIGHT;
         self.seen = now;
         self.out = OUT;
@@ -97,6 +111,7 @@
 
     /// Notes that a request is sent; to an upstream that failed only one at a time goes.
     pub fn tried(&mut self, now: Duration) {
+        self.probed = now;
         if self.failing > BAD {
             self.until = now + self.out;
         }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -42,6 +42,7 @@
     all: Vec<Free>,
     free: Vec<u32>,
     common: f64,
+    busy: u32,
     choice: C,
     rng: ChaCha8Rng,
 }
@@ -49,7 +50,7 @@
 impl<C: Choice> Upstreams<C> {
     /// An empty table.
     pub fn new(choice: C, rng: ChaCha8Rng) -> Self {
-        Self { all: Vec::new(), free: Vec::new(), common: 0.02, choice, rng }
+        Self { all: Vec::new(), free: Vec::new(), common: 0.02, busy: 0, choice, rng }
     }
 
     /// Adds an upstream without slots and returns its number.
@@ -85,7 +86,7 @@
 
     /// Slots in use.
     pub fn busy(&self) -> u32 {
-        self.all.iter().map(|f| f.busy).sum()
+        self.busy
     }
 
     /// The mean latency in seconds over all upstreams.
@@ -106,11 +107,18 @@
     }
 
     /// Takes a slot at the upstream that suits best, never at `avoid`.
-    pub fn take(&mut self, now: Duration, avoid: Option<u32>) -> Option<Ticket> {
-        let view = View { all: &self.all, free: &self.free, common: self.common, now, avoid };
+    ///
+    /// `waiting` requests want a slot, this one among them: while few do, none is better than a
+    /// slow one, since a good one is free sooner than the slow one would answer.
+    pub fn take(&mut self, now: Duration, avoid: Option<u32>, waiting: usize) -> Option<Ticket> {
+        let slots = self.busy.max(1);
+        let wait = self.common * waiting as f64 / f64::from(slots);
+        let (all, free, common) = (&self.all, &self.free, self.common);
+        let view = View { all, free, common, now, avoid, wait };
         let upstream = self.choice.choose(&view, &mut self.rng)?;
         let free = &mut self.all[upstream as usize];
         free.busy += 1;
+        self.busy += 1;
         free.score.tried(now);
         self.index(upstream);
         Some(Ticket { upstream, since: now })
@@ -139,6 +147,7 @@
     /// Gives a slot back without a word on the upstream.
     pub fn give_back(&mut self, ticket: Ticket) {
         self.all[ticket.upstream as usize].busy -= 1;
+        self.busy -= 1;
         self.index(ticket.upstream);
     }
 
@@ -174,6 +183,8 @@
     pub now: Duration,
     /// The upstream that must not be chosen.
     pub avoid: Option<u32>,
+    /// Seconds until all who wait have a slot.
+    pub wait: f64,
 }
 
 impl View<'_> {
