Interference: learned pair costs place tasks, services beyond their target make batch give way

Cause: placement looked at declared room only; measured use and tails were told by workers and thrown away, so a task that used four times its room, or hurt a service, stayed.

Change: a pure policy learns per pair of service and kind what a task adds to the service's tail (normalised bounded steps, fading prior), plans up to a headroom that follows the observed tail, and on one worker throttles first and evicts last by price, lost work and watcher. Use above what was given declares the job larger for its next attempt and the cheapest task goes before the worker runs out. Baselines stay in the tree: first fit, best fit with a fill cap, least loaded, no learning.

--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod callers;
 pub mod check;
 pub mod demo;
+pub mod placing;
 pub mod policy;
 pub mod toll;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -4,7 +4,7 @@
 
 use argh::FromArgs;
 
-use myrtle_load::{demo, policy, toll};
+use myrtle_load::{demo, placing, policy, toll};
 
 /// Puts load on a running system and checks what came of it.
 #[derive(FromArgs)]
@@ -22,6 +22,8 @@
     Demo(demo::Demo),
     /// Compares ways to route requests.
     Routing(policy::Routing),
+    /// Compares ways to place tasks.
+    Placing(placing::Placing),
     /// Measures what a gate adds.
     Toll(toll::Toll),
 }
@@ -32,6 +34,7 @@
     let kept = match args.command {
         Command::Demo(demo) => demo::run(&demo).await,
         Command::Routing(routing) => policy::run(&routing),
+        Command::Placing(placing) => placing::run(&placing),
         Command::Toll(toll) => toll::run(&toll).await,
     };
     match kept {
--- a/crates/sched/src/duties.rs
+++ b/crates/sched/src/duties.rs
@@ -10,11 +10,10 @@
 use myrtle_cell::{Cell, Health, JobState, Op, Spec, Subject, Unit};
 use myrtle_config::{Config, Desired, Job};
 use myrtle_peer::{GateSeen, Proposal};
-use myrtle_place::Learned;
 use myrtle_platform::{Host, Role};
 use myrtle_route::KeyTable;
 
-use crate::claims::{Kinds, claims, fleet};
+use crate::claims::{claims, fleet};
 use crate::tables::Tables;
 
 /// The time between two rounds.
@@ -26,13 +25,8 @@
 /// The time after the start in which gates are not suspected, since none was heard yet.
 const GRACE: Millis = Millis(5_000);
 
-/// Kinds of tasks that are told apart.
-const MAX_KINDS: usize = 256;
-
 /// Does the cell's duties when it is this host's turn, until the future is dropped.
 pub async fn run(tables: Arc<Tables>) {
-    let mut placer = Learned::new(1, MAX_KINDS, tables.writer);
-    let mut kinds = Kinds::default();
     loop {
         tokio::time::sleep(ROUND).await;
         if !tables.lit() || !tables.mine("writer") {
@@ -41,13 +35,31 @@
         let mut ops = standing_ops(&tables);
         ops.extend(lapses(&tables).await);
         ops.extend(tables.cell(|c| {
-            let mut fleet = fleet(&c.cell, &mut kinds, &BTreeMap::new());
-            claims(&c.cell, &mut fleet, &mut kinds, &mut placer)
+            let tails = tails(&tables);
+            tables.policy(|p| {
+                let mut fleet = fleet(&c.cell, &mut p.kinds, &tails);
+                claims(&c.cell, &mut fleet, &mut p.kinds, &mut p.placer)
+            })
         }));
         propose(&tables, ops).await;
     }
 }
 
+/// The tails of services by worker, as this host and its peers measured them.
+fn tails(tables: &Tables) -> BTreeMap<u32, f64> {
+    let mut tails = BTreeMap::new();
+    tables.peers(|p| {
+        let told = p.scheds.values().filter_map(|s| s.pulse.as_ref());
+        let loads = told.flat_map(|(pulse, _)| &pulse.loads).filter(|l| l.slow > 0);
+        tails.extend(loads.map(|l| (l.worker, f64::from(l.slow) / 100.0)));
+    });
+    tables.links(|links| {
+        let own = links.values().filter_map(|l| Some((l.number?, l.tail?)));
+        tails.extend(own);
+    });
+    tails
+}
+
 async fn propose(tables: &Tables, ops: Vec<Op>) {
     if ops.is_empty() {
         return;
--- a/crates/sched/src/tables.rs
+++ b/crates/sched/src/tables.rs
@@ -11,8 +11,11 @@
 use myrtle_config::{Config, Settings};
 use myrtle_meter::Meter;
 use myrtle_peer::{GateSeen, Link, Pulse, SchedPeerClient};
+use myrtle_place::Learned;
 use myrtle_platform::{Caller, Host, HostList, LogClient};
 
+use crate::balance::Policy;
+use crate::claims::Kinds;
 use crate::commit::Order;
 use crate::names::stream;
 use crate::warden::WorkerLink;
@@ -20,6 +23,9 @@
 /// A log read older than this counts as no contact with the log.
 pub const FRESH: Millis = Millis(2_500);
 
+/// Kinds of tasks that are told apart.
+const MAX_KINDS: usize = 256;
+
 /// The fold with what is known about its age.
 #[derive(Debug, Default)]
 pub struct CellTable {
@@ -82,6 +88,7 @@
     promise: Mutex<Promise>,
     peers: Mutex<Peers>,
     links: Mutex<BTreeMap<String, WorkerLink>>,
+    policy: Mutex<Policy>,
 }
 
 macro_rules! table {
@@ -116,6 +123,10 @@
             promise: Mutex::new(Promise::new(Millis(0))),
             peers: Mutex::default(),
             links: Mutex::default(),
+            policy: Mutex::new(Policy {
+                placer: Learned::new(1, MAX_KINDS, born.as_nanos() as u64),
+                kinds: Kinds::default(),
+            }),
             settings,
         }
     }
@@ -137,9 +148,13 @@
         peers: Peers
     );
     table!(
-        /// Links to workers; last in the lock order.
+        /// Links to workers; fifth in the lock order.
         links: BTreeMap<String, WorkerLink>
     );
+    table!(
+        /// What the policy remembers; last in the lock order.
+        policy: Policy
+    );
 
     /// The process's own clock.
     pub fn now(&self) -> Millis {
--- a/crates/sched/src/warden.rs
+++ b/crates/sched/src/warden.rs
@@ -9,10 +9,12 @@
 use myrtle_base::Millis;
 use myrtle_cell::{Health, Op, Subject};
 use myrtle_peer::{Proposal, WorkerLoad};
+use myrtle_place::Relief;
 use myrtle_platform::{
-    Host, Report, Role, RunState, Stop, SyncReply, SyncRequest, UsageReport, WorkerClient,
+    Host, Report, Role, RunState, Stop, SyncReply, SyncRequest, Throttle, UsageReport, WorkerClient,
 };
 
+use crate::balance::weigh;
 use crate::reports::{Next, SILENT, judge, orders};
 use crate::tables::Tables;
 
@@ -38,8 +40,18 @@
     pub noted: Vec<Stop>,
     /// Attempts that must not run there.
     pub strays: Vec<Stop>,
+    /// Its number in the cell.
+    pub number: Option<u32>,
     /// Its newest measurement.
     pub usage: Option<UsageReport>,
+    /// Its service's measured tail against the target.
+    pub tail: Option<f64>,
+    /// Commands that follow from its measurements.
+    wishes: Vec<Op>,
+    /// Tasks to slow down or to let run freely.
+    throttle: Vec<Throttle>,
+    /// What gave way so far.
+    relief: Relief,
     /// Whether an exchange is under way.
     syncing: bool,
     /// Whether commands are on their way to the log.
@@ -57,7 +69,12 @@
             reports: BTreeMap::new(),
             noted: Vec::new(),
             strays: Vec::new(),
+            number: None,
             usage: None,
+            tail: None,
+            wishes: Vec::new(),
+            throttle: Vec::new(),
+            relief: Relief::default(),
             syncing: false,
             telling: false,
         }
@@ -68,7 +85,8 @@
         let usage = self.usage.as_ref()?;
         let used = usage.tasks.iter().fold(myrtle_base::Room::default(), |sum, t| sum + t.room);
         let percent = (used.share(room) * 100.0).min(255.0) as u8;
-        Some(WorkerLoad { worker, percent, slow: 0 })
+        let slow = (self.tail.unwrap_or_default() * 100.0).min(60_000.0) as u16;
+        Some(WorkerLoad { worker, percent, slow })
     }
 }
 
@@ -121,7 +139,13 @@
     let client = tables.links(|l| l.get(&host.name).map(|l| l.client.clone()));
     if let (Some(request), Some(client)) = (request, client) {
         match client.sync(&request).await {
-            Ok(reply) => take_reply(tables, host, &request, reply),
+            Ok(reply) => {
+                let usage = reply.usage.clone();
+                take_reply(tables, host, &request, reply);
+                if let (Some(no), Some(usage)) = (worker, usage) {
+                    take_usage(tables, host, no, &usage);
+                }
+            }
             Err(e) => warn!("worker: no exchange with {}: {e}", host.name),
         }
     }
@@ -155,7 +179,7 @@
             lease: lease.map(|l| l.until),
             start,
             stop,
-            throttle: Vec::new(),
+            throttle: std::mem::take(&mut link.throttle),
             noted: link.noted.clone(),
             seen: link.seen,
         })
@@ -182,6 +206,27 @@
     });
 }
 
+/// Weighs a measurement and keeps what follows from it.
+fn take_usage(tables: &Tables, host: &Host, no: u32, usage: &UsageReport) {
+    let target = tables.config(|c| {
+        let service = c.platform().and_then(|p| p.services.get(&host.service));
+        service.map(|s| s.target.0.0 as f64 * 1000.0)
+    });
+    let tail = target.filter(|_| usage.p99_us > 0).map(|t| usage.p99_us as f64 / t.max(1.0));
+    tables.cell(|c| {
+        tables.links(|links| {
+            let Some(link) = links.get_mut(&host.name) else { return };
+            link.number = Some(no);
+            link.tail = tail.or(link.tail);
+            let measures = tables.policy(|policy| {
+                weigh(&c.cell, tables.centre(), no, usage, tail, policy, &mut link.relief)
+            });
+            link.wishes = measures.ops;
+            link.throttle.extend(measures.throttle);
+        });
+    });
+}
+
 /// Tells the fold what it must hear of a worker, unless that is under way.
 fn tell(tables: &Arc<Tables>, host: &Host, worker: Option<u32>) {
     let ops = due(tables, host, worker);
@@ -246,7 +291,9 @@
             if link.boot > known.boot || (link.boot > 0 && known.room != host.room) {
                 return vec![enter];
             }
-            settle(&c.cell, tables.centre(), no, link)
+            let mut ops = settle(&c.cell, tables.centre(), no, link);
+            ops.append(&mut link.wishes);
+            ops
         })
     })
 }
@@ -280,6 +327,7 @@
         Op::End { task, attempt, end } => {
             Some(format!("task {task} attempt {attempt} ended: {end:?}"))
         }
+        Op::Stop { task, why, .. } => Some(format!("task {task} is to stop: {why}")),
         Op::Suspect { subject } => Some(format!("{subject} suspected")),
         Op::Clear { subject } => Some(format!("{subject} reached again")),
         Op::Worker { name, boot, .. } => Some(format!("worker {name} entered, life {boot}")),
--- a/crates/sched/tests/cells.rs
+++ b/crates/sched/tests/cells.rs
@@ -298,3 +298,39 @@
     }
     site.judge();
 });
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_that_use_four_times_what_they_declared_do_not_fill_a_worker() {
+    let plan = Plan { scale: 4.0, ..plan(2) };
+    let site = Site::start(&plan, &job("fat", "cheap", 16, 2, "")).await;
+    until("all run", || site.running() >= 16).await;
+    // Eight tasks of two declared cores use 64 of a worker's 32: half of them must go.
+    let room = |n: usize| {
+        let name = format!("{CENTRE}-w{n:02}");
+        site.runs().iter().filter(|r| r.worker == name && r.to.is_none()).count() * 8
+    };
+    until("both workers hold what runs", || (0..2).all(|n| room(n) <= 32)).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert!((0..2).all(|n| room(n) <= 32), "{} and {} cores", room(0), room(1));
+    site.judge();
+    let why = site.ask(0, "/why?task=fat.0").await;
+    assert!(why["state"].is_string(), "{why}");
+}
+
+case!(a_service_beyond_its_target_makes_batch_give_way, 2, job("a", "cheap", 1, 16, ""), site => {
+    until("it runs", || site.running() == 1).await;
+    let first = site.runs()[0].worker.clone();
+    let host = site.world.hosts.list().into_iter().find(|h| h.name == first).unwrap();
+    let load = tokio::spawn(async move {
+        let caller = Caller::default();
+        loop {
+            let _ = caller.get::<Value>(host.peer, "/slow", LIMIT).await;
+        }
+    });
+    site.order(Control::Upstream(first.clone(), myrtle_standin::UpstreamMode::Heavy));
+    let moved = || site.runs().iter().any(|r| r.worker != first && r.to.is_none());
+    until("it runs beside the other service", moved).await;
+    load.abort();
+    let seen = site.judge();
+    assert!(seen.stopped >= 1, "{seen:?}");
+});
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -29,6 +29,8 @@
     Ok,
     /// It answers after three times the time.
     Slow,
+    /// It answers after a quarter of a second more.
+    Heavy,
     /// It answers 500 at once, after running.
     Fail,
     /// It says at once that it did not run the request.
@@ -45,6 +47,9 @@
     Leaving,
 }
 
+/// What a heavy upstream takes more.
+const HEAVY: Duration = Duration::from_millis(250);
+
 type Body = BoxBody<Bytes, std::io::Error>;
 
 /// One upstream.
@@ -55,6 +60,7 @@
     mode: Mutex<UpstreamMode>,
     busy: AtomicU32,
     open: AtomicU32,
+    recent: Mutex<Vec<u64>>,
 }
 
 /// Counts down when a request or a connection ends, however it ends.
@@ -75,7 +81,7 @@
     /// An upstream that answers.
     pub fn new(name: &str, record: Arc<Record>) -> Self {
         let (mode, busy, open) = (Mutex::default(), AtomicU32::new(0), AtomicU32::new(0));
-        Self { name: name.into(), record, mode, busy, open }
+        Self { name: name.into(), record, mode, busy, open, recent: Mutex::default() }
     }
 
     /// Changes what it does.
@@ -83,6 +89,13 @@
         *self.mode.lock().expect("no holder panics") = mode;
     }
 
+    /// The 99th percentile of the times since the last look in microseconds, 0 for none.
+    pub fn take_p99(&self) -> u64 {
+        let mut recent = std::mem::take(&mut *self.recent.lock().expect("no holder panics"));
+        recent.sort_unstable();
+        recent.get(recent.len() * 99 / 100).copied().unwrap_or_default()
+    }
+
     /// Serves until the future is dropped.
     pub async fn run(self: Arc<Self>, listener: TcpListener) {
         loop {
@@ -118,6 +131,7 @@
         let busy = self.busy.fetch_add(1, Ordering::AcqRel) + 1;
         let _held = Held(&self.busy);
         self.record.begin_request(&self.name, &id, busy);
+        let began = std::time::Instant::now();
         let body = request.into_body().collect().await.map_err(|_| Gone)?.to_bytes();
         let work = Duration::from_micros(work.parse().unwrap_or(2_000));
         match mode {
@@ -128,8 +142,10 @@
             UpstreamMode::Stall => tokio::time::sleep(Duration::from_secs(120)).await,
             UpstreamMode::Close => return Err(Gone),
             UpstreamMode::Slow => tokio::time::sleep(work * 3).await,
+            UpstreamMode::Heavy => tokio::time::sleep(work + HEAVY).await,
             _ => tokio::time::sleep(work).await,
         }
+        self.recent.lock().expect("no holder panics").push(began.elapsed().as_micros() as u64);
         let text = format!("{{\"id\":\"{id}\",\"mark\":\"{}\"}}", body_mark(&body));
         let mut answer = Response::builder().header("content-type", "application/json");
         if mode == UpstreamMode::Leaving {
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -12,7 +12,7 @@
     text,
 };
 
-use crate::{Record, Run, RunEnd};
+use crate::{Record, Run, RunEnd, Upstream};
 
 /// The time between looks at leases and progress.
 const TICK: Duration = Duration::from_millis(20);
@@ -68,14 +68,21 @@
     room: Room,
     scale: f64,
     record: Arc<Record>,
+    upstream: Arc<Upstream>,
     inner: Mutex<Inner>,
 }
 
 impl Worker {
     /// A worker whose tasks use `scale` times what they were given.
-    pub fn new(name: &str, room: Room, scale: f64, record: Arc<Record>) -> Self {
+    pub fn new(
+        name: &str,
+        room: Room,
+        scale: f64,
+        record: Arc<Record>,
+        upstream: Arc<Upstream>,
+    ) -> Self {
         let inner = Inner { boot: 1, ..Inner::default() };
-        Self { name: name.into(), room, scale, record, inner: Mutex::new(inner) }
+        Self { name: name.into(), room, scale, record, upstream, inner: Mutex::new(inner) }
     }
 
     /// Changes what it does.
@@ -306,7 +313,11 @@
             accel: room.accel,
         };
         let tasks = running.map(|(t, a)| TaskUse { task: t.clone(), room: used(a.start.room) });
-        UsageReport { at: self.record.now(), p99_us: 0, tasks: tasks.collect() }
+        UsageReport {
+            at: self.record.now(),
+            p99_us: self.upstream.take_p99(),
+            tasks: tasks.collect(),
+        }
     }
 }
 
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -169,8 +169,9 @@
             room: plan.room,
             leaving: false,
         };
-        let worker = Arc::new(Worker::new(&name, plan.room, plan.scale, self.record.clone()));
         let upstream = Arc::new(Upstream::new(&name, self.record.clone()));
+        let (record, beside) = (self.record.clone(), upstream.clone());
+        let worker = Arc::new(Worker::new(&name, plan.room, plan.scale, record, beside));
         tokio::spawn(worker.clone().run());
         tokio::spawn(upstream.clone().run(upstream_port));
         let shared = worker.clone();
