The time line shows each step of the demo; gates are drained from the command line

Cause: the demo's time line ended with the start of the processes (60 lines of workers entering); an outage of the log and a dead sched left no event; `drain` knew workers only; pulses grew with the number of peers.

Change: contact with the log and with peers is put into the time line when it changes; the demo's own steps are merged into it and what every task does is left out. `myrtlectl drain GATE` asks over the peers' port, since the port of callers must not take such orders. The time between pulses grows by 250 ms with each peer above the first ones, and what is concluded from silence waits as much longer.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -116,11 +116,11 @@
 #[argh(subcommand, name = "status")]
 pub struct Status {}
 
-/// let a worker take nothing new
+/// let a worker take nothing new, or a gate finish and end
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "drain")]
 pub struct Drain {
-    /// the worker
+    /// the worker or gate
     #[argh(positional)]
     pub worker: String,
     /// let it take work again
--- a/crates/ctl/src/ask.rs
+++ b/crates/ctl/src/ask.rs
@@ -75,8 +75,19 @@
     Ok(())
 }
 
-/// Lets a worker take nothing new, or work again.
+/// Lets a worker take nothing new, or work again; a gate finishes what it has and ends.
 pub async fn drain(cluster: &Cluster, worker: &str, on: bool, json: bool) -> Result<(), Failed> {
+    let gate =
+        cluster.hosts().await?.into_iter().find(|h| h.name == worker && h.role == Role::Gate);
+    if let Some(gate) = gate.filter(|_| on) {
+        if !cluster.stop_gate(&gate).await {
+            return Err(Failed::Unknown(format!(
+                "{worker} gave no answer; see 'myrtlectl status'"
+            )));
+        }
+        print(&[value!({"gate": worker, "accepted": true})], &["gate", "accepted"], json);
+        return Ok(());
+    }
     order(cluster, &format!("/drain?worker={worker}&on={on}"), worker, json).await
 }
 
--- a/crates/ctl/src/cluster.rs
+++ b/crates/ctl/src/cluster.rs
@@ -9,6 +9,7 @@
 use serde_json::Value;
 
 use myrtle_config::{Config, ConfigRecord};
+use myrtle_peer::{GatePeerClient, Link};
 use myrtle_platform::{Caller, Failure, Host, HostList, LogClient, ReadError, Role};
 
 use crate::Failed;
@@ -118,6 +119,13 @@
         Ok(answers)
     }
 
+    /// Asks a gate for a planned stop; true if it takes the order.
+    pub async fn stop_gate(&self, gate: &Host) -> bool {
+        let link: Link<GatePeerClient> = Link::new(gate.peer);
+        let answer = link.call(LIMIT, |c: GatePeerClient, x| async move { c.stop(x).await }).await;
+        answer.unwrap_or(false)
+    }
+
     async fn catch_up(&self, config: &mut Config, first: u64) -> Result<(), Failed> {
         let mut from = first;
         while let Ok(page) = self.log.read(CONFIG, from, Duration::ZERO).await {
--- a/crates/gate/src/main.rs
+++ b/crates/gate/src/main.rs
@@ -17,7 +17,10 @@
         Ok(gate) => gate,
         Err(e) => return myrtle_daemon::cannot_listen(&e),
     };
-    wait_for_stop().await;
+    tokio::select! {
+        () = wait_for_stop() => {}
+        () = gate.asked_to_stop() => {}
+    }
     if gate.drain().await { ExitCode::SUCCESS } else { ExitCode::from(CUT_OFF) }
 }
 
--- a/crates/gate/src/rpc.rs
+++ b/crates/gate/src/rpc.rs
@@ -47,6 +47,12 @@
         keyed::end_for(&self.0, key, done, passed).await;
     }
 
+    async fn stop(self, _: Context) -> bool {
+        self.0.ring.add("gate", "an operator asks for a planned stop");
+        self.0.stop.notify_one();
+        true
+    }
+
     async fn take(self, _: Context, unit: Unit, from: String, over: HandOver) -> bool {
         let now = self.0.now();
         self.0.ring.add("gate", format!("takes {unit} from {from}"));
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -52,6 +52,11 @@
         self.tables.ready()
     }
 
+    /// Waits until an operator asks for a planned stop.
+    pub async fn asked_to_stop(&self) {
+        self.tables.stop.notified().await;
+    }
+
     /// Stops as planned; returns whether everything in flight was finished.
     pub async fn drain(mut self) -> bool {
         drain::announce(&self.tables).await;
--- a/crates/gate/src/tables.rs
+++ b/crates/gate/src/tables.rs
@@ -47,6 +47,8 @@
     pub list: HostList,
     /// What requests need, read without a lock.
     pub view: ArcSwap<View>,
+    /// Asks the process to stop as planned.
+    pub stop: Notify,
     /// Wakes the borrower when more slots are needed.
     pub needy: Notify,
     start: Instant,
@@ -84,6 +86,7 @@
             meter: Meter::default(),
             list: HostList::new(Caller::default(), settings.platform.hosts),
             view: ArcSwap::default(),
+            stop: Notify::new(),
             needy: Notify::new(),
             start: Instant::now(),
             boot: AtomicU64::new(wall().0),
--- a/crates/load/src/demo.rs
+++ b/crates/load/src/demo.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use uuid::Uuid;
 
-use myrtle_base::Event;
+use myrtle_base::{Event, Ring, Stamp};
 use myrtle_platform::{Caller as Http, Host, HostList, Role};
 use myrtle_standin::{Run, Summary};
 
@@ -62,6 +62,7 @@
     control: SocketAddr,
     hosts: Vec<Host>,
     notes: Vec<String>,
+    ring: Ring,
     began: Instant,
     loud: bool,
 }
@@ -107,7 +108,8 @@
             if ready > 0 && ready == gates.count() {
                 let began = Instant::now();
                 let (control, loud) = (demo.hosts, !demo.json);
-                return Ok(Self { http, control, hosts, notes: Vec::new(), began, loud });
+                let ring = Ring::new("demo");
+                return Ok(Self { http, control, hosts, notes: Vec::new(), ring, began, loud });
             }
             if Instant::now() > end {
                 return Err(format!("only {ready} gates are ready after {READY:?}"));
@@ -121,11 +123,13 @@
     }
 
     fn note(&mut self, text: impl Into<String>) {
-        let text = format!("{:>5} ms  {}", self.began.elapsed().as_millis(), text.into());
+        let word = text.into();
+        let text = format!("{:>5} ms  {word}", self.began.elapsed().as_millis());
         if self.loud {
             println!("{text}");
         }
         self.notes.push(text);
+        self.ring.add("demo", word);
     }
 
     /// Lets things fail one after the other; returns promises that were broken on the way.
@@ -249,7 +253,7 @@
 
     /// The events of all processes, in causal order.
     async fn time_line(&self) -> Vec<Event> {
-        let mut events: Vec<Event> = Vec::new();
+        let mut events = self.ring.since(Stamp(0));
         for host in self.of(Role::Gate).chain(self.of(Role::Sched)) {
             let told = self.http.get::<Vec<Event>>(host.http, "/events", LIMIT).await;
             events.extend(told.unwrap_or_default());
@@ -284,15 +288,30 @@
     }
 }
 
+/// Whether an event belongs to what the demo shows, and not to every start and end of a task.
+fn telling(event: &Event) -> bool {
+    const WORDS: [&str; 8] = [
+        "evicted",
+        "suspected",
+        "given up",
+        "contact",
+        "Stopped",
+        "to stop",
+        "rejected",
+        "in force",
+    ];
+    let first_life = event.text.contains("entered, life 1 ");
+    let again = event.text.contains("entered, life");
+    event.part == "demo" || !first_life && (again || WORDS.iter().any(|w| event.text.contains(w)))
+}
+
 fn print(demo: &Demo, report: &Report, notes: &[String], line: &[Event]) {
     if demo.json {
         println!("{}", json!(report));
         return;
     }
-    let marks = ["evicted", "suspected", "given up", "entered, life", "Stopped", "turned down"];
-    let telling = |e: &&Event| e.part != "task" || marks.iter().any(|m| e.text.contains(m));
     println!("\ntime line (part of it; 'myrtlectl timeline' shows all {} events)", line.len());
-    for event in line.iter().filter(telling).take(SHOWN) {
+    for event in line.iter().filter(|e| telling(e)).take(SHOWN) {
         let ms = event.stamp.millis() % 1_000_000;
         println!("  {ms:>6} {:14} {:7} {}", event.host, event.part, event.text);
     }
--- a/crates/peer/src/gate.rs
+++ b/crates/peer/src/gate.rs
@@ -48,6 +48,9 @@
     /// Tells the keeper of a key how its request ended.
     async fn end(stamp: Stamp, key: Uuid, done: Done, passed: bool);
 
+    /// Asks for a planned stop; an operator's order, which callers' ports do not take.
+    async fn stop() -> bool;
+
     /// Hands what is known of a unit to its next keeper; true if it is taken.
     async fn take(unit: Unit, from: String, over: HandOver) -> bool;
 }
--- a/crates/sched/src/duties.rs
+++ b/crates/sched/src/duties.rs
@@ -78,7 +78,9 @@
 
 /// Jobs, keepers and gates that the fold does not have yet.
 fn standing_ops(tables: &Tables) -> Vec<Op> {
-    let seen = tables.gates_seen(GATE_SILENT);
+    // What peers heard is told with their pulses, so it may be that much older.
+    let late = tables.pulse_period();
+    let seen = tables.gates_seen(GATE_SILENT + late + late);
     let settled = tables.now() > GRACE;
     let centre = tables.centre();
     tables.config(|config| {
--- a/crates/sched/src/follow.rs
+++ b/crates/sched/src/follow.rs
@@ -29,14 +29,21 @@
 /// Follows the cell's stream until the future is dropped.
 pub async fn follow_cell(tables: Arc<Tables>) {
     let stream = tables.stream();
+    let mut contact = true;
     loop {
         let from = tables.cell(|c| c.cell.next);
         let sent = tables.now();
         match tables.log.read(&stream, from, WAIT).await {
-            Ok(page) => take_page(&tables, sent, page),
+            Ok(page) => {
+                tables.note_contact(&mut contact, true, "the log");
+                take_page(&tables, sent, page);
+            }
             Err(ReadError::Gone(first)) => catch_up(&tables, &stream, first).await,
             Err(ReadError::Away(e)) => {
-                warn!("log: cannot read {stream}: {e}");
+                if contact {
+                    warn!("log: cannot read {stream}: {e}");
+                }
+                tables.note_contact(&mut contact, false, "the log");
                 if tables.cell(|c| c.cell.next) == 0 {
                     ask_peers(&tables).await;
                 }
--- a/crates/sched/src/peers.rs
+++ b/crates/sched/src/peers.rs
@@ -14,9 +14,6 @@
 /// The time between two looks at the host list.
 const LIST: Duration = Duration::from_millis(1_000);
 
-/// The time between two pulses.
-const PULSE: Duration = Duration::from_millis(700);
-
 /// How long a pulse may take.
 const LIMIT: Duration = Duration::from_millis(600);
 
@@ -40,7 +37,7 @@
             async move { ask(&tables, &name, &link).await }
         }))
         .await;
-        tokio::time::sleep(PULSE).await;
+        tokio::time::sleep(tables.pulse_period().std()).await;
     }
 }
 
@@ -52,7 +49,7 @@
             let known = peers.scheds.get(&host.name).is_some_and(|p| p.link.at() == host.peer);
             if !known {
                 let link = Arc::new(Link::new(host.peer));
-                peers.scheds.insert(host.name.clone(), Peer { link, pulse: None });
+                peers.scheds.insert(host.name.clone(), Peer { link, pulse: None, answers: true });
             }
         }
         let listed = |name: &String| hosts.iter().any(|h| h.name == *name);
@@ -69,7 +66,9 @@
 async fn ask(tables: &Tables, name: &str, link: &Link<SchedPeerClient>) {
     let stamp = tables.ring.clock().tick();
     let call = |c: SchedPeerClient, x| async move { c.pulse(x, stamp).await };
-    let Some(pulse) = link.call(LIMIT, call).await else { return };
+    let answer = link.call(LIMIT, call).await;
+    note(tables, name, answer.is_some());
+    let Some(pulse) = answer else { return };
     tables.ring.clock().merge(pulse.stamp);
     let now = tables.now();
     tables.peers(|p| {
@@ -79,5 +78,17 @@
     });
 }
 
+/// Puts it into the time line when a peer falls silent or answers again.
+fn note(tables: &Tables, name: &str, answers: bool) {
+    let known = tables.peers(|p| p.scheds.get(name).map(|s| s.answers));
+    let Some(mut was) = known else { return };
+    tables.note_contact(&mut was, answers, name);
+    tables.peers(|p| {
+        if let Some(peer) = p.scheds.get_mut(name) {
+            peer.answers = was;
+        }
+    });
+}
+
 /// Gates heard of within this time are told to peers.
 pub const GATE_AGE: Millis = Millis(6_000);
--- a/crates/sched/src/tables.rs
+++ b/crates/sched/src/tables.rs
@@ -26,6 +26,12 @@
 /// Kinds of tasks that are told apart.
 const MAX_KINDS: usize = 256;
 
+/// The least time between two pulses.
+const PULSE: Millis = Millis(700);
+
+/// What each peer adds to the time between two pulses.
+const PULSE_EACH: Millis = Millis(250);
+
 /// The fold with what is known about its age.
 #[derive(Debug, Default)]
 pub struct CellTable {
@@ -48,6 +54,8 @@
     pub link: Arc<Link<SchedPeerClient>>,
     /// Its newest word and when it came.
     pub pulse: Option<(Pulse, Millis)>,
+    /// Whether it answered the last time.
+    pub answers: bool,
 }
 
 /// What is known of other hosts.
@@ -193,6 +201,27 @@
         self.cell(|c| c.log_time.map(|(log, at)| log + now.since(at)))
     }
 
+    /// Puts a change of contact with the log or a peer into the time line.
+    pub fn note_contact(&self, was: &mut bool, is: bool, with: &str) {
+        if *was != is {
+            let word = if is { "in contact with" } else { "no contact with" };
+            log::info!("log: {word} {with}");
+            self.ring.add("log", format!("{word} {with}"));
+        }
+        *was = is;
+    }
+
+    /// The time between two pulses: longer with many peers, so that the bytes stay the same.
+    pub fn pulse_period(&self) -> Millis {
+        let peers = self.peers(|p| p.scheds.len() as u64);
+        PULSE.max(Millis(peers * PULSE_EACH.0))
+    }
+
+    /// The age beyond which a peer's word counts for nothing.
+    fn peer_limit(&self) -> Millis {
+        FRESH.max(Millis(3 * self.pulse_period().0))
+    }
+
     /// Tells waiting tasks that something changed.
     pub fn wake(&self) {
         self.changed.send_modify(|n| *n += 1);
@@ -205,10 +234,11 @@
     pub fn live(&self) -> Vec<String> {
         let now = self.now();
         let lit = self.lit();
+        let limit = self.peer_limit();
         let mut live = self.peers(|p| {
             let fresh = |peer: &Peer| {
                 let pulse = peer.pulse.as_ref();
-                pulse.is_some_and(|(p, at)| now.since(*at) < FRESH && (!lit || p.age < FRESH))
+                pulse.is_some_and(|(p, at)| now.since(*at) < limit && (!lit || p.age < FRESH))
             };
             let peers = p.scheds.iter().filter(|(_, peer)| fresh(peer));
             peers.map(|(name, _)| name.clone()).collect::<Vec<_>>()
