--- a/crates/load/src/demo.rs
+++ b/crates/load/src/demo.rs
@@ -32,6 +32,9 @@
 /// How long an answer of a control interface may take.
 const LIMIT: Duration = Duration::from_secs(5);
 
+/// Longer than a lease.
+const FROZEN: Duration = Duration::from_secs(11);
+
 /// Lines of the time line that are shown.
 const SHOWN: usize = 60;
 
@@ -48,6 +51,9 @@
     /// the process id of a sched to kill in mid-run
     #[argh(option)]
     kill: Option<i32>,
+    /// the process id of a gate to freeze for longer than its lease
+    #[argh(option)]
+    freeze: Option<i32>,
     /// how long the configuration took to be in force
     #[argh(option, default = "0")]
     in_force_ms: u64,
@@ -73,7 +79,8 @@
     let gates: Vec<SocketAddr> = stage.of(Role::Gate).map(|h| h.http).collect();
     let book = Arc::new(Book::default());
     let mix = Arc::new(mix(&demo.scene));
-    let end = Instant::now() + LENGTH;
+    let longer = if demo.freeze.is_some() { FROZEN } else { Duration::ZERO };
+    let end = Instant::now() + LENGTH + longer;
     let callers = (0..CALLERS).map(|n| {
         let caller = Caller::new(book.clone());
         tokio::spawn(drive(caller, gates.clone(), mix.clone(), n, end, PAUSE))
@@ -155,6 +162,7 @@
         tokio::time::sleep(Duration::from_secs(4)).await;
         self.control(json!({"log": "ok"})).await?;
         self.note("the log is back");
+        self.freeze_gate(demo).await?;
         tokio::time::sleep(Duration::from_secs(14)).await;
         let runs = self.runs().await?;
         if !resumed(&runs, &evicted) {
@@ -201,6 +209,17 @@
         Ok(())
     }
 
+    /// Freezes a gate until its lease has lapsed, and lets it go on.
+    async fn freeze_gate(&mut self, demo: &Demo) -> Result<(), String> {
+        let Some(pid) = demo.freeze.map(Pid::from_raw) else { return Ok(()) };
+        kill(pid, Signal::SIGSTOP).map_err(|e| e.to_string())?;
+        self.note(format!("gate process {pid} frozen"));
+        tokio::time::sleep(FROZEN).await;
+        kill(pid, Signal::SIGCONT).map_err(|e| e.to_string())?;
+        self.note(format!("gate process {pid} goes on"));
+        Ok(())
+    }
+
     /// Kills the worker with most tasks; returns its name and the tasks.
     async fn kill_worker(&mut self) -> Result<(String, Vec<String>), String> {
         let runs = self.runs().await?;
