--- a/crates/cell/tests/model/mod.rs
+++ b/crates/cell/tests/model/mod.rs
@@ -4,8 +4,10 @@
 //! the log when they like and propose on what they last read. Messages to workers arrive late,
 //! repeatedly or never, and so do lapses at the log.
 
+mod search;
+
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
@@ -14,6 +16,8 @@
 
 use crate::common::{job, worker};
 
+pub use search::{explore, walk};
+
 /// Records that the world starts with.
 const START: u64 = 6;
 
@@ -153,74 +157,6 @@
     Action::Land,
 ];
 
-/// Explores breadth first, after the steps of `prefix`.
-pub fn explore(without: Without, bounds: Bounds, prefix: &[Action]) -> Found {
-    let mut first = World::new(bounds.tasks);
-    for action in prefix {
-        assert!(first.step(*action, without, bounds), "{action:?} changes nothing");
-    }
-    let mut seen = HashSet::from([hash(&first)]);
-    let mut queue = VecDeque::from([first]);
-    while let Some(world) = queue.pop_front() {
-        for action in ACTIONS {
-            let mut next = world.clone();
-            if !next.step(action, without, bounds) || !seen.insert(hash(&next)) {
-                continue;
-            }
-            if next.broken() {
-                return Found { states: seen.len(), all: false, broken: Some(vec![action.word()]) };
-            }
-            queue.push_back(next);
-        }
-        if seen.len() >= bounds.states {
-            return Found { states: seen.len(), all: false, broken: None };
-        }
-    }
-    Found { states: seen.len(), all: true, broken: None }
-}
-
-/// Takes random walks, which reach further than a search in breadth.
-pub fn walk(without: Without, bounds: Bounds, seed: u64, walks: usize, length: usize) -> Found {
-    let first = World::new(bounds.tasks);
-    let mut rng = Xorshift(seed);
-    let mut states = 0;
-    for _ in 0..walks {
-        let mut world = first.clone();
-        let mut words = Vec::new();
-        // Each walk leaves some actions out: hosts that never read are where promises break.
-        let enabled: Vec<Action> = ACTIONS.into_iter().filter(|_| rng.below(10) < 7).collect();
-        if enabled.is_empty() {
-            continue;
-        }
-        for _ in 0..length {
-            let action = enabled[rng.below(enabled.len())];
-            let mut next = world.clone();
-            if !next.step(action, without, bounds) {
-                continue;
-            }
-            world = next;
-            states += 1;
-            words.push(action.word());
-            if world.broken() {
-                return Found { states, all: false, broken: Some(words) };
-            }
-        }
-    }
-    Found { states, all: false, broken: None }
-}
-
-/// A small generator, the same on every machine.
-struct Xorshift(u64);
-
-impl Xorshift {
-    fn below(&mut self, n: usize) -> usize {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        (self.0 >> 11) as usize % n
-    }
-}
-
 impl Action {
     fn word(self) -> String {
         format!("{self:?}")
@@ -509,9 +445,3 @@
         cell.workers.iter_mut().zip(rooms).for_each(|(w, room)| w.room = room);
     }
 }
-
-fn hash(world: &World) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    world.hash(&mut hasher);
-    hasher.finish()
-}
