Bill time in slots only; look at one upstream for each request instead of all

Since attempts run side by side, the time that a party pays for began before the wait for a slot. Each request set the slots of every upstream anew, with a look-up by name for each; the fleet was built five times a second even when no task waited; the look-up of a service's slots stood in seven places.

Change: the time begins with the first slot; a taken slot's own loan is checked, and a lapsed one is put aside; no fleet without pending tasks; `with_core` serves all; a wrapper around `evict` is gone.

The time a request saves at many upstreams was not measured.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -105,11 +105,7 @@
     }
 
     fn with_core(&self, change: impl FnOnce(&mut crate::core::Core)) {
-        self.tables.core(|cores| {
-            if let Some(core) = cores.get_mut(&self.service) {
-                change(core);
-            }
-        });
+        self.tables.with_core(&self.service, change);
     }
 
     /// Where the upstream serves, and how many connections may stay idle there.
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -118,7 +118,7 @@
     ) -> Result<Ticket, oneshot::Receiver<Turn>> {
         if self.admit.is_empty()
             && !self.admit.too_late(&arrival, now)
-            && let Some(ticket) = self.upstreams.take(now, avoid, 1)
+            && let Some(ticket) = self.take(now, avoid, 1)
         {
             self.note_peak();
             return Ok(ticket);
@@ -140,7 +140,7 @@
         let mut dropped = Vec::new();
         while !self.admit.is_empty() {
             let waiting = self.admit.len();
-            let Some(ticket) = self.upstreams.take(now, None, waiting) else { break };
+            let Some(ticket) = self.take(now, None, waiting) else { break };
             let Some(taken) = self.admit.next(now, &mut dropped) else {
                 self.upstreams.give_back(ticket);
                 break;
@@ -185,6 +185,21 @@
         self.peak.max(self.last_peak)
     }
 
+    /// Takes a slot whose loan still runs; only the chosen upstream is looked at.
+    fn take(&mut self, now: Duration, avoid: Option<u32>, waiting: usize) -> Option<Ticket> {
+        loop {
+            let ticket = self.upstreams.take(now, avoid, waiting)?;
+            let unit = &self.places[ticket.upstream as usize].unit;
+            let usable = self.shares.usable(unit, now);
+            if self.upstreams.get(ticket.upstream).busy <= usable {
+                return Some(ticket);
+            }
+            // The loan has lapsed since the slots were set.
+            self.upstreams.give_back(ticket);
+            self.upstreams.hold(ticket.upstream, usable);
+        }
+    }
+
     /// The slots to reckon with: a gate that was quiet holds few and gets more when it asks.
     fn slots(&self) -> u32 {
         self.upstreams.held().max(self.potential)
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -15,12 +15,16 @@
 
 use crate::attempt::{self, Outcome, Payload};
 use crate::call::Call;
+use crate::core::Core;
 use crate::serve::{Refusal, note_served, slot};
 use crate::tables::Tables;
 
 /// A safe request is tried elsewhere too after this many usual latencies.
 const PATIENCE: f64 = 2.5;
 
+/// The usual latency in seconds of a service that is not configured any more.
+const USUAL: f64 = 0.1;
+
 /// The least time before that.
 const LEAST: Duration = Duration::from_millis(40);
 
@@ -56,11 +60,7 @@
     body: &Bytes,
     deadline: Duration,
 ) -> Result<Response<Bytes>, Refusal> {
-    tables.core(|cores| {
-        if let Some(core) = cores.get_mut(&call.service) {
-            core.budget.earn();
-        }
-    });
+    tables.with_core(&call.service, |core| core.budget.earn());
     let mut exchange = Exchange {
         tables,
         call,
@@ -74,6 +74,8 @@
         newest: None,
     };
     exchange.attempt().await?;
+    // Time in slots is paid for, not the wait for one.
+    exchange.began = tables.now();
     loop {
         if let Some(answer) = exchange.step().await? {
             note_served(tables, call, tables.now().saturating_sub(exchange.began));
@@ -121,11 +123,8 @@
         if self.tables.now() >= self.deadline {
             return Err(Kind::Late.into());
         }
-        let crowded = self.tables.core(|cores| {
-            let core = cores.get(&self.call.service);
-            core.is_some_and(|c| c.waiting() > 0)
-        });
-        if crowded || !self.try_again().await {
+        let crowded = self.core(|core| core.waiting() > 0);
+        if crowded.unwrap_or(false) || !self.try_again().await {
             // No more attempts: wait for those that run.
             self.attempts = ATTEMPTS;
         }
@@ -137,11 +136,8 @@
         if self.attempts >= ATTEMPTS {
             return false;
         }
-        let spent = self.tables.core(|cores| {
-            let core = cores.get_mut(&self.call.service);
-            core.is_some_and(|c| c.budget.spend())
-        });
-        spent && self.attempt().await.is_ok()
+        let spent = self.core(|core| core.budget.spend());
+        spent.unwrap_or(false) && self.attempt().await.is_ok()
     }
 
     async fn attempt(&mut self) -> Result<(), Refusal> {
@@ -156,21 +152,18 @@
 
     /// The time after which another upstream is tried; it grows with each attempt.
     fn patience(&self) -> Duration {
-        let usual = self.tables.core(|cores| {
-            let core = cores.get(&self.call.service);
-            core.map_or(0.1, |c| c.upstreams.common())
-        });
+        let usual = self.core(|core| core.upstreams.common()).unwrap_or(USUAL);
         Duration::from_secs_f64(usual * PATIENCE * f64::from(self.attempts)).max(LEAST)
     }
 
     fn note_late(&self) {
         let now = self.tables.now();
         let Some(upstream) = self.newest else { return };
-        self.tables.core(|cores| {
-            if let Some(core) = cores.get_mut(&self.call.service) {
-                core.upstreams.late(upstream, now);
-            }
-        });
+        self.core(|core| core.upstreams.late(upstream, now));
+    }
+
+    fn core<R>(&self, look: impl FnOnce(&mut Core) -> R) -> Option<R> {
+        self.tables.with_core(&self.call.service, look)
     }
 
     fn refusal(&self) -> Refusal {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -175,7 +175,6 @@
     let arrival = Arrival { id: 0, party: call.number, price: call.price, deadline };
     let entered = tables.core(|cores| {
         let core = cores.get_mut(&call.service).ok_or(Kind::NoUpstream)?;
-        core.set_slots(now);
         Ok(core.enter(arrival, now, avoid))
     });
     let ticket: Ticket =
--- a/crates/gate/src/tables.rs
+++ b/crates/gate/src/tables.rs
@@ -127,6 +127,11 @@
         reported: Served
     );
 
+    /// Looks at the slots of one service, if it is configured.
+    pub fn with_core<R>(&self, service: &str, look: impl FnOnce(&mut Core) -> R) -> Option<R> {
+        self.core(|cores| cores.get_mut(service).map(look))
+    }
+
     /// The process's own clock.
     pub fn now(&self) -> Duration {
         self.start.elapsed()
--- a/crates/gate/tests/requests.rs
+++ b/crates/gate/tests/requests.rs
@@ -358,3 +358,27 @@
     assert!(answered > 100, "{answered}");
     assert_eq!(others, ROUNDS);
 }
+
+case!(parties_pay_for_slots_and_not_for_waiting, 1, 1, site => {
+    // Six waves of eight slots: with the waits each wave would cost one more than the last.
+    let sends = (0..48).map(|n| {
+        let send = Send::new("POST", &format!("paid-{n}")).with("x-work-us", "300000");
+        let send = send.with("myrtle-deadline-ms", "30000");
+        let site = &site;
+        async move { site.send(0, &send).await.unwrap().status }
+    });
+    assert!(join_all(sends).await.iter().all(|status| *status == 200));
+    let caller = myrtle_platform::Caller::default();
+    let mut used = serde_json::Value::Null;
+    for _ in 0..200 {
+        let limit = Duration::from_secs(5);
+        used = caller.get(site.scheds[0].http, "/usage", limit).await.unwrap();
+        if used[0]["requests"] == 48 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(used[0]["requests"], 48, "{used}");
+    let busy = used[0]["busy_ms"].as_u64().unwrap();
+    assert!((48 * 300..48 * 700).contains(&busy), "{busy}");
+});
--- a/crates/route/src/keys.rs
+++ b/crates/route/src/keys.rs
@@ -3,9 +3,9 @@
 //! Each bucket of keys has one keeper at a time. The keeper knows every key issued after it took
 //! over. A key issued before that, which it does not know, may have run under an earlier keeper:
 //! its outcome is unknown and it is not run again. The time of issue is part of the key (UUID
-//! version 7). A keeper accepts a key only if its time is at most [`MAX_SKEW`] ahead of the keeper's own
-//! clock, so a key that an earlier keeper accepted is never newer than that keeper's end and a
-//! margin.
+//! version 7). A keeper accepts a key only if its time is at most [`MAX_SKEW`] ahead of the
+//! keeper's own clock, so a key that an earlier keeper accepted is never newer than that keeper's
+//! end and a margin.
 
 use std::collections::{BTreeMap, VecDeque};
 
--- a/crates/sched/src/balance.rs
+++ b/crates/sched/src/balance.rs
@@ -11,6 +11,7 @@
 
 use crate::claims::Kinds;
 use crate::names::{task_id, task_name};
+use crate::reports::evict;
 
 /// The part of a worker that may be used before a task has to go.
 const FULL: f64 = 0.95;
@@ -68,7 +69,7 @@
     match relief.seen(tail, &tenants) {
         Some(Act::Throttle(id, percent)) => measures.throttle = throttle(cell, centre, id, percent),
         Some(Act::Free(id)) => measures.throttle = throttle(cell, centre, id, 100),
-        Some(Act::Evict(id)) => measures.ops.extend(stop(cell, unpack(id), Why::Interference)),
+        Some(Act::Evict(id)) => measures.ops.extend(evict(cell, unpack(id), Why::Interference)),
         None => {}
     }
     measures
@@ -103,7 +104,7 @@
         let job = &cell.jobs[&id.job];
         (job.spec.watcher(), job.spec.price, std::cmp::Reverse(cell.tasks[id].since))
     })?;
-    stop(cell, cheapest, Why::Pressure)
+    evict(cell, cheapest, Why::Pressure)
 }
 
 fn running(cell: &Cell, no: u32) -> impl Iterator<Item = (TaskId, &Task, &Job)> {
@@ -127,10 +128,6 @@
     Some(Throttle { task: task_name(centre, id), attempt, percent })
 }
 
-fn stop(cell: &Cell, id: TaskId, why: Why) -> Option<Op> {
-    crate::reports::evict(cell, id, why)
-}
-
 fn pack(id: TaskId) -> u64 {
     u64::from(id.job) << 32 | u64::from(id.index)
 }
--- a/crates/sched/src/duties.rs
+++ b/crates/sched/src/duties.rs
@@ -35,6 +35,9 @@
         let mut ops = standing_ops(&tables);
         ops.extend(lapses(&tables).await);
         ops.extend(tables.cell(|c| {
+            if c.cell.pending.is_empty() {
+                return Vec::new();
+            }
             let tails = tails(&tables);
             tables.policy(|p| {
                 let mut fleet = fleet(&c.cell, &mut p.kinds, &tails);
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -1,7 +1,7 @@
 //! The sched: folds its cell's stream, places tasks, renews leases, tells gates what they need.
 //!
-//! Lock order of [`Tables`]: config, cell, promise, peers, links, policy. A task that holds one may take
-//! only those after it, and holds none across an await.
+//! Lock order of [`Tables`]: config, cell, promise, peers, links, policy. A task that holds one
+//! may take only those after it, and holds none across an await.
 
 mod admin;
 mod balance;
