--- /dev/null
+++ b/crates/front/src/flush.rs
@@ -0,0 +1,138 @@
+//! Plans, writes what changed to the log, and lets go what waited for that.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use log::{info, warn};
+use tokio::time::{sleep, timeout};
+
+use myrtle_adapter::{StoreError, Writer, frame_keyed};
+use myrtle_job::JobId;
+
+use crate::clock::now;
+use crate::host::Host;
+use crate::names::{JOBS, OWNER, PROGRESS};
+use crate::owned::Owned;
+
+/// How long changes are gathered before they are written; adds little to the store's own time.
+const GATHER: Duration = Duration::from_millis(2);
+
+/// How long an idle owner sleeps before it looks for tasks that may be tried again.
+const IDLE: Duration = Duration::from_millis(100);
+
+/// The largest append, in bytes; below the platform's bound of 2 MB a call.
+const LARGEST: usize = 1 << 20;
+
+/// The first time that an append may take; doubled up to the longest while the store is slow.
+const FIRST_LIMIT: Duration = Duration::from_millis(250);
+
+/// The longest time that an append may take.
+const LONGEST_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// The pause after an append that was refused.
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// Runs until the cell is another host's; what was planned last is written before it ends.
+pub async fn run(host: Arc<Host>, owned: Arc<Owned>) {
+    let mut number = 1;
+    while !owned.deposed() {
+        if owned.closed() && owned.state().idle() {
+            return;
+        }
+        if timeout(IDLE, owned.work.notified()).await.is_ok() {
+            sleep(GATHER).await;
+        }
+        let (orders, batch) = {
+            let mut cell = owned.state();
+            if !owned.closed() {
+                cell.plan(now());
+            }
+            (cell.orders(), cell.batch())
+        };
+        owned.dispatch(orders);
+        if batch.is_empty() {
+            continue;
+        }
+        let began = now();
+        for body in bodies(&batch.records) {
+            if !append(&host, &owned, number, body).await {
+                return;
+            }
+            number += 1;
+        }
+        drop_jobs(&host, &owned, &batch.records).await;
+        let took = now() - began;
+        host.meter.took("myrtle_commit_micros", "", Duration::from_millis(took));
+        let starts = owned.state().committed(batch, now());
+        if !owned.closed() {
+            owned.dispatch(starts);
+        }
+        owned.committed.send_modify(|n| *n += 1);
+    }
+}
+
+fn bodies(records: &[(JobId, Vec<u8>)]) -> Vec<Bytes> {
+    let mut bodies = Vec::new();
+    let mut body = BytesMut::new();
+    for (id, value) in records {
+        if body.len() + value.len() > LARGEST {
+            bodies.push(body.split().freeze());
+        }
+        frame_keyed(&mut body, &id.to_string(), value);
+    }
+    if !body.is_empty() {
+        bodies.push(body.freeze());
+    }
+    bodies
+}
+
+/// Appends until the store has taken it; false if a later owner has written.
+async fn append(host: &Host, owned: &Owned, number: u64, body: Bytes) -> bool {
+    let mut limit = FIRST_LIMIT;
+    loop {
+        let writer = Writer { name: OWNER, epoch: owned.fence, number };
+        match host.store.append(PROGRESS, owned.cell, Some(writer), body.clone(), limit).await {
+            Ok(_) => {
+                host.store_reached();
+                return true;
+            }
+            Err(StoreError::Fenced) => {
+                owned.depose("the log");
+                return false;
+            }
+            Err(StoreError::Sequence { wanted }) => {
+                // Another process with this token has written: the token was given out twice.
+                warn!(
+                    "event=append-out-of-order cell={} number={number} wanted={wanted}",
+                    owned.cell
+                );
+                owned.depose("the log's numbering");
+                return false;
+            }
+            Err(e) => {
+                host.store_missed(&e);
+                info!("event=append-again cell={} number={number} reason=\"{e}\"", owned.cell);
+                limit = (limit * 2).min(LONGEST_LIMIT);
+                sleep(PAUSE).await;
+            }
+        }
+        if owned.deposed() {
+            return false;
+        }
+    }
+}
+
+/// Drops what was handed in for jobs that are forgotten; a failure leaves some records more.
+async fn drop_jobs(host: &Host, owned: &Owned, records: &[(JobId, Vec<u8>)]) {
+    let mut body = BytesMut::new();
+    for (id, _) in records.iter().filter(|(_, value)| value.is_empty()) {
+        frame_keyed(&mut body, &id.to_string(), &[]);
+    }
+    if body.is_empty() {
+        return;
+    }
+    if let Err(e) = host.store.append(JOBS, owned.cell, None, body.freeze(), LONGEST_LIMIT).await {
+        warn!("event=drop-failed cell={} reason=\"{e}\"", owned.cell);
+    }
+}
--- /dev/null
+++ b/crates/front/src/hold.rs
@@ -0,0 +1,88 @@
+//! Keeps the leases of one worker and hears of its runs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::debug;
+use tokio::time::{sleep, timeout};
+
+use myrtle_adapter::WorkerError;
+
+use crate::clock::{now, wall};
+use crate::host::Host;
+use crate::owned::Owned;
+
+/// How long a hold waits for an end; tails and progress come at least as often.
+const WAIT: Duration = Duration::from_millis(800);
+
+/// What an answer may take beyond that.
+const BEYOND: Duration = Duration::from_millis(350);
+
+/// The first pause after a failed hold, doubled up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// The longest pause between two holds that fail.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
+/// How long a hold waits for the log to take the ends of the last one.
+const BEHIND: Duration = Duration::from_millis(200);
+
+/// Holds one life of a worker until it is gone or the cell is another host's.
+pub async fn keep(host: Arc<Host>, owned: Arc<Owned>, life: Arc<str>) {
+    let mut pause = FIRST_PAUSE;
+    while !owned.closed() {
+        let renew = owned.unconfirmed() < ttl(&host);
+        let Some(mut args) = owned.state().hold_args(&life, now()) else {
+            break;
+        };
+        let mut wait = if args.until.is_some() { WAIT } else { Duration::ZERO };
+        if args.behind {
+            // Ends that are not noted would be told again at once.
+            let mut commits = owned.committed.subscribe();
+            let _ = timeout(BEHIND, commits.changed()).await;
+            let Some(newer) = owned.state().hold_args(&life, now()) else {
+                break;
+            };
+            args = newer;
+            if args.behind {
+                wait = Duration::ZERO;
+            }
+        }
+        let Some(line) = owned.line(&life) else {
+            break;
+        };
+        let until = args.until.filter(|_| renew);
+        let sent = now();
+        let result = line.client.hold(args.fence, args.seen, until, wait, wait + BEYOND).await;
+        if owned.closed() {
+            break;
+        }
+        match result {
+            Ok(Ok(held)) => {
+                pause = FIRST_PAUSE;
+                owned.state().held(&life, held, sent, now(), wall());
+                owned.work.notify_one();
+            }
+            Ok(Err(told)) => {
+                if owned.state().hold_refused(&life, told) {
+                    owned.depose("a worker that has seen a higher fencing token");
+                }
+                sleep(pause).await;
+            }
+            Err(e) => {
+                debug!("event=hold-failed worker={life} reason=\"{e}\"");
+                let reborn = matches!(e, WorkerError::Reborn);
+                owned.state().hold_failed(&life, reborn, now());
+                owned.work.notify_one();
+                sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+    owned.hang_up(&life);
+}
+
+/// How long the store keeps a silent member, in milliseconds.
+pub fn ttl(host: &Host) -> u64 {
+    host.settings.member_ttl.max(crate::member::TTL)
+}
--- /dev/null
+++ b/crates/front/src/host.rs
@@ -0,0 +1,133 @@
+//! What all parts of a front host share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use log::{info, warn};
+
+use myrtle_adapter::{Configuration, Store};
+use myrtle_meter::Meter;
+
+use crate::clock::now;
+use crate::owned::Owned;
+use crate::owners::Owners;
+use crate::settings::Settings;
+
+/// A front host. Locks are taken one at a time and never held while waiting.
+#[derive(Debug)]
+pub struct Host {
+    /// The settings at the start.
+    pub settings: Settings,
+    /// The platform's store.
+    pub store: Store,
+    /// Counts and latencies.
+    pub meter: Meter,
+    /// Who owns which cell.
+    pub owners: Owners,
+    configuration: Mutex<Option<Arc<Configuration>>>,
+    owned: Mutex<HashMap<u32, Arc<Owned>>>,
+    reached: AtomicU64,
+    lost: AtomicBool,
+    stopping: AtomicBool,
+}
+
+impl Host {
+    /// A host that knows nothing yet.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            store: Store::new(settings.store),
+            owners: Owners::new(),
+            settings,
+            meter: Meter::default(),
+            configuration: Mutex::default(),
+            owned: Mutex::default(),
+            reached: AtomicU64::new(0),
+            lost: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// The configuration in force, if there is one.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration.lock().expect("no holder panics").clone()
+    }
+
+    /// Puts a configuration into force unless a later one is.
+    pub fn configure(&self, configuration: Configuration) {
+        let mut held = self.configuration.lock().expect("no holder panics");
+        let old = held.as_ref().map_or(0, |c| c.version);
+        if configuration.version <= old {
+            return;
+        }
+        let (version, queues) = (configuration.version, configuration.queues.len());
+        *held = Some(Arc::new(configuration));
+        info!("event=configuration version={version} before={old} queues={queues}");
+    }
+
+    /// The cell, if this host owns it.
+    pub fn owned(&self, cell: u32) -> Option<Arc<Owned>> {
+        self.owned.lock().expect("no holder panics").get(&cell).cloned()
+    }
+
+    /// Notes that this host owns a cell.
+    pub fn own(&self, cell: u32, owned: Arc<Owned>) {
+        self.owned.lock().expect("no holder panics").insert(cell, owned);
+    }
+
+    /// Notes that this host no longer owns a cell.
+    pub fn disown(&self, cell: u32) -> Option<Arc<Owned>> {
+        self.owned.lock().expect("no holder panics").remove(&cell)
+    }
+
+    /// Notes an answer of the store.
+    pub fn store_reached(&self) {
+        self.reached.store(now(), Ordering::Relaxed);
+        if self.lost.swap(false, Ordering::Relaxed) {
+            info!("event=store-regained");
+        }
+    }
+
+    /// Notes that the store gave no good answer.
+    pub fn store_missed(&self, why: &impl std::fmt::Display) {
+        if !self.lost.swap(true, Ordering::Relaxed) {
+            warn!("event=store-lost reason=\"{why}\" age_ms={}", self.store_age());
+        }
+    }
+
+    /// Milliseconds since the store last answered.
+    pub fn store_age(&self) -> u64 {
+        now().saturating_sub(self.reached.load(Ordering::Relaxed))
+    }
+
+    /// Whether a configuration is known and the store was reached lately.
+    pub fn in_touch(&self) -> bool {
+        self.store_age() <= self.settings.bounds.contact
+    }
+
+    /// Whether new connections should come here.
+    pub fn ready(&self) -> bool {
+        !self.stopping() && self.configuration().is_some() && self.in_touch()
+    }
+
+    /// Whether the host has been told to stop.
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the host has been told to stop.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Where this host answers peers.
+    pub fn peer(&self) -> SocketAddr {
+        self.settings.peer()
+    }
+
+    /// The name under which this host joins groups; it tells others where to find it.
+    pub fn member(&self) -> String {
+        format!("{}@{}", self.settings.name, self.peer())
+    }
+}
--- /dev/null
+++ b/crates/front/src/listen.rs
@@ -0,0 +1,100 @@
+//! Listens for clients, for readiness checks and for readers of metrics.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{debug, warn};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::entry::{Answer, serve};
+use crate::host::Host;
+
+/// How long a client may take to send the head of a request.
+const HEAD: Duration = Duration::from_secs(3);
+
+/// The pause after the system could not give a connection.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts clients until told to close; connections finish what they have begun.
+pub async fn clients(
+    host: Arc<Host>,
+    listener: TcpListener,
+    closing: CancellationToken,
+    tracker: TaskTracker,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                warn!("event=accept-failed reason=\"{e}\"");
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let (host, closing) = (host.clone(), closing.clone());
+        tracker.spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let host = host.clone();
+                async move { Ok::<Answer, Infallible>(serve(host, request).await) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::pin!(connection);
+            let result = tokio::select! {
+                result = &mut connection => result,
+                () = closing.cancelled() => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(e) = result {
+                debug!("event=connection-broken reason=\"{e}\"");
+            }
+        });
+    }
+}
+
+/// Answers readiness checks and readers of metrics.
+pub async fn checks(host: Arc<Host>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let host = host.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let answer = check(&host, request.uri().path());
+                async move { Ok::<Answer, Infallible>(answer) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = connection.await {
+                debug!("event=check-broken reason=\"{e}\"");
+            }
+        });
+    }
+}
+
+fn check(host: &Host, path: &str) -> Answer {
+    if path.ends_with("/metrics") {
+        return Response::new(Full::from(host.meter.text()));
+    }
+    let mut answer = Response::new(Full::<Bytes>::default());
+    if !host.ready() {
+        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    answer
+}
--- /dev/null
+++ b/crates/front/src/main.rs
@@ -0,0 +1,81 @@
+//! `myrtle-front`: takes jobs, owns cells, and keeps what must last in the platform's store.
+
+mod clock;
+mod entry;
+mod flush;
+mod follow;
+mod hold;
+mod host;
+mod intake;
+mod listen;
+mod logs;
+mod member;
+mod names;
+mod orders;
+mod owned;
+mod owners;
+mod peers;
+mod roster;
+mod run;
+mod settings;
+mod takeover;
+mod tick;
+mod watch;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use settings::Settings;
+
+/// The settings are wrong.
+const BAD_SETTINGS: u8 = 2;
+
+/// The process cannot listen where the settings say.
+const NO_PORT: u8 = 3;
+
+/// The variable that names the settings file if no argument does.
+const PATH: &str = "MYRTLEPOST_CONFIG";
+
+/// A front host of myrtlepost; it takes everything else from its settings.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// the settings file; else the variable MYRTLEPOST_CONFIG names it
+    #[argh(positional)]
+    settings: Option<PathBuf>,
+    /// only check the settings
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let Some(path) = args.settings.or_else(|| std::env::var_os(PATH).map(PathBuf::from)) else {
+        eprintln!("error: no settings\n  hint: name a settings file, or set {PATH}");
+        return ExitCode::from(BAD_SETTINGS);
+    };
+    let settings = match Settings::load(&path) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("error: {fault}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if args.check {
+        println!("the settings are fine");
+        return ExitCode::SUCCESS;
+    }
+    logs::start(&settings.name);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("the system gives a process its timers");
+    match runtime.block_on(run::run(settings, path)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("error: cannot listen: {e}\n  hint: use free addresses of this host");
+            ExitCode::from(NO_PORT)
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/names.rs
@@ -0,0 +1,15 @@
+//! Names under which the project keeps its own records in the store.
+
+/// Accepted jobs, by their names; a cell's jobs lie in its partition.
+pub const JOBS: &str = "keyed.jobs";
+
+/// The progress of jobs, by their names, written only by the owners of the cells.
+pub const PROGRESS: &str = "keyed.progress";
+
+/// The writer's name of every owner; the fencing token tells them apart.
+pub const OWNER: &str = "owner";
+
+/// The group whose member with the cell's partition owns the cell.
+pub fn group(cell: u32) -> String {
+    format!("cell-{cell}")
+}
--- /dev/null
+++ b/crates/front/src/owners.rs
@@ -0,0 +1,93 @@
+//! Finds the owner of a cell and asks it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use log::{debug, info};
+
+use myrtle_peer::{FrontPeerClient, Link};
+use tarpc::client::RpcError;
+use tarpc::context::Context;
+
+use crate::clock::now;
+use crate::host::Host;
+use crate::names::group;
+
+/// The shortest time between two questions for the owner of a cell, in milliseconds.
+const ASK_PAUSE: u64 = 150;
+
+/// How long the store may take to name an owner.
+const ASK_LIMIT: Duration = Duration::from_millis(500);
+
+/// Who owns which cell, as last heard.
+#[derive(Debug, Default)]
+pub struct Owners {
+    known: Mutex<HashMap<u32, (SocketAddr, u64)>>,
+    asked: Mutex<HashMap<u32, u64>>,
+    links: Mutex<HashMap<SocketAddr, Arc<Link<FrontPeerClient>>>>,
+}
+
+impl Owners {
+    /// Nobody is known.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The owner of a cell as last heard.
+    pub fn known(&self, cell: u32) -> Option<SocketAddr> {
+        self.known.lock().expect("no holder panics").get(&cell).map(|(at, _)| *at)
+    }
+
+    /// Forgets who owns a cell.
+    pub fn forget(&self, cell: u32) {
+        self.known.lock().expect("no holder panics").remove(&cell);
+    }
+
+    /// The owner of a cell, asked of the store if it is not known.
+    pub async fn find(&self, host: &Host, cell: u32) -> Option<SocketAddr> {
+        if let Some(at) = self.known(cell) {
+            return Some(at);
+        }
+        {
+            let mut asked = self.asked.lock().expect("no holder panics");
+            let last = asked.entry(cell).or_default();
+            if now() < *last + ASK_PAUSE {
+                return None;
+            }
+            *last = now();
+        }
+        let rows = host.store.owners(&group(cell), ASK_LIMIT).await;
+        let rows = match rows {
+            Ok(rows) => rows,
+            Err(e) => {
+                debug!("event=owner-unknown cell={cell} reason=\"{e}\"");
+                return None;
+            }
+        };
+        let member = rows.into_iter().find(|r| r.part == cell)?.member;
+        let at = address(&member)?;
+        info!("event=owner-found cell={cell} owner={member}");
+        self.known.lock().expect("no holder panics").insert(cell, (at, now()));
+        Some(at)
+    }
+
+    /// Calls a peer; nothing if it could not be reached or did not answer in time.
+    pub async fn call<T, F, R>(&self, at: SocketAddr, limit: Duration, call: F) -> Option<T>
+    where
+        F: FnOnce(FrontPeerClient, Context) -> R,
+        R: Future<Output = Result<T, RpcError>>,
+    {
+        let link = {
+            let mut links = self.links.lock().expect("no holder panics");
+            links.entry(at).or_insert_with(|| Arc::new(Link::new(at))).clone()
+        };
+        link.call(limit, call).await
+    }
+}
+
+/// Where the member of a group answers peers.
+pub fn address(member: &str) -> Option<SocketAddr> {
+    member.rsplit_once('@')?.1.parse().ok()
+}
--- /dev/null
+++ b/crates/front/src/peers.rs
@@ -0,0 +1,114 @@
+//! Answers the calls of other front hosts.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tarpc::context::Context;
+use tokio::time::timeout;
+
+use myrtle_job::JobId;
+use myrtle_peer::{FrontPeer, Passed, Seen};
+
+use crate::clock::{now, wall};
+use crate::host::Host;
+use crate::intake;
+use crate::owned::Owned;
+use crate::takeover::read_on;
+
+/// How long a host that passes a job on waits for the store.
+const PASS: Duration = Duration::from_millis(1_000);
+
+/// How long the log may take to hold a cancellation.
+const CANCEL: Duration = Duration::from_millis(2_500);
+
+/// The service towards other front hosts.
+#[derive(Debug, Clone)]
+pub struct Server(pub Arc<Host>);
+
+impl FrontPeer for Server {
+    async fn state(self, _: Context, cell: u32, job: JobId) -> Seen {
+        state(&self.0, cell, job).await
+    }
+
+    async fn cancel(self, _: Context, cell: u32, job: JobId) -> Seen {
+        cancel(&self.0, cell, job).await
+    }
+
+    async fn pending(self, _: Context, cell: u32) -> Option<BTreeMap<String, u64>> {
+        pending(&self.0, cell)
+    }
+
+    async fn pass(self, _: Context, cell: u32, job: JobId, record: Vec<u8>) -> Passed {
+        intake::write(&self.0, cell, job, &record, PASS).await
+    }
+
+    async fn explain(self, _: Context, cell: u32, job: JobId) -> Vec<String> {
+        self.0.owned(cell).map_or_else(Vec::new, |o| o.state().explain(job, now()))
+    }
+}
+
+/// What this host knows of a job, if it owns the cell.
+pub async fn state(host: &Host, cell: u32, job: JobId) -> Seen {
+    let Some(owned) = host.owned(cell).filter(|o| !o.closed()) else {
+        return Seen::Elsewhere;
+    };
+    if let Some(state) = owned.state().state(job) {
+        return Seen::Job(state);
+    }
+    if !current(host, &owned).await {
+        return Seen::Elsewhere;
+    }
+    owned.state().state(job).map_or(Seen::Unknown, Seen::Job)
+}
+
+/// Takes a job back, if this host owns the cell; answers once that is in the log.
+pub async fn cancel(host: &Host, cell: u32, job: JobId) -> Seen {
+    let Some(owned) = host.owned(cell).filter(|o| !o.closed()) else {
+        return Seen::Elsewhere;
+    };
+    let known = owned.state().jobs.contains_key(&job);
+    if !known && !current(host, &owned).await {
+        return Seen::Elsewhere;
+    }
+    let mut commits = owned.committed.subscribe();
+    let known = owned.state().cancel(job, now(), wall());
+    if !known {
+        owned.state().bar(job, now());
+        return Seen::Unknown;
+    }
+    owned.work.notify_one();
+    let written = async {
+        loop {
+            let shown = owned.state().state(job);
+            if let Some(state) = shown.filter(|s| s.over()) {
+                return Some(state);
+            }
+            if commits.changed().await.is_err() || owned.deposed() {
+                return None;
+            }
+        }
+    };
+    match timeout(CANCEL, written).await {
+        Ok(Some(state)) => Seen::Job(state),
+        _ => Seen::Elsewhere,
+    }
+}
+
+/// How many jobs of each queue have not begun, if this host owns the cell.
+pub fn pending(host: &Host, cell: u32) -> Option<BTreeMap<String, u64>> {
+    let owned = host.owned(cell).filter(|o| !o.closed())?;
+    let state = owned.state();
+    if !state.loaded {
+        return None;
+    }
+    Some(state.pending().into_iter().map(|(queue, n)| (queue.to_string(), n)).collect())
+}
+
+/// Whether every job accepted before now has been read.
+async fn current(host: &Host, owned: &Owned) -> bool {
+    owned.state().loaded && read_on(host, owned, Duration::ZERO).await.is_ok() && {
+        // The owner may have been replaced without a word while it was cut off.
+        !owned.closed() && owned.unconfirmed() < crate::hold::ttl(host)
+    }
+}
--- /dev/null
+++ b/crates/front/src/roster.rs
@@ -0,0 +1,112 @@
+//! Follows the list of workers for the owner of a cell.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::time::sleep;
+
+use myrtle_adapter::{StoreError, read_listing, topics, unframe_keyed};
+
+use crate::clock::now;
+use crate::host::Host;
+use crate::owned::Owned;
+
+/// The time between two looks; workers write every second or so, and a wait would wake each time.
+const EVERY: Duration = Duration::from_millis(400);
+
+/// How long the store may take to answer.
+const LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Keeps the cell's workers up to date until the cell is another host's.
+pub async fn follow(host: Arc<Host>, owned: Arc<Owned>) {
+    let mut held = BTreeSet::new();
+    let mut from = None;
+    while !owned.closed() {
+        let step = match from {
+            None => newest(&host, &owned).await,
+            Some(at) => tail(&host, &owned, at).await,
+        };
+        match step {
+            Ok(next) => from = Some(next),
+            Err(StoreError::Gone { first }) => {
+                info!("event=worker-log-cut cell={} first={first}", owned.cell);
+                from = None;
+                continue;
+            }
+            Err(e) => host.store_missed(&e),
+        }
+        hold_all(&host, &owned, &mut held);
+        sleep(EVERY).await;
+    }
+}
+
+async fn newest(host: &Host, owned: &Owned) -> Result<u64, StoreError> {
+    let mut listed = BTreeSet::new();
+    let mut after = String::new();
+    let mut end = None;
+    loop {
+        let page = host.store.newest(topics::WORKERS, 0, &after, LIMIT).await?;
+        end = end.or(Some(page.end));
+        for item in &page.items {
+            if take(host, owned, &item.key, &item.value) {
+                listed.insert(item.key.clone());
+            }
+        }
+        match page.items.last() {
+            Some(last) if page.more => after.clone_from(&last.key),
+            _ => break,
+        }
+    }
+    let mut cell = owned.state();
+    let missing: Vec<_> =
+        cell.workers.keys().filter(|id| !listed.contains(&***id)).cloned().collect();
+    for id in missing {
+        cell.unlist(&id);
+    }
+    Ok(end.unwrap_or_default())
+}
+
+async fn tail(host: &Host, owned: &Owned, from: u64) -> Result<u64, StoreError> {
+    let page = host.store.read(topics::WORKERS, 0, from, Duration::ZERO, LIMIT).await?;
+    let next = from + page.records.len() as u64;
+    for record in page.records {
+        match unframe_keyed(record) {
+            Ok(framed) if framed.value.is_empty() => owned.state().unlist(&framed.key),
+            Ok(framed) => drop(take(host, owned, &framed.key, &framed.value)),
+            Err(e) => warn!("event=worker-unread reason=\"{e}\""),
+        }
+    }
+    Ok(next)
+}
+
+/// Takes in a description; true if the worker belongs to the cell.
+fn take(host: &Host, owned: &Owned, id: &str, value: &[u8]) -> bool {
+    let listing = match read_listing(value) {
+        Ok(listing) => listing,
+        Err(e) => {
+            warn!("event=worker-unread worker={id} reason=\"{e}\"");
+            return false;
+        }
+    };
+    if host.settings.cell_of(&listing.data_centre) != Some(owned.cell) {
+        return false;
+    }
+    owned.state().list(id, listing, now());
+    true
+}
+
+/// Starts to hold workers that are listed and not held yet.
+fn hold_all(host: &Arc<Host>, owned: &Arc<Owned>, held: &mut BTreeSet<Arc<str>>) {
+    let listed: Vec<Arc<str>> = {
+        let cell = owned.state();
+        cell.workers.iter().filter(|(_, w)| w.listed).map(|(id, _)| id.clone()).collect()
+    };
+    for life in listed {
+        if held.insert(life.clone()) {
+            let (host, owned) = (host.clone(), owned.clone());
+            tokio::spawn(async move { crate::hold::keep(host, owned, life).await });
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/run.rs
@@ -0,0 +1,114 @@
+//! Starts all parts of a front host and stops it as planned.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use myrtle_peer::{FrontPeer, FrontPeerRequest, FrontPeerResponse, Wired};
+
+use crate::host::Host;
+use crate::peers::Server;
+use crate::settings::Settings;
+use crate::{follow, listen, member, watch};
+
+/// How long new connections still come after a host says that it is not ready: two checks of a
+/// second each, and some.
+const NOTICED: Duration = Duration::from_millis(2_300);
+
+/// What is kept of the time before the end by force.
+const SPARE: Duration = Duration::from_millis(700);
+
+/// Runs a front host until it is told to stop.
+pub async fn run(settings: Settings, path: PathBuf) -> std::io::Result<()> {
+    crate::clock::now();
+    let clients = TcpListener::bind(settings.clients).await?;
+    let checks = TcpListener::bind(settings.checks).await?;
+    let peers = TcpListener::bind(settings.peer()).await?;
+    info!(
+        "event=start version={} data_centre={} cells={} clients={} peer={}",
+        env!("CARGO_PKG_VERSION"),
+        settings.data_centre,
+        settings.cell_count(),
+        settings.clients,
+        settings.peer()
+    );
+    let metrics = match settings.metrics {
+        Some(at) => Some(TcpListener::bind(at).await?),
+        None => None,
+    };
+    let host = Arc::new(Host::new(settings));
+    let closing = CancellationToken::new();
+    let tracker = TaskTracker::new();
+    tokio::spawn(follow::follow(host.clone()));
+    tokio::spawn(listen::clients(host.clone(), clients, closing.clone(), tracker.clone()));
+    tokio::spawn(listen::checks(host.clone(), checks));
+    if let Some(listener) = metrics {
+        tokio::spawn(listen::checks(host.clone(), listener));
+    }
+    tokio::spawn(answer_peers(host.clone(), peers));
+    let home = host.settings.cell_of(&host.settings.data_centre);
+    for cell in 0..host.settings.cell_count() {
+        if Some(cell) == home {
+            tokio::spawn(member::take_part(host.clone(), cell));
+        } else {
+            tokio::spawn(watch::watch(host.clone(), cell));
+        }
+    }
+    tokio::spawn(reload(path));
+    signal(SignalKind::terminate())?.recv().await;
+    stop(&host, &closing, &tracker).await;
+    Ok(())
+}
+
+async fn answer_peers(host: Arc<Host>, listener: TcpListener) {
+    let run = |channel: Wired<FrontPeerRequest, FrontPeerResponse>| {
+        myrtle_peer::run!(channel, Server(host.clone()).serve());
+    };
+    if let Err(e) = myrtle_peer::listen(listener, run).await {
+        warn!("event=peers-not-answered reason=\"{e}\"");
+    }
+}
+
+/// Says what a changed settings file holds; the figures in force stay until the next start.
+async fn reload(path: PathBuf) {
+    let Ok(mut signals) = signal(SignalKind::hangup()) else {
+        warn!("event=no-reload reason=\"the signal can't be taken\"");
+        return;
+    };
+    while signals.recv().await.is_some() {
+        match Settings::load(&path) {
+            Ok(_) => info!("event=reload outcome=read"),
+            Err(fault) => warn!("event=reload outcome=refused reason=\"{fault}\""),
+        }
+    }
+}
+
+/// Hands cells over, lets clients finish, and ends before it is ended by force.
+async fn stop(host: &Arc<Host>, closing: &CancellationToken, tracker: &TaskTracker) {
+    info!("event=stop open={}", tracker.len());
+    host.stop();
+    let grace = host.settings.grace().saturating_sub(SPARE);
+    let end = tokio::time::Instant::now() + grace;
+    for cell in 0..host.settings.cell_count() {
+        if host.owned(cell).is_some()
+            || Some(cell) == host.settings.cell_of(&host.settings.data_centre)
+        {
+            member::hand_over(host, cell).await;
+        }
+    }
+    sleep(NOTICED).await;
+    closing.cancel();
+    tracker.close();
+    let left = end.saturating_duration_since(tokio::time::Instant::now());
+    let finished = timeout(left, tracker.wait()).await.is_ok();
+    info!("event=stopped finished={finished}");
+    // The last lines go out by a thread of their own.
+    sleep(Duration::from_millis(50)).await;
+}
--- /dev/null
+++ b/crates/front/src/settings.rs
@@ -0,0 +1,149 @@
+//! The settings of a front host, in YAML.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use myrtle_config::{Fault, read_file};
+use myrtle_owner::Bounds;
+
+/// What a front host needs to know before it can ask anybody.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    /// The host's name.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Every data centre of the deployment.
+    pub data_centres: Vec<String>,
+    /// Where clients connect.
+    pub clients: SocketAddr,
+    /// Where readiness is asked for.
+    pub checks: SocketAddr,
+    /// The host's address.
+    pub ip: IpAddr,
+    /// The first of the ports that are free for traffic between hosts.
+    pub peer_port: u16,
+    /// Where metrics are told, if anywhere.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The shortest time after which the store gives a silent member up, in milliseconds.
+    pub member_ttl: u64,
+    /// The service that gives out tickets, if there is one.
+    #[serde(default)]
+    pub tickets: Option<SocketAddr>,
+    /// How workers form cells.
+    #[serde(default)]
+    pub cells: Cells,
+    /// The deployment's figures.
+    pub bounds: Figures,
+}
+
+/// How workers form cells, each with an owner of its own.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cells {
+    /// One of all workers.
+    One,
+    /// One of each data centre.
+    #[default]
+    DataCentre,
+}
+
+/// The deployment's figures, in the units that the platform tells them in.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Figures {
+    /// The longest lease of a worker, in milliseconds.
+    pub hold: u64,
+    /// The longest stop of a run, in milliseconds.
+    pub stop: u64,
+    /// How long a gang's first tasks wait, in milliseconds.
+    pub gang: u64,
+    /// How long a serving task may be over its target, in milliseconds.
+    pub harm: u64,
+    /// How much longer work takes away from its data, as a factor.
+    pub far: f64,
+    /// How long a job's state is kept, in seconds.
+    pub status: f64,
+    /// How long a lasting task may take to be at work, in milliseconds.
+    pub notice: u64,
+    /// How often work is saved, in seconds.
+    pub save: f64,
+    /// The time between the order to stop and the end by force, in seconds.
+    pub grace: f64,
+    /// The time after which a host that lost the store counts as out of touch, in milliseconds.
+    pub contact: u64,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, Fault> {
+        let (settings, text): (Settings, String) = read_file(path)?;
+        let file = path.display().to_string();
+        if !settings.data_centres.contains(&settings.data_centre) {
+            let what = format!("'{}' is not one of data_centres", settings.data_centre);
+            let hint = "name the host's data centre as the list does";
+            return Err(Fault::at(&file, &text, &["data_centre"], what, hint));
+        }
+        if settings.bounds.hold == 0 || settings.member_ttl == 0 {
+            let hint = "give a time above 0";
+            return Err(Fault::at(&file, &text, &["bounds"], "a time is 0".into(), hint));
+        }
+        Ok(settings)
+    }
+
+    /// Where peers connect.
+    pub fn peer(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.peer_port)
+    }
+
+    /// How many cells there are.
+    pub fn cell_count(&self) -> u32 {
+        match self.cells {
+            Cells::One => 1,
+            Cells::DataCentre => self.data_centres.len() as u32,
+        }
+    }
+
+    /// The cell whose workers stand in a data centre; nothing if the data centre is not known.
+    pub fn cell_of(&self, data_centre: &str) -> Option<u32> {
+        match self.cells {
+            Cells::One => Some(0),
+            Cells::DataCentre => {
+                let at = self.sorted().iter().position(|d| *d == data_centre)?;
+                Some(at as u32)
+            }
+        }
+    }
+
+    /// What binds an owner.
+    pub fn owner_bounds(&self) -> Bounds {
+        let f = &self.bounds;
+        Bounds {
+            hold: f.hold,
+            stop: f.stop,
+            gang: f.gang,
+            harm: f.harm,
+            far: f.far,
+            status: (f.status * 1000.0) as u64,
+            notice: f.notice,
+            save: (f.save * 1000.0) as u64,
+        }
+    }
+
+    /// The time between the order to stop and the end by force.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.grace.max(0.0))
+    }
+
+    // Every host has to number the cells alike, whatever the order in its file.
+    fn sorted(&self) -> Vec<&str> {
+        let names: BTreeMap<&str, ()> = self.data_centres.iter().map(|d| (&**d, ())).collect();
+        names.into_keys().collect()
+    }
+}
--- /dev/null
+++ b/crates/front/src/takeover.rs
@@ -0,0 +1,191 @@
+//! Takes a cell over: bars earlier owners, reads the log, then acts.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::{info, warn};
+use tokio::time::sleep;
+
+use myrtle_adapter::{StoreError, Writer, unframe_keyed};
+use myrtle_job::{JobId, Progress, Submission, decode};
+use myrtle_owner::Cell;
+
+use crate::clock::{now, wall};
+use crate::host::Host;
+use crate::names::{JOBS, OWNER, PROGRESS};
+use crate::owned::Owned;
+use crate::{flush, roster, tick};
+
+/// How long the store may take for an append or a page during a takeover.
+const LIMIT: Duration = Duration::from_millis(2_000);
+
+/// The pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// How long a read waits for accepted jobs.
+const WAIT: Duration = Duration::from_millis(2_000);
+
+/// What an answer may take beyond that.
+const BEYOND: Duration = Duration::from_millis(700);
+
+/// Begins to own a cell; its parts run until it is closed.
+pub fn begin(host: &Arc<Host>, cell: u32, fence: u64) -> Arc<Owned> {
+    info!("event=owner-begins cell={cell} fence={fence}");
+    let state = Cell::new(host.settings.owner_bounds(), fence, now());
+    let owned = Arc::new(Owned::new(cell, fence, state));
+    host.own(cell, owned.clone());
+    tokio::spawn(take(host.clone(), owned.clone()));
+    owned
+}
+
+async fn take(host: Arc<Host>, owned: Arc<Owned>) {
+    let began = now();
+    if !bar(&host, &owned).await {
+        return;
+    }
+    tokio::spawn(roster::follow(host.clone(), owned.clone()));
+    while !owned.closed() {
+        match load(&host, &owned).await {
+            Ok(()) => break,
+            Err(e) => {
+                host.store_missed(&e);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+    let jobs = {
+        let mut cell = owned.state();
+        cell.loaded = true;
+        cell.jobs.len()
+    };
+    info!("event=owner-loaded cell={} jobs={jobs} took_ms={}", owned.cell, now() - began);
+    tokio::spawn(flush::run(host.clone(), owned.clone()));
+    tokio::spawn(tick::run(owned.clone()));
+    tail(host, owned).await;
+}
+
+/// Bars every earlier owner from the log; false if a later one has come.
+async fn bar(host: &Host, owned: &Owned) -> bool {
+    while !owned.closed() {
+        let writer = Writer { name: OWNER, epoch: owned.fence, number: 0 };
+        let done = host.store.append(PROGRESS, owned.cell, Some(writer), Bytes::new(), LIMIT).await;
+        match done {
+            Ok(_) => return true,
+            Err(StoreError::Fenced) => owned.depose("the log"),
+            Err(e) => {
+                host.store_missed(&e);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+    false
+}
+
+async fn load(host: &Host, owned: &Owned) -> Result<(), StoreError> {
+    let (progress, _) = pages(host, PROGRESS, owned.cell).await?;
+    let (jobs, end) = pages(host, JOBS, owned.cell).await?;
+    let mut read: HashMap<JobId, Progress> = HashMap::new();
+    for (id, value) in progress {
+        match decode(&value) {
+            Ok(p) => drop(read.insert(id, p)),
+            Err(e) => warn!("event=progress-unread job={id} reason=\"{e}\""),
+        }
+    }
+    for (id, value) in jobs {
+        admit(owned, id, &value);
+        if let Some(progress) = read.remove(&id) {
+            owned.state().inherit(id, progress, now());
+        }
+    }
+    for id in read.keys() {
+        warn!("event=progress-without-job job={id}");
+    }
+    owned.read.store(end, Ordering::Relaxed);
+    Ok(())
+}
+
+/// All newest records of a partition, and the offset from which to go on.
+async fn pages(
+    host: &Host,
+    topic: &str,
+    cell: u32,
+) -> Result<(Vec<(JobId, Vec<u8>)>, u64), StoreError> {
+    let mut found = Vec::new();
+    let mut after = String::new();
+    let mut end = None;
+    loop {
+        let page = host.store.newest(topic, cell, &after, LIMIT).await?;
+        // Later pages may hold later records; those are read twice, which does no harm.
+        end = end.or(Some(page.end));
+        let more = page.more;
+        let last = page.items.last().map(|i| i.key.clone());
+        for item in page.items {
+            match item.key.parse() {
+                Ok(id) => found.push((id, item.value)),
+                Err(e) => warn!("event=record-unread topic={topic} reason=\"{e}\""),
+            }
+        }
+        match last {
+            Some(last) if more => after = last,
+            _ => return Ok((found, end.unwrap_or_default())),
+        }
+    }
+}
+
+/// Reads accepted jobs as they come, until the cell is another host's.
+async fn tail(host: Arc<Host>, owned: Arc<Owned>) {
+    while !owned.closed() {
+        match read_on(&host, &owned, WAIT).await {
+            Ok(()) => host.store_reached(),
+            Err(StoreError::Gone { first }) => {
+                warn!("event=job-log-cut cell={} first={first}", owned.cell);
+                match pages(&host, JOBS, owned.cell).await {
+                    Ok((jobs, end)) => {
+                        jobs.iter().for_each(|(id, value)| admit(&owned, *id, value));
+                        owned.read.store(end, Ordering::Relaxed);
+                    }
+                    Err(e) => host.store_missed(&e),
+                }
+            }
+            Err(e) => {
+                host.store_missed(&e);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads accepted jobs once; waits for one if there is none.
+pub async fn read_on(host: &Host, owned: &Owned, wait: Duration) -> Result<(), StoreError> {
+    let from = owned.read.load(Ordering::Relaxed);
+    let page = host.store.read(JOBS, owned.cell, from, wait, wait + BEYOND).await?;
+    let next = from + page.records.len() as u64;
+    let any = !page.records.is_empty();
+    for record in page.records {
+        match unframe_keyed(record) {
+            Ok(framed) => match framed.key.parse() {
+                Ok(id) => admit(owned, id, &framed.value),
+                Err(e) => warn!("event=job-unread reason=\"{e}\""),
+            },
+            Err(e) => warn!("event=job-unread reason=\"{e}\""),
+        }
+    }
+    owned.read.fetch_max(next, Ordering::Relaxed);
+    if any {
+        owned.work.notify_one();
+    }
+    Ok(())
+}
+
+fn admit(owned: &Owned, id: JobId, value: &[u8]) {
+    if value.is_empty() {
+        return;
+    }
+    match decode::<Submission>(value) {
+        Ok(submission) => owned.state().admit(id, submission, now(), wall()),
+        Err(e) => warn!("event=job-unread job={id} reason=\"{e}\""),
+    }
+}
--- /dev/null
+++ b/crates/front/src/tick.rs
@@ -0,0 +1,38 @@
+//! What an owner does as time passes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::clock::{now, wall};
+use crate::owned::Owned;
+
+/// The time between two looks at leases, unanswered orders and times of jobs.
+const EVERY: Duration = Duration::from_millis(100);
+
+/// Looks between two that forget old jobs.
+const FORGET_EVERY: u32 = 50;
+
+/// Runs until the cell is another host's.
+pub async fn run(owned: Arc<Owned>) {
+    let mut looks = 0u32;
+    while !owned.closed() {
+        sleep(EVERY).await;
+        looks = looks.wrapping_add(1);
+        let again = {
+            let mut cell = owned.state();
+            cell.lapse(now());
+            cell.evacuate(now());
+            cell.begin_rounds(wall());
+            if looks.is_multiple_of(FORGET_EVERY) {
+                cell.forget(now(), wall());
+            }
+            cell.repeat(now())
+        };
+        owned.dispatch(again);
+        if owned.state().restless() {
+            owned.work.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/crates/job/src/lib.rs
@@ -0,0 +1,17 @@
+//! Jobs of steps and tasks: what a client hands in, and how far it has come.
+
+mod fault;
+mod id;
+mod progress;
+mod record;
+mod spec;
+mod task;
+mod worker;
+
+pub use fault::Fault;
+pub use id::{JobId, TaskId};
+pub use progress::{Progress, Round, State};
+pub use record::{RecordError, Submission, decode, encode};
+pub use spec::{Advice, JobSpec, Policy, Repeat, StepSpec};
+pub use task::{Run, Step, Task};
+pub use worker::{Ended, Held, How, Listing, Running, Told};
--- /dev/null
+++ b/crates/job/src/progress.rs
@@ -0,0 +1,102 @@
+//! How far a job has come.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::{JobSpec, Step, Task, TaskId};
+
+/// What clients are told of a job.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+pub enum State {
+    /// No task has begun.
+    #[default]
+    #[display("queued")]
+    Queued,
+    /// Some task has begun.
+    #[display("running")]
+    Running,
+    /// Every task has ended well.
+    #[display("completed")]
+    Completed,
+    /// A task failed as often as the queue allows.
+    #[display("failed")]
+    Failed,
+    /// The client took it back.
+    #[display("cancelled")]
+    Cancelled,
+}
+
+impl State {
+    /// Whether nothing more will be started.
+    pub fn over(self) -> bool {
+        matches!(self, State::Completed | State::Failed | State::Cancelled)
+    }
+}
+
+/// One repetition of the steps.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Round {
+    /// The steps by number.
+    pub steps: Vec<Step>,
+}
+
+impl Round {
+    /// A repetition that has not begun.
+    pub fn fresh(spec: &JobSpec) -> Self {
+        Self { steps: spec.steps.iter().map(|s| Step::fresh(s.count)).collect() }
+    }
+
+    /// Whether the step's turn has come.
+    pub fn ready(&self, spec: &JobSpec, step: usize) -> bool {
+        spec.steps[step].after.iter().all(|&a| self.steps[usize::from(a)].done())
+    }
+
+    /// Whether every task is done.
+    pub fn done(&self) -> bool {
+        self.steps.iter().all(Step::done)
+    }
+}
+
+/// What the owner of a cell keeps of a job.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// What clients are told.
+    pub state: State,
+    /// Repetitions that have begun and are not done.
+    pub rounds: BTreeMap<u32, Round>,
+    /// The next repetition to begin.
+    pub next: u32,
+    /// When the job was over, in milliseconds since 1970; 0 before that.
+    pub ended: u64,
+}
+
+impl Progress {
+    /// The task, if its repetition is under way.
+    pub fn task(&self, id: TaskId) -> Option<&Task> {
+        let round = self.rounds.get(&id.round)?;
+        round.steps.get(usize::from(id.step))?.tasks.get(usize::from(id.index))
+    }
+
+    /// The task, to change it.
+    pub fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let round = self.rounds.get_mut(&id.round)?;
+        round.steps.get_mut(usize::from(id.step))?.tasks.get_mut(usize::from(id.index))
+    }
+
+    /// Every task of the repetitions that are under way, with its name left to the caller.
+    pub fn tasks(&self) -> impl Iterator<Item = (u32, u16, u16, &Task)> {
+        self.rounds.iter().flat_map(|(&round, r)| {
+            r.steps.iter().enumerate().flat_map(move |(step, s)| {
+                let tasks = s.tasks.iter().enumerate();
+                tasks.map(move |(index, t)| (round, step as u16, index as u16, t))
+            })
+        })
+    }
+
+    /// Whether some run may be going on.
+    pub fn live(&self) -> bool {
+        self.tasks().any(|(.., t)| !t.live.is_empty())
+    }
+}
--- /dev/null
+++ b/crates/owner/src/commit.rs
@@ -0,0 +1,94 @@
+//! What is written to the log, and what may follow once it is there.
+
+use std::sync::Arc;
+
+use myrtle_job::{JobId, State, TaskId, encode};
+
+use crate::{Cell, Order, Stage};
+
+/// One append and what waits for it.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// The records: a job's progress by its name; an empty value drops the job.
+    pub records: Vec<(JobId, Vec<u8>)>,
+    /// Runs to start once the records are in the log.
+    starts: Vec<(Arc<str>, TaskId, u32)>,
+    /// Ends up to these numbers are told by the records.
+    notes: Vec<(Arc<str>, u64)>,
+    /// States that clients may be told then.
+    shown: Vec<(JobId, State)>,
+}
+
+impl Batch {
+    /// Whether there is anything to do.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.notes.is_empty()
+    }
+}
+
+impl Cell {
+    /// Orders that may go out at once.
+    pub fn orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Everything that changed since the last batch.
+    pub fn batch(&mut self) -> Batch {
+        let mut batch = Batch::default();
+        for id in std::mem::take(&mut self.dirty) {
+            let Some(job) = self.jobs.get(&id) else {
+                batch.records.push((id, Vec::new()));
+                continue;
+            };
+            batch.records.push((id, encode(&job.progress)));
+            batch.shown.push((id, job.progress.state));
+        }
+        for (life, worker) in &self.workers {
+            if worker.taken > worker.noted {
+                batch.notes.push((life.clone(), worker.taken));
+            }
+            let written = worker.flights.iter().filter(|(_, f)| f.stage == Stage::Written);
+            batch.starts.extend(written.map(|(&task, f)| (life.clone(), task, f.run)));
+        }
+        batch
+    }
+
+    /// The batch is in the log: returns the starts that may go out now.
+    pub fn committed(&mut self, batch: Batch, now: u64) -> Vec<Order> {
+        for (life, number) in batch.notes {
+            if let Some(worker) = self.workers.get_mut(&life) {
+                worker.noted = worker.noted.max(number);
+            }
+        }
+        for (id, state) in batch.shown {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.shown = state;
+            }
+        }
+        let starts = batch.starts.into_iter();
+        starts.filter_map(|(life, task, run)| self.start(&life, task, run, now)).collect()
+    }
+
+    /// The order that starts a run, if it is still wanted.
+    pub(crate) fn start(
+        &mut self,
+        life: &Arc<str>,
+        task: TaskId,
+        run: u32,
+        now: u64,
+    ) -> Option<Order> {
+        let worker = self.workers.get_mut(life)?;
+        let flight = worker.flights.get_mut(&task)?;
+        if flight.run != run || !matches!(flight.stage, Stage::Written | Stage::Unsure) {
+            return None;
+        }
+        flight.enter(Stage::Sent, now);
+        let job = self.jobs.get(&task.job)?;
+        let saved = job.progress.task(task)?.saved.clone();
+        let permits = job.tickets.get(&(task.round, task.step));
+        let ticket = permits.and_then(|p| p.good.get(life).cloned());
+        self.counts.starts += 1;
+        let body = job.submission.spec.body.clone();
+        Some(Order::Start { worker: life.clone(), task, run, body, saved, ticket })
+    }
+}
--- /dev/null
+++ b/crates/owner/src/drain.rs
@@ -0,0 +1,72 @@
+//! Moves work off workers that are about to leave.
+
+use std::sync::Arc;
+
+use log::info;
+
+use myrtle_job::TaskId;
+
+use crate::{Cell, Life, Stage};
+
+/// The time that a move needs beside the stop itself, in milliseconds.
+const SLACK: u64 = 400;
+
+impl Cell {
+    /// Stops what would not end before its worker leaves, so that it goes on elsewhere.
+    pub fn evacuate(&mut self, now: u64) {
+        let mut moves: Vec<(Arc<str>, TaskId, u32)> = Vec::new();
+        for (life, worker) in self.workers.iter().filter(|(_, w)| w.draining()) {
+            if worker.life != Life::Well {
+                continue;
+            }
+            let left = worker.leaves.map(|l| l.saturating_sub(now));
+            for (&task, flight) in worker.flights.iter().filter(|(_, f)| f.stage == Stage::Up) {
+                if flight.lasting {
+                    if self.may_move(task) && !moves.iter().any(|(_, t, _)| same_step(t, &task)) {
+                        moves.push((life.clone(), task, flight.run));
+                    }
+                    continue;
+                }
+                let share = 1.0 - flight.percent / 100.0;
+                let rest = (flight.estimate as f64 * share) as u64;
+                if left.is_some_and(|l| rest + self.bounds.stop + SLACK > l) && flight.saves {
+                    moves.push((life.clone(), task, flight.run));
+                }
+            }
+        }
+        for (life, task, run) in moves {
+            info!("event=move task={task} run={run} worker={life} reason=\"the worker leaves\"");
+            self.counts.moved += 1;
+            self.halt(&life, task, run, now);
+        }
+    }
+
+    /// Whether one more task of a lasting step may be away.
+    pub(crate) fn may_move(&self, task: TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return true;
+        };
+        let Some(spec) = job.submission.spec.steps.get(usize::from(task.step)) else {
+            return true;
+        };
+        let Some(most) = spec.may_miss else {
+            return true;
+        };
+        let Some(round) = job.progress.rounds.get(&task.round) else {
+            return true;
+        };
+        let tasks = &round.steps[usize::from(task.step)].tasks;
+        let away = tasks.iter().enumerate().filter(|(index, t)| {
+            let id = TaskId { index: *index as u16, ..task };
+            !t.live.iter().any(|r| {
+                let flight = self.workers.get(&r.worker).and_then(|w| w.flights.get(&id));
+                flight.is_some_and(|f| f.stage == Stage::Up && f.percent >= 100.0)
+            })
+        });
+        away.count() < usize::from(most)
+    }
+}
+
+fn same_step(a: &TaskId, b: &TaskId) -> bool {
+    (a.job, a.round, a.step) == (b.job, b.round, b.step)
+}
--- /dev/null
+++ b/crates/owner/src/fit.rs
@@ -0,0 +1,157 @@
+//! Which worker suits a task best.
+
+use std::sync::Arc;
+
+use myrtle_job::{StepSpec, TaskId};
+
+use crate::{Cell, Job, Stage, Worker};
+
+/// The share of its target that a serving task may come to by a filler beside it, as a logarithm:
+/// three quarters.
+const CROWDED: f64 = -0.29;
+
+/// The share of its processors that a filler must find free.
+const LEAST_SHARE: f64 = 0.75;
+
+/// What a rack other than that of the data costs, beyond any other consideration.
+const AWAY: f64 = 100.0;
+
+/// What a worker costs that holds a task of the step already; spreads a step over workers.
+const SAME_STEP: f64 = 0.3;
+
+/// What a worker costs that holds serving tasks of other images.
+const MIXED: f64 = 1.0;
+
+/// The weight of what a filler does to tails.
+const HARMFUL: f64 = 4.0;
+
+impl Cell {
+    /// The best worker for a task now, if there is any.
+    pub(crate) fn fit(
+        &self,
+        job: &Job,
+        spec: &StepSpec,
+        task: TaskId,
+        now: u64,
+    ) -> Option<Arc<str>> {
+        let shunned = job.shunned.get(&task).map_or(&[][..], Vec::as_slice);
+        let permits = job.tickets.get(&(task.round, task.step));
+        let mut best: Option<(f64, &Arc<str>)> = None;
+        for (life, worker) in &self.workers {
+            if !worker.open(now) || !self.allowed(worker, job, spec, task) {
+                continue;
+            }
+            if job.submission.policy.advice.is_some()
+                && permits.is_none_or(|p| p.until <= now || !p.good.contains_key(life))
+            {
+                continue;
+            }
+            let Some(mut cost) = self.cost(worker, spec, task) else {
+                continue;
+            };
+            if shunned.contains(life) {
+                cost += AWAY;
+            }
+            if best.is_none_or(|(b, _)| cost < b) {
+                best = Some((cost, life));
+            }
+        }
+        best.map(|(_, life)| life.clone())
+    }
+
+    /// Whether a worker has room for a task and may run it.
+    pub(crate) fn allowed(
+        &self,
+        worker: &Worker,
+        job: &Job,
+        spec: &StepSpec,
+        task: TaskId,
+    ) -> bool {
+        let Some(listing) = &worker.listing else {
+            return false;
+        };
+        if listing.service != job.submission.policy.service {
+            return false;
+        }
+        if !spec.claim().fits(&worker.free()) || worker.flights.contains_key(&task) {
+            return false;
+        }
+        if spec.requires.as_deref().is_some_and(|label| !worker.labelled(label)) {
+            return false;
+        }
+        spec.spread == 0 || peers(worker, task) < usize::from(spec.spread)
+    }
+
+    /// What a task costs on a worker; nothing if it should rather wait.
+    fn cost(&self, worker: &Worker, spec: &StepSpec, task: TaskId) -> Option<f64> {
+        let mut cost = SAME_STEP * peers(worker, task) as f64;
+        if let Some(rack) = spec.rack.as_deref()
+            && !worker.labelled(rack)
+        {
+            cost += AWAY;
+        }
+        if spec.filler {
+            return Some(cost + self.filler_cost(worker, spec)?);
+        }
+        if spec.serves() {
+            return Some(cost + serving_cost(worker, spec));
+        }
+        let room = f64::from(worker.room().cpu.max(1));
+        Some(cost - (worker.spare() - worker.filled()) / room)
+    }
+
+    fn filler_cost(&self, worker: &Worker, spec: &StepSpec) -> Option<f64> {
+        let cpu = f64::from(spec.room.cpu);
+        let left = worker.spare() - worker.filled();
+        if left < LEAST_SHARE * cpu {
+            return None;
+        }
+        let image = spec.image.as_deref().unwrap_or("");
+        let mut harm = 0.0;
+        for flight in worker.flights.values().filter(|f| f.target.is_some()) {
+            let serving = flight.image.as_deref().unwrap_or("");
+            let rise = self.harm.rise(serving, image, cpu);
+            let level = tail_level(flight);
+            // What was started within the last sample does not show in the tail yet.
+            let unseen: f64 = worker
+                .flights
+                .values()
+                .filter(|f| f.filler && f.figure <= 0.0)
+                .filter_map(|f| f.image.as_deref().map(|i| (i, f64::from(f.cpu))))
+                .map(|(i, cpu)| self.harm.rise(serving, i, cpu))
+                .sum();
+            if rise > 0.02 && level + unseen + rise > CROWDED {
+                return None;
+            }
+            harm += rise;
+        }
+        let room = f64::from(worker.room().cpu.max(1));
+        Some(HARMFUL * harm - left / room)
+    }
+}
+
+/// The logarithm of a serving task's tail over its target; well under it while nothing is known.
+fn tail_level(flight: &crate::Flight) -> f64 {
+    match flight.target {
+        Some(target) if flight.figure > 0.0 => (flight.figure / f64::from(target)).ln(),
+        _ => -1.5,
+    }
+}
+
+/// Serving tasks go where their image is, and fill one worker before the next.
+fn serving_cost(worker: &Worker, spec: &StepSpec) -> f64 {
+    let serving = worker.flights.values().filter(|f| f.target.is_some());
+    let (alike, others) = serving.fold((0.0, 0.0), |(alike, others), f| {
+        if f.image == spec.image { (alike + 1.0, others) } else { (alike, others + 1.0) }
+    });
+    let room = f64::from(worker.room().cpu.max(1));
+    let left = f64::from(worker.free().cpu) / room;
+    if alike > 0.0 { MIXED * others - 1.0 + left } else { MIXED * others + left }
+}
+
+/// How many tasks of the same step the worker holds.
+fn peers(worker: &Worker, task: TaskId) -> usize {
+    let from = TaskId { index: 0, ..task };
+    let to = TaskId { index: u16::MAX, ..task };
+    worker.flights.range(from..=to).filter(|(_, f)| f.stage != Stage::Stopped).count()
+}
--- /dev/null
+++ b/crates/owner/src/job.rs
@@ -0,0 +1,69 @@
+//! Jobs as the owner holds them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use myrtle_job::{Progress, State, Submission, TaskId};
+
+/// An accepted job.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// What was handed in.
+    pub submission: Submission,
+    /// How far it has come, ahead of the log.
+    pub progress: Progress,
+    /// What the log holds of its state; clients are told this.
+    pub shown: State,
+    /// When it was handed in, by the steady clock.
+    pub came: u64,
+    /// When tasks may be tried again, after a refusal or a failure.
+    pub retry: BTreeMap<TaskId, u64>,
+    /// Where a task failed or stood still, so that it goes elsewhere.
+    pub shunned: BTreeMap<TaskId, Vec<Arc<str>>>,
+    /// Workers that may run a step, with their tickets and when those end.
+    pub tickets: BTreeMap<(u32, u16), Permits>,
+}
+
+/// What the policy service said of a step.
+#[derive(Debug, Clone, Default)]
+pub struct Permits {
+    /// Workers with their tickets.
+    pub good: BTreeMap<Arc<str>, Arc<str>>,
+    /// Workers that were asked about.
+    pub asked: Vec<Arc<str>>,
+    /// When the tickets end.
+    pub until: u64,
+    /// Whether a question is under way.
+    pub asking: bool,
+}
+
+impl Job {
+    /// A job that came at `came`.
+    pub fn new(submission: Submission, progress: Progress, came: u64) -> Self {
+        let shown = progress.state;
+        Self {
+            submission,
+            progress,
+            shown,
+            came,
+            retry: BTreeMap::new(),
+            shunned: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+        }
+    }
+
+    /// The latency objective, in milliseconds.
+    pub fn objective(&self) -> u64 {
+        let policy = &self.submission.policy;
+        let chain = self.submission.spec.chain(|_| false);
+        (policy.stretch * chain as f64) as u64 + policy.slack
+    }
+
+    /// The work still ahead on the longest chain of the oldest repetition, in milliseconds.
+    pub fn ahead(&self) -> u64 {
+        let Some(round) = self.progress.rounds.values().next() else {
+            return 0;
+        };
+        self.submission.spec.chain(|step| round.steps[step].done())
+    }
+}
--- /dev/null
+++ b/crates/owner/src/lease.rs
@@ -0,0 +1,96 @@
+//! Leases of runs: renewed in whole by every hold, and known to be over only when they surely are.
+
+use std::sync::Arc;
+
+use log::info;
+
+use crate::{Cell, Life};
+
+/// How much slower than the host's a worker's clock may run, as a share; the platform's figure.
+const DRIFT: f64 = 0.02;
+
+/// What is added to a wait that must outlast a lease, in milliseconds: timers fire late.
+const MARGIN: u64 = 300;
+
+/// What a hold has to say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HoldArgs {
+    /// The fencing token.
+    pub fence: u64,
+    /// Ends up to this number are in the log.
+    pub seen: u64,
+    /// The end of the lease on the worker's clock, if that clock is known.
+    pub until: Option<u64>,
+    /// Whether ends were taken in that the log does not hold yet.
+    pub behind: bool,
+}
+
+impl Cell {
+    /// What the next hold of a life has to say; nothing if it needs no hold any more.
+    pub fn hold_args(&mut self, life: &str, now: u64) -> Option<HoldArgs> {
+        let until = self.until(life, now);
+        let worker = self.workers.get(life)?;
+        if worker.life == Life::Gone && !worker.listed {
+            return None;
+        }
+        let behind = worker.taken > worker.noted;
+        Some(HoldArgs { fence: self.fence, seen: worker.noted, until, behind })
+    }
+
+    /// The end of a lease that begins now, on the worker's clock; remembered as given out.
+    pub fn until(&mut self, life: &str, now: u64) -> Option<u64> {
+        let hold = self.bounds.hold;
+        let worker = self.workers.get_mut(life)?;
+        let (clock, at) = worker.clock?;
+        let until = clock + now.saturating_sub(at) + hold;
+        worker.until = worker.until.max(until);
+        Some(until)
+    }
+
+    /// Notes a worker's clock from an answer that came at `now`.
+    pub(crate) fn tick_of(&mut self, life: &str, clock: u64, now: u64) {
+        let hold = self.bounds.hold;
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        if worker.clock.is_none() {
+            // An earlier owner's lease may run as long; it can give no more after our token.
+            worker.until = worker.until.max(clock + hold);
+        }
+        if worker.clock.is_none_or(|(c, _)| clock >= c) {
+            worker.clock = Some((clock, now));
+        }
+        worker.heard = now;
+    }
+
+    /// Gives up what ran on workers whose leases are surely over.
+    pub fn lapse(&mut self, now: u64) {
+        let over: Vec<Arc<str>> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| matches!(w.life, Life::Unmet | Life::Silent))
+            .filter(|(id, _)| self.lapsed(id, now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for life in over {
+            self.lose(&life, "its lease is over", now);
+        }
+        let before = self.workers.len();
+        self.workers.retain(|_, w| w.listed || w.life != Life::Gone);
+        if self.workers.len() < before {
+            info!("event=workers-forgotten count={}", before - self.workers.len());
+        }
+    }
+
+    fn lapsed(&self, life: &str, now: u64) -> bool {
+        let Some(worker) = self.workers.get(life) else {
+            return true;
+        };
+        let Some((clock, at)) = worker.clock else {
+            let longest = (self.bounds.hold as f64 * (1.0 + DRIFT)) as u64 + MARGIN;
+            return now >= self.began + longest;
+        };
+        let passed = now.saturating_sub(at).saturating_sub(MARGIN) as f64 * (1.0 - DRIFT);
+        clock as f64 + passed >= worker.until as f64
+    }
+}
--- /dev/null
+++ b/crates/owner/src/lib.rs
@@ -0,0 +1,31 @@
+//! What the owner of a cell decides: where tasks run, what has ended, what is written first.
+//!
+//! No I/O and no clock of its own: times are handed in as milliseconds of the host's steady clock
+//! (`now`) and, where clients name times of day, since 1970 (`wall`).
+
+mod bounds;
+mod cell;
+mod commit;
+mod drain;
+mod ends;
+mod fit;
+mod flight;
+mod guard;
+mod harm;
+mod health;
+mod job;
+mod lease;
+mod order;
+mod plan;
+mod told;
+mod worker;
+
+pub use bounds::Bounds;
+pub use cell::{Cell, Counts};
+pub use commit::Batch;
+pub use flight::{Flight, Stage};
+pub use harm::Harm;
+pub use job::Job;
+pub use lease::HoldArgs;
+pub use order::{Order, Outcome};
+pub use worker::{Life, Worker};
--- /dev/null
+++ b/crates/owner/src/told.rs
@@ -0,0 +1,166 @@
+//! What came of orders.
+
+use std::sync::Arc;
+
+use log::{info, warn};
+
+use myrtle_job::{TaskId, Told};
+
+use crate::{Cell, Order, Outcome, Stage};
+
+/// The wait before a run that got no answer is told again, in milliseconds: longer than a usual
+/// answer, far shorter than a task.
+const AGAIN: u64 = 150;
+
+/// How long a worker without room is left alone, in milliseconds: its next hold tells more.
+const FULL_PAUSE: u64 = 40;
+
+/// How long an unwell worker is left alone, in milliseconds.
+const UNWELL_PAUSE: u64 = 1_000;
+
+/// The wait before a refused task is tried again, in milliseconds.
+const REFUSED_PAUSE: u64 = 10;
+
+impl Cell {
+    /// Takes in what came of a start; true if a later owner is the reason for a refusal.
+    pub fn start_told(
+        &mut self,
+        life: &Arc<str>,
+        task: TaskId,
+        run: u32,
+        outcome: Outcome,
+        now: u64,
+    ) -> bool {
+        if outcome != Outcome::Told(Told::Done) {
+            info!("event=start-told task={task} run={run} worker={life} outcome={outcome:?}");
+        }
+        match outcome {
+            Outcome::Told(Told::Done) => self.started(life, task, run, now),
+            Outcome::Told(Told::Fenced) => return true,
+            Outcome::Reborn => self.lose(life, "another life answers at its address", now),
+            Outcome::Told(told) => self.refused(life, task, run, told, now),
+            Outcome::Unwell => {
+                self.set_aside(life, now + UNWELL_PAUSE);
+                self.retract(life, task, run, now);
+            }
+            Outcome::Unsent | Outcome::Unknown => self.doubt(life, task, run, now),
+        }
+        false
+    }
+
+    /// Takes in what came of a stop; true if a later owner is the reason for a refusal.
+    pub fn stop_told(
+        &mut self,
+        life: &Arc<str>,
+        task: TaskId,
+        run: u32,
+        outcome: Outcome,
+        now: u64,
+    ) -> bool {
+        if outcome == Outcome::Told(Told::Fenced) {
+            return true;
+        }
+        if outcome == Outcome::Reborn {
+            self.lose(life, "another life answers at its address", now);
+            return false;
+        }
+        let Some(worker) = self.workers.get_mut(life) else {
+            return false;
+        };
+        let Some(flight) = worker.flights.get_mut(&task).filter(|f| f.run == run) else {
+            return false;
+        };
+        match outcome {
+            Outcome::Told(_) => flight.enter(Stage::Stopped, now),
+            // Told again by `repeat`, at the earliest after the usual pause.
+            _ => flight.since = now,
+        }
+        false
+    }
+
+    /// Tells again what got no answer.
+    pub fn repeat(&mut self, now: u64) -> Vec<Order> {
+        let mut again = Vec::new();
+        let mut starts = Vec::new();
+        for (life, worker) in &mut self.workers {
+            for (&task, flight) in &mut worker.flights {
+                if now < flight.since + AGAIN {
+                    continue;
+                }
+                match flight.stage {
+                    Stage::Unsure => starts.push((life.clone(), task, flight.run)),
+                    Stage::Stopping if now >= flight.since + 3 * AGAIN => {
+                        flight.since = now;
+                        again.push(Order::Stop { worker: life.clone(), task, run: flight.run });
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let starts = starts.into_iter();
+        again.extend(starts.filter_map(|(life, task, run)| self.start(&life, task, run, now)));
+        again
+    }
+
+    fn started(&mut self, life: &Arc<str>, task: TaskId, run: u32, now: u64) {
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        worker.heard = now;
+        if let Some(flight) = worker.flights.get_mut(&task)
+            && flight.run == run
+            && matches!(flight.stage, Stage::Sent | Stage::Unsure)
+        {
+            flight.enter(Stage::Up, now);
+            flight.begun = flight.begun.or(Some(now));
+            self.begun(task);
+        }
+    }
+
+    fn refused(&mut self, life: &Arc<str>, task: TaskId, run: u32, told: Told, now: u64) {
+        self.counts.refused += 1;
+        match told {
+            Told::Full => self.set_aside(life, now + FULL_PAUSE),
+            Told::Bad => warn!("event=start-bad task={task} run={run} worker={life}"),
+            Told::Ticket => {
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.tickets.remove(&(task.round, task.step));
+                }
+            }
+            _ => {}
+        }
+        self.retract(life, task, run, now);
+    }
+
+    /// A run surely did not start and never will under this number.
+    fn retract(&mut self, life: &Arc<str>, task: TaskId, run: u32, now: u64) {
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        if worker.flights.get(&task).is_some_and(|f| f.run == run) {
+            worker.flights.remove(&task);
+            self.forget_run(task, run);
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                job.retry.insert(task, now + REFUSED_PAUSE);
+            }
+        }
+    }
+
+    fn doubt(&mut self, life: &Arc<str>, task: TaskId, run: u32, now: u64) {
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        if let Some(flight) = worker.flights.get_mut(&task)
+            && flight.run == run
+            && flight.stage == Stage::Sent
+        {
+            flight.enter(Stage::Unsure, now);
+        }
+    }
+
+    pub(crate) fn set_aside(&mut self, life: &Arc<str>, until: u64) {
+        if let Some(worker) = self.workers.get_mut(life) {
+            worker.aside = worker.aside.max(until);
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/src/worker.rs
@@ -0,0 +1,128 @@
+//! Workers as the owner sees them.
+
+use std::collections::BTreeMap;
+
+use myrtle_base::Room;
+use myrtle_job::{Listing, TaskId};
+
+use crate::Flight;
+
+/// Whether a life of a worker can be given work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    /// It has not answered this owner yet.
+    Unmet,
+    /// Its last hold was answered.
+    Well,
+    /// It does not answer; what runs there may go on.
+    Silent,
+    /// It is surely over, or every lease there is.
+    Gone,
+}
+
+/// One life of a worker.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    /// Its description, if the list has shown one.
+    pub listing: Option<Listing>,
+    /// Whether the list shows it now.
+    pub listed: bool,
+    /// Whether it can be given work.
+    pub life: Life,
+    /// When it last answered.
+    pub heard: u64,
+    /// Its clock when it last answered, and the steady clock then.
+    pub clock: Option<(u64, u64)>,
+    /// The end of every lease there, on its clock.
+    pub until: u64,
+    /// The runs there.
+    pub flights: BTreeMap<TaskId, Flight>,
+    /// Ends up to this number were taken in.
+    pub taken: u64,
+    /// Ends up to this number are in the log.
+    pub noted: u64,
+    /// No work before this time, after refusals or failures.
+    pub aside: u64,
+    /// Failed ends since the last good one.
+    pub fails: u32,
+    /// How often in a row it was set aside.
+    pub strikes: u32,
+    /// The share of its serving tasks' processors that they seem to use.
+    pub busy: f64,
+    /// When it leaves, if it said so.
+    pub leaves: Option<u64>,
+}
+
+impl Worker {
+    /// A life that has only been heard of.
+    pub fn new(now: u64) -> Self {
+        Self {
+            listing: None,
+            listed: false,
+            life: Life::Unmet,
+            heard: now,
+            clock: None,
+            until: 0,
+            flights: BTreeMap::new(),
+            taken: 0,
+            noted: 0,
+            aside: 0,
+            fails: 0,
+            strikes: 0,
+            busy: 0.5,
+            leaves: None,
+        }
+    }
+
+    /// What it has.
+    pub fn room(&self) -> Room {
+        self.listing.as_ref().map_or(Room::default(), |l| l.room)
+    }
+
+    /// What the runs there count.
+    pub fn used(&self) -> Room {
+        self.flights.values().fold(Room::default(), |sum, f| sum + f.claim)
+    }
+
+    /// What is left.
+    pub fn free(&self) -> Room {
+        self.room().less(&self.used())
+    }
+
+    /// Whether it is about to leave.
+    pub fn draining(&self) -> bool {
+        self.listing.as_ref().is_some_and(|l| l.draining)
+    }
+
+    /// Whether new work may go there.
+    pub fn open(&self, now: u64) -> bool {
+        self.life == Life::Well && self.listed && !self.draining() && self.aside <= now
+    }
+
+    /// The rack, which is the last of its labels.
+    pub fn rack(&self) -> Option<&str> {
+        self.listing.as_ref()?.labels.last().map(String::as_str)
+    }
+
+    /// Whether it has a label.
+    pub fn labelled(&self, label: &str) -> bool {
+        self.listing.as_ref().is_some_and(|l| l.labels.iter().any(|x| x == label))
+    }
+
+    /// The processors that fillers could use, in thousandths of a core.
+    pub fn spare(&self) -> f64 {
+        let taken: f64 = self.flights.values().filter(|f| !f.filler).map(|f| self.draw(f)).sum();
+        f64::from(self.room().cpu) - taken
+    }
+
+    /// The processors that its fillers ask for.
+    pub fn filled(&self) -> f64 {
+        let fillers = self.flights.values().filter(|f| f.filler);
+        fillers.map(|f| f64::from(f.cpu) * f64::from(f.pace) / 100.0).sum()
+    }
+
+    fn draw(&self, flight: &Flight) -> f64 {
+        let share = if flight.target.is_some() { self.busy } else { 1.0 };
+        f64::from(flight.cpu) * share
+    }
+}
--- /dev/null
+++ b/crates/peer/src/front.rs
@@ -0,0 +1,48 @@
+//! What front hosts ask of each other.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use myrtle_job::{JobId, State};
+
+/// What a host says of a job in one of its cells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Seen {
+    /// The host does not own the cell.
+    Elsewhere,
+    /// The cell has no such job.
+    Unknown,
+    /// What the log holds of it.
+    Job(State),
+}
+
+/// What came of a job that was passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Passed {
+    /// It is in the log.
+    Kept,
+    /// It surely is not.
+    Refused,
+    /// It may be.
+    Unknown,
+}
+
+/// What a front host does for its peers.
+#[tarpc::service]
+pub trait FrontPeer {
+    /// What the cell's owner knows of a job.
+    async fn state(cell: u32, job: JobId) -> Seen;
+
+    /// Takes a job back; answers once that is in the log.
+    async fn cancel(cell: u32, job: JobId) -> Seen;
+
+    /// How many jobs of each queue have not begun; nothing if the host does not own the cell.
+    async fn pending(cell: u32) -> Option<BTreeMap<String, u64>>;
+
+    /// Writes an accepted job for a host that the store turns away.
+    async fn pass(cell: u32, job: JobId, record: Vec<u8>) -> Passed;
+
+    /// What the owner knows of a job, in lines for operators.
+    async fn explain(cell: u32, job: JobId) -> Vec<String>;
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,9 +1,11 @@
 //! What the project's own processes say to each other.
 
+mod front;
 mod gate;
 mod link;
 mod sched;
 
+pub use front::{FrontPeer, FrontPeerClient, FrontPeerRequest, FrontPeerResponse, Passed, Seen};
 pub use gate::{
     Done, GatePeer, GatePeerClient, GatePeerRequest, GatePeerResponse, HandOver, LendReply,
 };
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -46,6 +46,7 @@
 
 connect!(crate::SchedPeerClient);
 connect!(crate::GatePeerClient);
+connect!(crate::FrontPeerClient);
 
 /// One peer's connection, shared by all who call it.
 #[derive(Debug)]
