--- a/crates/front/src/tick.rs
+++ b/crates/front/src/tick.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::info;
 use tokio::time::sleep;
 
 use crate::clock::{now, wall};
@@ -11,6 +12,9 @@
 /// The time between two looks at leases, unanswered orders and times of jobs.
 const EVERY: Duration = Duration::from_millis(100);
 
+/// Looks between two lines on where the cell stands.
+const TELL_EVERY: u32 = 20;
+
 /// Looks between two that forget old jobs.
 const FORGET_EVERY: u32 = 50;
 
@@ -28,6 +32,9 @@
             if looks.is_multiple_of(FORGET_EVERY) {
                 cell.forget(now(), wall());
             }
+            if looks.is_multiple_of(TELL_EVERY) {
+                info!("event=cell cell={} {}", owned.cell, cell.gist());
+            }
             cell.repeat(now())
         };
         owned.dispatch(again);
--- a/crates/owner/src/ends.rs
+++ b/crates/owner/src/ends.rs
@@ -75,8 +75,11 @@
         worker.taken = ended.number;
         let Ended { task, run, how, saved, .. } = ended;
         let flight = worker.flights.get(&task).filter(|f| f.run == run).cloned();
-        if flight.is_some() {
+        if let Some(f) = &flight {
             worker.flights.remove(&task);
+            if let Some(image) = f.image.clone().filter(|_| f.filler) {
+                worker.faded.push((image, f.figure, now));
+            }
         }
         let took = flight.as_ref().map_or(0, |f| now.saturating_sub(f.since));
         debug!("event=run-ended task={task} run={run} worker={life} how={how} took_ms={took}");
@@ -226,7 +229,11 @@
             flight.percent = *percent;
             flight.moved = now;
         }
-        flight.figure = figure.unwrap_or(0.0);
+        let figure = figure.unwrap_or(0.0);
+        if figure != flight.figure {
+            flight.figure = figure;
+            worker.figured = now;
+        }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -6,12 +6,8 @@
 
 use crate::{Cell, Job, Stage, Worker};
 
-/// The share of its target that a serving task may come to by a filler beside it, as a logarithm:
-/// three quarters.
-const CROWDED: f64 = -0.29;
-
 /// The share of its processors that a filler must find free.
-const LEAST_SHARE: f64 = 0.75;
+const LEAST_SHARE: f64 = 0.5;
 
 /// What a rack other than that of the data costs, beyond any other consideration.
 const AWAY: f64 = 100.0;
@@ -22,7 +18,7 @@
 /// What a worker costs that holds serving tasks of other images.
 const MIXED: f64 = 1.0;
 
-/// The weight of what a filler does to tails.
+/// The weight of the pressure that a filler adds, against the share of a worker that is left.
 const HARMFUL: f64 = 4.0;
 
 impl Cell {
@@ -94,61 +90,44 @@
             return Some(cost + self.filler_cost(worker, spec)?);
         }
         if spec.serves() {
-            return Some(cost + serving_cost(worker, spec));
+            return Some(cost + self.serving_cost(worker, spec));
         }
-        let room = f64::from(worker.room().cpu.max(1));
+        let room = worker.size();
         Some(cost - (worker.spare() - worker.filled()) / room)
     }
 
+    /// Fillers go where much is left and nobody is known to be disturbed.
     fn filler_cost(&self, worker: &Worker, spec: &StepSpec) -> Option<f64> {
         let cpu = f64::from(spec.room.cpu);
         let left = worker.spare() - worker.filled();
         if left < LEAST_SHARE * cpu {
             return None;
         }
-        let image = spec.image.as_deref().unwrap_or("");
-        let mut harm = 0.0;
-        for flight in worker.flights.values().filter(|f| f.target.is_some()) {
-            let serving = flight.image.as_deref().unwrap_or("");
-            let rise = self.harm.rise(serving, image, cpu);
-            let level = tail_level(flight);
-            // What was started within the last sample does not show in the tail yet.
-            let unseen: f64 = worker
-                .flights
-                .values()
-                .filter(|f| f.filler && f.figure <= 0.0)
-                .filter_map(|f| f.image.as_deref().map(|i| (i, f64::from(f.cpu))))
-                .map(|(i, cpu)| self.harm.rise(serving, i, cpu))
-                .sum();
-            if rise > 0.02 && level + unseen + rise > CROWDED {
-                return None;
-            }
-            harm += rise;
+        let filler = spec.image.as_deref().unwrap_or("");
+        if !self.bearable(worker, filler, spec.room.cpu) {
+            return None;
         }
-        let room = f64::from(worker.room().cpu.max(1));
-        Some(HARMFUL * harm - left / room)
+        let share = cpu / worker.size();
+        let serving = worker.flights.values().filter(|f| f.target.is_some());
+        let images = serving.filter_map(|f| f.image.as_deref());
+        let harm: f64 = images.map(|image| self.harm.rise(image, filler, share)).sum();
+        Some(HARMFUL * harm - left / worker.size())
     }
-}
 
-/// The logarithm of a serving task's tail over its target; well under it while nothing is known.
-fn tail_level(flight: &crate::Flight) -> f64 {
-    match flight.target {
-        Some(target) if flight.figure > 0.0 => (flight.figure / f64::from(target)).ln(),
-        _ => -1.5,
+    /// Serving tasks go where tasks like them are, and fill one worker before the next.
+    fn serving_cost(&self, worker: &Worker, spec: &StepSpec) -> f64 {
+        let image = spec.image.as_deref().unwrap_or("");
+        let serving = worker.flights.values().filter(|f| f.target.is_some());
+        let (alike, others) = serving.fold((false, 0.0), |(alike, others), f| {
+            let unlike = self.harm.unlike(image, f.image.as_deref().unwrap_or(""));
+            (alike || unlike < 0.5, others + unlike)
+        });
+        let room = worker.size();
+        let left = f64::from(worker.free().cpu) / room;
+        MIXED * others + left - if alike { 1.0 } else { 0.0 }
     }
 }
 
-/// Serving tasks go where their image is, and fill one worker before the next.
-fn serving_cost(worker: &Worker, spec: &StepSpec) -> f64 {
-    let serving = worker.flights.values().filter(|f| f.target.is_some());
-    let (alike, others) = serving.fold((0.0, 0.0), |(alike, others), f| {
-        if f.image == spec.image { (alike + 1.0, others) } else { (alike, others + 1.0) }
-    });
-    let room = f64::from(worker.room().cpu.max(1));
-    let left = f64::from(worker.free().cpu) / room;
-    if alike > 0.0 { MIXED * others - 1.0 + left } else { MIXED * others + left }
-}
-
 /// How many tasks of the same step the worker holds.
 fn peers(worker: &Worker, task: TaskId) -> usize {
     let from = TaskId { index: 0, ..task };
--- a/crates/owner/src/flight.rs
+++ b/crates/owner/src/flight.rs
@@ -61,8 +61,8 @@
     pub pace: u32,
     /// Since when it has been over its target.
     pub over: Option<u64>,
-    /// Since when it has been well under its target.
-    pub under: Option<u64>,
+    /// How hard its own load and what fills beside it pressed on its tail, 0 to 1, window by window.
+    pub pressures: Vec<f64>,
 }
 
 impl Flight {
@@ -86,7 +86,7 @@
             figure: 0.0,
             pace: 100,
             over: None,
-            under: None,
+            pressures: Vec::new(),
         }
     }
 
@@ -95,4 +95,9 @@
         self.stage = stage;
         self.since = now;
     }
+
+    /// How hard its own load and what fills beside it press on its tail, if that is known.
+    pub fn pressure(&self) -> Option<f64> {
+        self.pressures.last().copied()
+    }
 }
--- a/crates/owner/src/guard.rs
+++ b/crates/owner/src/guard.rs
@@ -1,4 +1,4 @@
-//! Keeps serving tasks within their targets: learns who disturbs them, slows and moves that.
+//! Keeps serving tasks within their targets: learns who disturbs them, moves and slows that.
 
 use std::sync::Arc;
 
@@ -6,145 +6,228 @@
 
 use myrtle_job::TaskId;
 
-use crate::{Cell, Order, Stage};
+use crate::harm::Uses;
+use crate::{Cell, Flight, Order, Stage, Worker};
 
-/// How long a task is over its target before the guilty are slowed, in milliseconds: one more
-/// sample of half a second confirms the first.
-const SLOW_AFTER: u64 = 500;
+/// The time that a figure covers, in milliseconds; the platform's figure.
+const WINDOW: u64 = 500;
 
-/// How long before all fillers beside it are halted, as a share of the longest time allowed.
-const HALT_SHARE: f64 = 0.4;
+/// Windows between two that are compared: what begins or ends within a window shows in part only,
+/// so neighbours tell too little. Measured: docs/report/DISRUPTION.md.
+const LAG: usize = 2;
 
-/// The pace that guilty fillers are slowed to, in percent.
-const SLOWED: u32 = 40;
+/// The longest time between two windows that are compared, in milliseconds.
+const LONGEST_LAG: u64 = 1_300;
 
-/// How long tasks beside a slowed filler must be well before it is let go on, in milliseconds.
-const CALM: u64 = 1_000;
+/// The time after a change on a worker until its figures show it, in milliseconds: the stop of a
+/// run and a whole window.
+const SETTLE: u64 = 900;
 
-/// The share of its target below which a serving task is well.
-const WELL: f64 = 0.7;
+/// How long before all fillers beside a task are halted, as a share of the longest time allowed.
+const HALT_SHARE: f64 = 0.6;
 
-/// The rise of the logarithm of a tail from which on a filler counts as guilty.
-const GUILT: f64 = 0.05;
+/// How far below its limit pressure has to come, and has to stay when work is added.
+const MARGIN: f64 = 0.08;
+
+/// The share of its processors that a serving task uses at its highest.
+const HIGHEST_LOAD: f64 = 0.72;
+
+/// How far below its limit a task has to be to bear more than it could at its highest load: what
+/// its load may rise while a usual filler runs.
+const SWING: f64 = 0.2;
+
+/// The pressure from which on a filler is moved rather than slowed.
+const CULPRIT: f64 = 0.03;
+
+/// The pressure below which a filler is not worth slowing.
+const TRIFLE: f64 = 0.004;
 
 impl Cell {
-    /// Takes in what a worker's report says of tails and uses.
+    /// Takes in what a worker's report says of tails and uses, once for each window.
     pub(crate) fn learn(&mut self, life: &Arc<str>, now: u64) {
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
-        let mut uses: Vec<(Arc<str>, f64)> = Vec::new();
-        let mut starved = false;
-        let mut drawn = 0.0;
-        let mut serving = 0.0;
-        for flight in worker.flights.values() {
-            if flight.target.is_some() {
-                serving += f64::from(flight.cpu);
-                continue;
-            }
-            drawn += flight.figure;
-            let wanted = f64::from(flight.cpu) * f64::from(flight.pace) / 100.0;
-            let old = flight.begun.is_some_and(|b| now.saturating_sub(b) > 600);
-            starved |= flight.filler && old && flight.figure < 0.85 * wanted;
-            if let Some(image) = flight.image.as_ref().filter(|_| flight.filler) {
-                uses.push((image.clone(), flight.figure));
-            }
-        }
-        if serving > 0.0 {
-            let room = worker.listing.as_ref().map_or(0.0, |l| f64::from(l.room.cpu));
-            let seen = ((room - drawn) / serving).clamp(0.2, 1.0);
-            // Starved fillers show what serving tasks use; else that is an upper bound.
-            if starved {
-                worker.busy += 0.2 * (seen - worker.busy);
-            } else {
-                worker.busy = worker.busy.min(seen);
-                worker.busy += 0.02 * (0.45 - worker.busy);
-            }
+        if worker.figured != now {
+            return;
         }
+        worker.faded.retain(|(.., at)| now.saturating_sub(*at) <= WINDOW);
+        let uses = uses(worker);
+        let back = worker.uses.len().checked_sub(LAG).and_then(|at| worker.uses.get(at));
+        let before = back.filter(|(_, at)| now.saturating_sub(*at) <= LONGEST_LAG).cloned();
         for flight in worker.flights.values_mut() {
             let (Some(target), Some(image)) = (flight.target, &flight.image) else {
                 continue;
             };
             if flight.percent < 100.0 || flight.figure <= 0.0 {
+                flight.pressures.clear();
+                flight.over = None;
                 continue;
             }
             let ratio = flight.figure / f64::from(target);
-            self.harm.learn(image, ratio, &uses);
-            if ratio > 1.0 {
-                flight.over = flight.over.or(Some(now));
-            } else {
-                flight.over = None;
+            let pressure = self.harm.pressure(image, ratio);
+            let known = flight.pressures.len();
+            let old = known.checked_sub(LAG).and_then(|at| flight.pressures.get(at));
+            if let (Some(old), Some((before, _))) = (old, &before) {
+                self.harm.learn(image, pressure - old, before, &uses);
             }
-            if ratio < WELL {
-                flight.under = flight.under.or(Some(now));
-            } else {
-                flight.under = None;
+            flight.pressures.push(pressure);
+            if known >= LAG {
+                flight.pressures.remove(0);
             }
+            flight.over = (ratio > 1.0).then(|| flight.over.unwrap_or(now));
+        }
+        worker.uses.push((uses, now));
+        if worker.uses.len() > LAG {
+            worker.uses.remove(0);
         }
     }
 
-    /// Slows fillers beside tasks that are over their targets, and lets them go on afterwards.
+    /// Moves or slows what presses most on tasks that are over their targets, and lets it go on
+    /// when there is room for it.
     pub(crate) fn guard(&mut self, life: &Arc<str>, now: u64) {
         let Some(worker) = self.workers.get(life) else {
             return;
         };
-        let fillers = || worker.flights.iter().filter(|(_, f)| f.filler && f.stage == Stage::Up);
-        let limit = (self.bounds.harm as f64 * HALT_SHARE) as u64;
-        let mut paces: Vec<(TaskId, u32, u32, u32)> = Vec::new();
+        if worker.figured != now || now.saturating_sub(worker.eased) < SETTLE {
+            return;
+        }
         let over = worker.flights.values().filter_map(|f| Some((f, now - f.over?)));
         let worst = over.max_by_key(|(_, time)| *time);
-        match worst {
-            Some((victim, time)) if time >= SLOW_AFTER => {
-                let image = victim.image.as_deref().unwrap_or("");
-                for (&task, f) in fillers() {
-                    let filler = f.image.as_deref().unwrap_or("");
-                    let rise = self.harm.rise(image, filler, f64::from(f.cpu));
-                    let goal = match () {
-                        _ if time >= limit => 0,
-                        _ if rise >= GUILT => SLOWED,
-                        _ => continue,
-                    };
-                    if f.pace > goal {
-                        paces.push((task, f.run, f.pace, goal));
-                    }
+        let Some((_, time)) = worst else {
+            return self.resume(life, now);
+        };
+        let limit = (self.bounds.harm as f64 * HALT_SHARE) as u64;
+        let (moves, paces) = self.relief(worker, time >= limit);
+        if moves.is_empty() && paces.is_empty() {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(life) {
+            worker.eased = now;
+        }
+        for (task, run) in moves {
+            info!("event=move task={task} run={run} worker={life} reason=\"it disturbs others\"");
+            self.counts.moved += 1;
+            self.halt(life, task, run, now);
+        }
+        for (task, run) in paces {
+            self.pace(life, task, run, 0, now);
+        }
+    }
+
+    /// What has to be moved and what slowed so that every task comes below its limit.
+    fn relief(&self, worker: &Worker, all: bool) -> (Vec<(TaskId, u32)>, Vec<(TaskId, u32)>) {
+        let mut rows: Vec<(f64, TaskId, &Flight)> = Vec::new();
+        let mut excess: f64 = 0.0;
+        for victim in worker.flights.values().filter(|f| f.over.is_some()) {
+            let image = victim.image.as_deref().unwrap_or("");
+            let pressure = victim.pressure().unwrap_or(0.0);
+            excess = excess.max(pressure - self.harm.limit(image) + MARGIN);
+            for (&task, flight) in fillers(worker).filter(|(_, f)| f.pace > 0) {
+                let rise = self.press(worker, image, flight);
+                match rows.iter_mut().find(|(_, t, _)| *t == task) {
+                    Some(row) => row.0 = row.0.max(rise),
+                    None => rows.push((rise, task, flight)),
                 }
             }
-            _ => {
-                let calm = worker
-                    .flights
-                    .values()
-                    .filter(|f| f.target.is_some())
-                    .all(|f| f.under.is_some_and(|u| now.saturating_sub(u) >= CALM));
-                if calm {
-                    // One at a time, so that the guilty one shows.
-                    let slowed =
-                        fillers().filter(|(_, f)| f.pace < 100).min_by_key(|(_, f)| f.pace);
-                    if let Some((&task, f)) = slowed {
-                        paces.push((task, f.run, f.pace, (f.pace * 2).clamp(30, 100)));
-                    }
-                }
+        }
+        rows.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let (mut moves, mut paces) = (Vec::new(), Vec::new());
+        for (rise, task, flight) in rows {
+            if !all && (excess <= 0.0 || rise < TRIFLE) {
+                break;
+            }
+            excess -= rise;
+            if rise >= CULPRIT {
+                moves.push((task, flight.run));
+            } else {
+                paces.push((task, flight.run));
             }
         }
-        for (task, run, from, percent) in paces {
-            self.pace(life, task, run, from, percent, now);
+        (moves, paces)
+    }
+
+    /// Lets slowed fillers go on as far as there is room for what they add.
+    fn resume(&mut self, life: &Arc<str>, now: u64) {
+        let Some(worker) = self.workers.get(life) else {
+            return;
+        };
+        let slowed = fillers(worker).filter(|(_, f)| f.pace < 100);
+        let eased = slowed.map(|(&task, f)| (f.percent, task, f)).collect::<Vec<_>>();
+        let first = eased
+            .into_iter()
+            .filter(|(.., f)| self.bearable(worker, f.image.as_deref().unwrap_or(""), f.cpu))
+            .max_by(|a, b| a.0.total_cmp(&b.0));
+        if let Some((_, task, f)) = first {
+            let run = f.run;
+            self.pace(life, task, run, 100, now);
         }
     }
 
-    fn pace(&mut self, life: &Arc<str>, task: TaskId, run: u32, from: u32, percent: u32, now: u64) {
-        let Some(worker) = self.workers.get_mut(life) else {
+    /// The pressure that a filler puts on a serving image on its worker.
+    fn press(&self, worker: &Worker, image: &str, flight: &Flight) -> f64 {
+        let filler = flight.image.as_deref().unwrap_or("");
+        let used = if flight.figure > 0.0 { flight.figure } else { f64::from(flight.cpu) };
+        self.harm.rise(image, filler, used / worker.size())
+    }
+
+    /// Whether every serving task on a worker would stay below its limit beside one more filler.
+    pub(crate) fn bearable(&self, worker: &Worker, filler: &str, cpu: u32) -> bool {
+        let share = f64::from(cpu) / worker.size();
+        worker.flights.values().filter(|f| f.target.is_some()).all(|f| {
+            let image = f.image.as_deref().unwrap_or("");
+            let rise = self.harm.rise(image, filler, share);
+            if rise < TRIFLE {
+                return f.over.is_none();
+            }
+            let limit = self.harm.limit(image);
+            let beside = worker.flights.values().filter(|g| g.filler && g.pace > 0);
+            let beside: f64 = beside.map(|g| self.press(worker, image, g)).sum();
+            if beside + rise <= limit - HIGHEST_LOAD {
+                return true;
+            }
+            let pressure = f.pressure().unwrap_or(HIGHEST_LOAD);
+            pressure + self.unseen(worker, image) + rise <= limit - SWING
+        })
+    }
+
+    /// The pressure of fillers that no figure shows yet.
+    fn unseen(&self, worker: &Worker, image: &str) -> f64 {
+        let fresh = worker.flights.values().filter(|f| f.filler && f.pace > 0 && f.figure <= 0.0);
+        fresh.map(|f| self.press(worker, image, f)).sum()
+    }
+
+    fn pace(&mut self, life: &Arc<str>, task: TaskId, run: u32, percent: u32, now: u64) {
+        let Some(flight) = self.workers.get_mut(life).and_then(|w| w.flights.get_mut(&task)) else {
             return;
         };
+        let from = std::mem::replace(&mut flight.pace, percent);
         info!("event=pace task={task} run={run} worker={life} from={from} percent={percent}");
+        flight.moved = now;
         if percent > from {
-            for flight in worker.flights.values_mut().filter(|f| f.target.is_some()) {
-                flight.under = None;
-            }
-        }
-        if let Some(flight) = worker.flights.get_mut(&task) {
-            flight.pace = percent;
-            flight.moved = now;
+            // Counts as unseen until a window shows it.
+            flight.figure = 0.0;
         }
         self.counts.paced += 1;
         self.orders.push(Order::Pace { worker: life.clone(), task, run, percent });
     }
 }
+
+fn fillers(worker: &Worker) -> impl Iterator<Item = (&TaskId, &Flight)> {
+    worker.flights.iter().filter(|(_, f)| f.filler && f.stage == Stage::Up)
+}
+
+/// What fillers used in the last window; those that ended in it count half.
+fn uses(worker: &Worker) -> Uses {
+    let size = worker.size();
+    let mut uses = Uses::new();
+    for flight in worker.flights.values().filter(|f| f.filler) {
+        if let Some(image) = &flight.image {
+            *uses.entry(image.clone()).or_default() += flight.figure / size;
+        }
+    }
+    for (image, used, _) in &worker.faded {
+        *uses.entry(image.clone()).or_default() += used / size / 2.0;
+    }
+    uses
+}
--- a/crates/owner/src/worker.rs
+++ b/crates/owner/src/worker.rs
@@ -1,11 +1,17 @@
 //! Workers as the owner sees them.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use myrtle_base::Room;
 use myrtle_job::{Listing, TaskId};
 
 use crate::Flight;
+use crate::harm::Uses;
+
+/// The share of its processors that a serving task uses in the mean, by what fillers were seen to
+/// get beside them.
+const SERVING_USE: f64 = 0.5;
 
 /// Whether a life of a worker can be given work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,8 +53,14 @@
     pub fails: u32,
     /// How often in a row it was set aside.
     pub strikes: u32,
-    /// The share of its serving tasks' processors that they seem to use.
-    pub busy: f64,
+    /// When its figures last changed.
+    pub figured: u64,
+    /// What fillers used in the last windows, and when that was told.
+    pub uses: Vec<(Uses, u64)>,
+    /// When fillers were last moved or slowed here.
+    pub eased: u64,
+    /// Fillers that ended lately: image, thousandths of a core in use, when.
+    pub faded: Vec<(Arc<str>, f64, u64)>,
     /// When it leaves, if it said so.
     pub leaves: Option<u64>,
 }
@@ -69,7 +81,10 @@
             aside: 0,
             fails: 0,
             strikes: 0,
-            busy: 0.5,
+            figured: 0,
+            uses: Vec::new(),
+            eased: 0,
+            faded: Vec::new(),
             leaves: None,
         }
     }
@@ -79,6 +94,11 @@
         self.listing.as_ref().map_or(Room::default(), |l| l.room)
     }
 
+    /// Its processors in thousandths of a core, at least one.
+    pub fn size(&self) -> f64 {
+        f64::from(self.room().cpu.max(1))
+    }
+
     /// What the runs there count.
     pub fn used(&self) -> Room {
         self.flights.values().fold(Room::default(), |sum, f| sum + f.claim)
@@ -111,7 +131,7 @@
 
     /// The processors that fillers could use, in thousandths of a core.
     pub fn spare(&self) -> f64 {
-        let taken: f64 = self.flights.values().filter(|f| !f.filler).map(|f| self.draw(f)).sum();
+        let taken: f64 = self.flights.values().filter(|f| !f.filler).map(draw).sum();
         f64::from(self.room().cpu) - taken
     }
 
@@ -120,9 +140,10 @@
         let fillers = self.flights.values().filter(|f| f.filler);
         fillers.map(|f| f64::from(f.cpu) * f64::from(f.pace) / 100.0).sum()
     }
+}
 
-    fn draw(&self, flight: &Flight) -> f64 {
-        let share = if flight.target.is_some() { self.busy } else { 1.0 };
-        f64::from(flight.cpu) * share
-    }
+/// What a run that is no filler uses, in thousandths of a core.
+fn draw(flight: &Flight) -> f64 {
+    let share = if flight.target.is_some() { SERVING_USE } else { 1.0 };
+    f64::from(flight.cpu) * share
 }
