--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -46,7 +46,6 @@
     if !bar(&host, &owned).await {
         return;
     }
-    tokio::spawn(roster::follow(host.clone(), owned.clone()));
     while !owned.closed() {
         match load(&host, &owned).await {
             Ok(()) => break,
@@ -56,12 +55,17 @@
             }
         }
     }
+    if owned.closed() {
+        return;
+    }
     let jobs = {
         let mut cell = owned.state();
         cell.loaded = true;
         cell.jobs.len()
     };
     info!("event=owner-loaded cell={} jobs={jobs} took_ms={}", owned.cell, now() - began);
+    // Workers are asked only now: what they tell makes no sense before the jobs are known.
+    tokio::spawn(roster::follow(host.clone(), owned.clone()));
     tokio::spawn(flush::run(host.clone(), owned.clone()));
     tokio::spawn(tick::run(owned.clone()));
     tail(host, owned).await;
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -137,9 +137,13 @@
         };
         job.shown = progress.state;
         job.progress = progress;
-        if job.progress.next >= job.submission.spec.rounds() {
+        let over = job.progress.state.over();
+        if over || job.progress.next >= job.submission.spec.rounds() {
             self.timed.remove(&id);
         }
+        if over {
+            self.open.remove(&id);
+        }
         let runs: Vec<_> = job
             .progress
             .tasks()
--- a/crates/owner/src/ends.rs
+++ b/crates/owner/src/ends.rs
@@ -243,6 +243,10 @@
         {
             record.saved.clone_from(saved);
         }
+        if job.progress.state.over() {
+            // An earlier owner ended the job and may not have come to stop its runs.
+            return self.halt(life, *task, *run, now);
+        }
         self.begun(*task);
     }
 
--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -64,7 +64,7 @@
 
     /// Places what can be placed of a job; false if nothing of it waits any more.
     fn place_job(&mut self, id: JobId, now: u64) -> bool {
-        let Some(job) = self.jobs.get(&id) else {
+        let Some(job) = self.jobs.get(&id).filter(|j| !j.progress.state.over()) else {
             return false;
         };
         let spec = &job.submission.spec;
