--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -48,7 +48,9 @@
             if !owned.closed() {
                 cell.plan(now());
             }
-            (cell.orders(), cell.batch())
+            let batch = cell.batch();
+            owned.write(!batch.is_empty());
+            (cell.orders(), batch)
         };
         owned.dispatch(orders);
         if batch.is_empty() {
@@ -68,6 +70,7 @@
         if !owned.closed() {
             owned.dispatch(starts);
         }
+        owned.write(false);
         owned.committed.send_modify(|n| *n += 1);
     }
 }
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 
 use log::{info, warn};
+use tokio::sync::Notify;
 
 use myrtle_adapter::{Configuration, Store};
 use myrtle_meter::Meter;
@@ -15,6 +16,9 @@
 use crate::owners::Owners;
 use crate::settings::Settings;
 
+/// How long the store may give no good answer before it counts as lost, in milliseconds.
+const LOST_AFTER: u64 = 500;
+
 /// A front host. Locks are taken one at a time and never held while waiting.
 #[derive(Debug)]
 pub struct Host {
@@ -30,6 +34,8 @@
     owned: Mutex<HashMap<u32, Arc<Owned>>>,
     reached: AtomicU64,
     lost: AtomicBool,
+    incarnation: u32,
+    wakes: Mutex<HashMap<u32, Arc<Notify>>>,
     stopping: AtomicBool,
 }
 
@@ -45,6 +51,8 @@
             owned: Mutex::default(),
             reached: AtomicU64::new(0),
             lost: AtomicBool::new(false),
+            incarnation: rand::random(),
+            wakes: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
     }
@@ -91,7 +99,8 @@
 
     /// Notes that the store gave no good answer.
     pub fn store_missed(&self, why: &impl std::fmt::Display) {
-        if !self.lost.swap(true, Ordering::Relaxed) {
+        // One lost answer is no lost store.
+        if self.store_age() >= LOST_AFTER && !self.lost.swap(true, Ordering::Relaxed) {
             warn!("event=store-lost reason=\"{why}\" age_ms={}", self.store_age());
         }
     }
@@ -127,7 +136,20 @@
     }
 
     /// The name under which this host joins groups; it tells others where to find it.
+    ///
+    /// A host that was started again is another member: it must not go on under the fencing token
+    /// of its last life.
     pub fn member(&self) -> String {
-        format!("{}@{}", self.settings.name, self.peer())
+        format!("{}-{:08x}@{}", self.settings.name, self.incarnation, self.peer())
+    }
+
+    /// What ends the pause before the next look at who owns a cell.
+    pub fn waker(&self, cell: u32) -> Arc<Notify> {
+        self.wakes.lock().expect("no holder panics").entry(cell).or_default().clone()
+    }
+
+    /// Ends the pause before the next look at who owns a cell.
+    pub fn wake(&self, cell: u32) {
+        self.waker(cell).notify_one();
     }
 }
--- a/crates/front/src/owned.rs
+++ b/crates/front/src/owned.rs
@@ -42,6 +42,7 @@
     confirmed: AtomicU64,
     closed: AtomicBool,
     deposed: AtomicBool,
+    writing: AtomicBool,
 }
 
 impl Owned {
@@ -58,6 +59,7 @@
             confirmed: AtomicU64::new(now()),
             closed: AtomicBool::new(false),
             deposed: AtomicBool::new(false),
+            writing: AtomicBool::new(false),
         }
     }
 
@@ -105,6 +107,16 @@
         self.work.notify_one();
     }
 
+    /// Whether a batch is on its way to the log.
+    pub fn writing(&self) -> bool {
+        self.writing.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether a batch is on its way to the log.
+    pub fn write(&self, writing: bool) {
+        self.writing.store(writing, Ordering::Relaxed);
+    }
+
     /// Whether a later owner has been met.
     pub fn deposed(&self) -> bool {
         self.deposed.load(Ordering::Relaxed)
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use log::{info, warn};
+use log::{Level, info, log, warn};
 
 use myrtle_job::{JobId, Listing, Progress, Round, State, Submission, TaskId};
 
@@ -89,7 +89,9 @@
         }
         let age = wall.saturating_sub(submission.taken).min(OLDEST);
         let came = now.saturating_sub(age);
-        info!(
+        let level = if self.loaded { Level::Info } else { Level::Debug };
+        log!(
+            level,
             "event=job-known job={id} queue={} steps={} age_ms={age}",
             submission.policy.queue,
             submission.spec.steps.len()
@@ -173,9 +175,13 @@
         let worker = self.workers.entry(life.into()).or_insert_with(|| Worker::new(now));
         let news = worker.listing.as_ref().is_none_or(|l| l.draining != listing.draining);
         if news {
-            info!(
+            let level = if listing.draining { Level::Info } else { Level::Debug };
+            log!(
+                level,
                 "event=worker-listed worker={life} draining={} room=\"{}\" remaining_ms={:?}",
-                listing.draining, listing.room, listing.remaining
+                listing.draining,
+                listing.room,
+                listing.remaining
             );
         }
         if listing.draining {
