--- a/crates/owner/src/ends.rs
+++ b/crates/owner/src/ends.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use log::{debug, info, warn};
+use log::{Level, debug, info, log, warn};
 
 use myrtle_job::{Ended, Held, How, Running, State, TaskId, Told};
 
@@ -24,10 +24,10 @@
         };
         if worker.life != Life::Well {
             let since = now.saturating_sub(worker.heard);
-            info!(
-                "event=worker-met worker={life} running={} silent_ms={since}",
-                held.running.len()
-            );
+            // At a takeover every worker is met; one line tells of them all.
+            let level = if worker.life == Life::Unmet { Level::Debug } else { Level::Info };
+            let running = held.running.len();
+            log!(level, "event=worker-met worker={life} running={running} silent_ms={since}");
             worker.life = Life::Well;
         }
         let whole = held.ended.len() < ENDS_AT_ONCE;
--- a/crates/owner/src/flight.rs
+++ b/crates/owner/src/flight.rs
@@ -35,6 +35,8 @@
     pub since: u64,
     /// When it was first seen at work.
     pub begun: Option<u64>,
+    /// Whether a start got no answer and may still be carried out.
+    pub doubted: bool,
     /// What it counts against the worker's room.
     pub claim: Room,
     /// What it would like of the processors, in thousandths of a core.
@@ -73,6 +75,7 @@
             stage,
             since: now,
             begun: None,
+            doubted: false,
             claim: spec.claim(),
             cpu: spec.room.cpu,
             image: spec.image.clone(),
--- a/crates/owner/src/told.rs
+++ b/crates/owner/src/told.rs
@@ -38,12 +38,15 @@
             Outcome::Told(Told::Done) => self.started(life, task, run, now),
             Outcome::Told(Told::Fenced) => return true,
             Outcome::Reborn => self.lose(life, "another life answers at its address", now),
+            // It has been there: the worker's lists tell how it ended.
+            Outcome::Told(Told::Old) => self.started(life, task, run, now),
             Outcome::Told(told) => self.refused(life, task, run, told, now),
             Outcome::Unwell => {
                 self.set_aside(life, now + UNWELL_PAUSE);
                 self.retract(life, task, run, now);
             }
-            Outcome::Unsent | Outcome::Unknown => self.doubt(life, task, run, now),
+            Outcome::Unsent => self.doubt(life, task, run, false, now),
+            Outcome::Unknown => self.doubt(life, task, run, true, now),
         }
         false
     }
@@ -132,12 +135,16 @@
         self.retract(life, task, run, now);
     }
 
-    /// A run surely did not start and never will under this number.
+    /// A run was refused: it never starts under this number, if no earlier order is still under
+    /// way; else it is barred first.
     fn retract(&mut self, life: &Arc<str>, task: TaskId, run: u32, now: u64) {
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
-        if worker.flights.get(&task).is_some_and(|f| f.run == run) {
+        if let Some(flight) = worker.flights.get(&task).filter(|f| f.run == run) {
+            if flight.doubted {
+                return self.halt(life, task, run, now);
+            }
             worker.flights.remove(&task);
             self.forget_run(task, run);
             if let Some(job) = self.jobs.get_mut(&task.job) {
@@ -146,7 +153,8 @@
         }
     }
 
-    fn doubt(&mut self, life: &Arc<str>, task: TaskId, run: u32, now: u64) {
+    /// A start got no answer; it is told again.
+    fn doubt(&mut self, life: &Arc<str>, task: TaskId, run: u32, sent: bool, now: u64) {
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
@@ -155,6 +163,7 @@
             && flight.stage == Stage::Sent
         {
             flight.enter(Stage::Unsure, now);
+            flight.doubted |= sent;
         }
     }
 
