--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -73,6 +73,7 @@
                     "event=pace-told task={task} run={run} worker={worker} percent={percent} \
                      outcome={outcome:?}"
                 );
+                cell.pace_unsure(worker, *task, *run, *percent);
             }
             outcome == Outcome::Told(Told::Fenced)
         }
--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -9,6 +9,20 @@
 /// The share of its processors that a filler must find free.
 const LEAST_SHARE: f64 = 0.5;
 
+/// The share of a worker's processors that lasting tasks leave to short ones, which are worth more
+/// for the time that they take.
+const KEPT: f64 = 0.08;
+
+/// How long a lasting task waits for a worker where that share stays, in milliseconds.
+const KEPT_FOR: u64 = 1_500;
+
+/// What a worker costs where it does not stay.
+const FULL: f64 = 2.0;
+
+/// How long a filler waits for a worker where it disturbs nobody, in milliseconds; after that it
+/// goes where it disturbs least, and is slowed there as needed.
+const BEARABLE_FOR: u64 = 10_000;
+
 /// What a rack other than that of the data costs, beyond any other consideration.
 const AWAY: f64 = 100.0;
 
@@ -42,7 +56,7 @@
             {
                 continue;
             }
-            let Some(mut cost) = self.cost(worker, spec, task) else {
+            let Some(mut cost) = self.cost(worker, spec, task, job.waited(now)) else {
                 continue;
             };
             if shunned.contains(life) {
@@ -79,7 +93,7 @@
     }
 
     /// What a task costs on a worker; nothing if it should rather wait.
-    fn cost(&self, worker: &Worker, spec: &StepSpec, task: TaskId) -> Option<f64> {
+    fn cost(&self, worker: &Worker, spec: &StepSpec, task: TaskId, waited: u64) -> Option<f64> {
         let mut cost = SAME_STEP * peers(worker, task) as f64;
         if let Some(rack) = spec.rack.as_deref()
             && !worker.labelled(rack)
@@ -87,7 +101,16 @@
             cost += AWAY;
         }
         if spec.filler {
-            return Some(cost + self.filler_cost(worker, spec)?);
+            return Some(cost + self.filler_cost(worker, spec, waited)?);
+        }
+        if spec.lasting {
+            let left = f64::from(worker.free().less(&spec.claim()).cpu);
+            if left < KEPT * worker.size() {
+                if waited < KEPT_FOR {
+                    return None;
+                }
+                cost += FULL;
+            }
         }
         if spec.serves() {
             return Some(cost + self.serving_cost(worker, spec));
@@ -97,14 +120,14 @@
     }
 
     /// Fillers go where much is left and nobody is known to be disturbed.
-    fn filler_cost(&self, worker: &Worker, spec: &StepSpec) -> Option<f64> {
+    fn filler_cost(&self, worker: &Worker, spec: &StepSpec, waited: u64) -> Option<f64> {
         let cpu = f64::from(spec.room.cpu);
         let left = worker.spare() - worker.filled();
         if left < LEAST_SHARE * cpu {
             return None;
         }
         let filler = spec.image.as_deref().unwrap_or("");
-        if !self.bearable(worker, filler, spec.room.cpu) {
+        if !self.bearable(worker, filler, spec.room.cpu) && waited < BEARABLE_FOR {
             return None;
         }
         let share = cpu / worker.size();
--- a/crates/owner/src/guard.rs
+++ b/crates/owner/src/guard.rs
@@ -30,12 +30,16 @@
 const MARGIN: f64 = 0.08;
 
 /// The share of its processors that a serving task uses at its highest.
-const HIGHEST_LOAD: f64 = 0.72;
+const HIGHEST_LOAD: f64 = 0.80;
 
 /// How far below its limit a task has to be to bear more than it could at its highest load: what
 /// its load may rise while a usual filler runs.
 const SWING: f64 = 0.2;
 
+/// How long a filler stays slowed before it goes elsewhere, in milliseconds: its stop and its start
+/// from a checkpoint cost about as much.
+const PATIENCE: u64 = 1_000;
+
 /// The pressure from which on a filler is moved rather than slowed.
 const CULPRIT: f64 = 0.03;
 
@@ -69,7 +73,7 @@
             let known = flight.pressures.len();
             let old = known.checked_sub(LAG).and_then(|at| flight.pressures.get(at));
             if let (Some(old), Some((before, _))) = (old, &before) {
-                self.harm.learn(image, pressure - old, before, &uses);
+                self.harm.learn(image, *old, pressure, before, &uses);
             }
             flight.pressures.push(pressure);
             if known >= LAG {
@@ -90,7 +94,7 @@
             return;
         };
         if worker.figured != now || now.saturating_sub(worker.eased) < SETTLE {
-            return;
+            return self.move_slowed(life, now);
         }
         let over = worker.flights.values().filter_map(|f| Some((f, now - f.over?)));
         let worst = over.max_by_key(|(_, time)| *time);
@@ -147,23 +151,48 @@
         (moves, paces)
     }
 
-    /// Lets slowed fillers go on as far as there is room for what they add.
+    /// Lets slowed fillers go on where there is room for what they add; else they go elsewhere.
     fn resume(&mut self, life: &Arc<str>, now: u64) {
         let Some(worker) = self.workers.get(life) else {
             return;
         };
-        let slowed = fillers(worker).filter(|(_, f)| f.pace < 100);
-        let eased = slowed.map(|(&task, f)| (f.percent, task, f)).collect::<Vec<_>>();
-        let first = eased
-            .into_iter()
-            .filter(|(.., f)| self.bearable(worker, f.image.as_deref().unwrap_or(""), f.cpu))
-            .max_by(|a, b| a.0.total_cmp(&b.0));
-        if let Some((_, task, f)) = first {
+        let mut first: Option<(TaskId, &Flight)> = None;
+        for (&task, f) in fillers(worker).filter(|(_, f)| f.pace < 100) {
+            if self.room_to_resume(worker, f) && first.is_none_or(|(_, g)| f.percent > g.percent) {
+                first = Some((task, f));
+            }
+        }
+        if let Some((task, f)) = first {
             let run = f.run;
             self.pace(life, task, run, 100, now);
         }
     }
 
+    /// Moves fillers that have been slowed for long.
+    fn move_slowed(&mut self, life: &Arc<str>, now: u64) {
+        let Some(worker) = self.workers.get(life) else {
+            return;
+        };
+        let stuck: Vec<(TaskId, u32)> = fillers(worker)
+            .filter(|(_, f)| f.pace < 100 && now.saturating_sub(f.moved) > PATIENCE)
+            .map(|(&task, f)| (task, f.run))
+            .collect();
+        for (task, run) in stuck {
+            info!("event=move task={task} run={run} worker={life} reason=\"no room to go on\"");
+            self.counts.moved += 1;
+            self.halt(life, task, run, now);
+        }
+    }
+
+    fn room_to_resume(&self, worker: &Worker, filler: &Flight) -> bool {
+        worker.flights.values().filter(|f| f.target.is_some()).all(|f| {
+            let image = f.image.as_deref().unwrap_or("");
+            let rise = self.press(worker, image, filler);
+            let pressure = f.pressure().unwrap_or(HIGHEST_LOAD);
+            pressure + self.unseen(worker, image) + rise <= self.harm.limit(image) - MARGIN
+        })
+    }
+
     /// The pressure that a filler puts on a serving image on its worker.
     fn press(&self, worker: &Worker, image: &str, flight: &Flight) -> f64 {
         let filler = flight.image.as_deref().unwrap_or("");
@@ -176,12 +205,16 @@
         let share = f64::from(cpu) / worker.size();
         worker.flights.values().filter(|f| f.target.is_some()).all(|f| {
             let image = f.image.as_deref().unwrap_or("");
-            let rise = self.harm.rise(image, filler, share);
+            if f.over.is_some() {
+                return false;
+            }
+            let rise = self.harm.risk(image, filler, share);
             if rise < TRIFLE {
-                return f.over.is_none();
+                return true;
             }
             let limit = self.harm.limit(image);
-            let beside = worker.flights.values().filter(|g| g.filler && g.pace > 0);
+            // Slowed ones are to go on before others come.
+            let beside = worker.flights.values().filter(|g| g.filler);
             let beside: f64 = beside.map(|g| self.press(worker, image, g)).sum();
             if beside + rise <= limit - HIGHEST_LOAD {
                 return true;
@@ -197,6 +230,14 @@
         fresh.map(|f| self.press(worker, image, f)).sum()
     }
 
+    /// Takes in that a pace was not confirmed: it may hold or not, so it is set again if needed.
+    pub fn pace_unsure(&mut self, life: &Arc<str>, task: TaskId, run: u32, percent: u32) {
+        let flight = self.workers.get_mut(life).and_then(|w| w.flights.get_mut(&task));
+        if let Some(flight) = flight.filter(|f| f.run == run && f.pace == percent) {
+            flight.pace = if percent == 0 { 100 } else { 0 };
+        }
+    }
+
     fn pace(&mut self, life: &Arc<str>, task: TaskId, run: u32, percent: u32, now: u64) {
         let Some(flight) = self.workers.get_mut(life).and_then(|w| w.flights.get_mut(&task)) else {
             return;
--- a/crates/owner/src/harm.rs
+++ b/crates/owner/src/harm.rs
@@ -40,6 +40,12 @@
 /// Pressures above this are not told apart by tails.
 const FULL: f64 = 0.97;
 
+/// How many standard deviations are counted against a filler.
+const CAUTION: f64 = 0.5;
+
+/// Pressures above this one say little of how far above they are.
+const SATURATED: f64 = 0.92;
+
 /// Uses by image, as shares of a worker's processors.
 pub type Uses = BTreeMap<Arc<str>, f64>;
 
@@ -72,8 +78,11 @@
         self.models.get(image).map_or(1.0 - FIRST_FLOOR, |m| 1.0 - m.base())
     }
 
-    /// Takes in by how much a serving task's pressure rose while uses beside it changed.
-    pub fn learn(&mut self, image: &Arc<str>, rise: f64, before: &Uses, after: &Uses) {
+    /// Takes in how a serving task's pressure changed while uses beside it changed.
+    pub fn learn(&mut self, image: &Arc<str>, from: f64, to: f64, before: &Uses, after: &Uses) {
+        if from.min(to) > SATURATED {
+            return;
+        }
         for name in before.keys().chain(after.keys()) {
             let next = self.names.len();
             self.names.entry(name.clone()).or_insert(next);
@@ -85,7 +94,7 @@
         for (name, used) in before {
             x[self.names[name]] -= used;
         }
-        self.models.entry(image.clone()).or_default().update(&x, rise);
+        self.models.entry(image.clone()).or_default().update(&x, to - from);
     }
 
     /// The pressure that a filling image adds to a serving one when it uses `share` of a worker.
@@ -93,6 +102,12 @@
         self.coefficient(image, filler).max(0.0) * share
     }
 
+    /// The same, with doubt counted against the filler.
+    pub fn risk(&self, image: &str, filler: &str, share: f64) -> f64 {
+        let doubt = CAUTION * self.deviation(image, filler);
+        (self.coefficient(image, filler) + doubt).max(0.0) * share
+    }
+
     /// How unlike two serving images are: 0 if the same fillers disturb both, 1 if others do or
     /// too little is known.
     pub fn unlike(&self, a: &str, b: &str) -> f64 {
@@ -108,6 +123,12 @@
         if sum < 2.0 * USUAL * self.names.len().max(1) as f64 { 1.0 } else { apart / sum }
     }
 
+    fn deviation(&self, image: &str, filler: &str) -> f64 {
+        let at = self.names.get(filler).copied();
+        let known = at.and_then(|at| self.models.get(image)?.cover.get(at)?.get(at).copied());
+        known.unwrap_or(PRIOR).max(0.0).sqrt()
+    }
+
     fn coefficient(&self, image: &str, filler: &str) -> f64 {
         let at = self.names.get(filler).copied();
         let known = at.and_then(|at| self.models.get(image)?.theta.get(at).copied());
--- a/crates/owner/src/job.rs
+++ b/crates/owner/src/job.rs
@@ -16,6 +16,8 @@
     pub shown: State,
     /// When it was handed in, by the steady clock.
     pub came: u64,
+    /// Since when a task has found no worker, if nothing was placed after that.
+    pub stuck: Option<u64>,
     /// When tasks may be tried again, after a refusal or a failure.
     pub retry: BTreeMap<TaskId, u64>,
     /// Where a task failed or stood still, so that it goes elsewhere.
@@ -46,6 +48,7 @@
             progress,
             shown,
             came,
+            stuck: None,
             retry: BTreeMap::new(),
             shunned: BTreeMap::new(),
             tickets: BTreeMap::new(),
@@ -59,6 +62,11 @@
         (policy.stretch * chain as f64) as u64 + policy.slack
     }
 
+    /// How long a task has found no worker, in milliseconds.
+    pub fn waited(&self, now: u64) -> u64 {
+        self.stuck.map_or(0, |since| now.saturating_sub(since))
+    }
+
     /// The work still ahead on the longest chain of the oldest repetition, in milliseconds.
     pub fn ahead(&self) -> u64 {
         let Some(round) = self.progress.rounds.values().next() else {
--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -109,6 +109,7 @@
             let spec = &job.submission.spec.steps[usize::from(step)];
             let Some(life) = self.fit(job, spec, task, now) else {
                 // The others of the step want the same.
+                self.stuck(id, now);
                 return true;
             };
             self.assign(task, &life, None, now);
@@ -138,6 +139,7 @@
                 for &placed in &members[..at] {
                     self.unassign(placed, number);
                 }
+                self.stuck(id, now);
                 return true;
             };
             self.assign(task, &life, Some(number), now);
@@ -150,6 +152,12 @@
         false
     }
 
+    fn stuck(&mut self, id: JobId, now: u64) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.stuck = job.stuck.or(Some(now));
+        }
+    }
+
     /// Reserves room for the next run of a task; it starts once that is in the log.
     fn assign(&mut self, task: TaskId, life: &Arc<str>, number: Option<u32>, now: u64) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -163,6 +171,7 @@
         record.last = run;
         record.live.push(Run { number: run, worker: life.clone() });
         job.retry.remove(&task);
+        job.stuck = None;
         self.dirty.insert(task.job);
         if let Some(worker) = self.workers.get_mut(life) {
             worker.flights.insert(task, Flight::new(run, &spec, Stage::Written, now));
