--- a/crates/owner/src/guard.rs
+++ b/crates/owner/src/guard.rs
@@ -205,12 +205,13 @@
         let share = f64::from(cpu) / worker.size();
         worker.flights.values().filter(|f| f.target.is_some()).all(|f| {
             let image = f.image.as_deref().unwrap_or("");
-            if f.over.is_some() {
+            // A single window may be over by noise.
+            if f.over.is_some_and(|since| worker.figured >= since + WINDOW) {
                 return false;
             }
             let rise = self.harm.risk(image, filler, share);
             if rise < TRIFLE {
-                return true;
+                return f.over.is_none();
             }
             let limit = self.harm.limit(image);
             // Slowed ones are to go on before others come.
