--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -1,17 +1,21 @@
 //! Membership in the group of a cell: who holds the cell's partition owns the cell.
+//!
+//! A host joins only when nobody holds the cell, and so is the group's only member: whoever joins
+//! beside it could be dealt its partition, and each change of owner costs a takeover.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use log::{info, warn};
 use tokio::time::{sleep, timeout};
 
-use myrtle_adapter::StoreError;
+use myrtle_adapter::{StoreError, frame};
 
 use crate::clock::now;
 use crate::hold::ttl;
 use crate::host::Host;
-use crate::names::{PROGRESS, group};
+use crate::names::{NOTICES, PROGRESS, group};
 use crate::owned::Owned;
 use crate::takeover;
 
@@ -22,39 +26,76 @@
 /// Joins within that time.
 const JOINS: u64 = 4;
 
-/// How long a join may take.
+/// The time between two looks at whether a cell has an owner.
+const LOOK: Duration = Duration::from_millis(450);
+
+/// The longest wait of a host that finds a cell without an owner, in milliseconds, so that seldom
+/// two join at once.
+const JITTER: u64 = 160;
+
+/// How long a join, a leave or a look may take.
 const LIMIT: Duration = Duration::from_millis(600);
 
-/// How long a call to the next owner may take.
-const CALL: Duration = Duration::from_millis(200);
+/// How long a read waits for the notice that a cell is free.
+const NOTICE_WAIT: Duration = Duration::from_secs(10);
+
+/// What an answer may take beyond that.
+const NOTICE_BEYOND: Duration = Duration::from_millis(500);
+
+/// The pause after a read that failed.
+const PAUSE: Duration = Duration::from_millis(300);
 
 /// How long an owner that stops may take to write what it has.
 const HAND_OVER: Duration = Duration::from_millis(1_500);
 
-/// Takes part in the group of a cell until the host stops.
+/// Owns a cell whenever nobody else does, until the host stops.
 pub async fn take_part(host: Arc<Host>, cell: u32) {
+    let waker = host.waker(cell);
+    while !host.stopping() {
+        if vacant(&host, cell).await {
+            let jitter = Duration::from_millis(rand::random_range(0..JITTER));
+            sleep(jitter).await;
+            if !host.stopping() && vacant(&host, cell).await {
+                stay(&host, cell).await;
+            }
+        }
+        let _ = timeout(LOOK, waker.notified()).await;
+    }
+}
+
+/// Whether the store says that nobody holds a cell.
+async fn vacant(host: &Host, cell: u32) -> bool {
+    match host.store.owners(&group(cell), LIMIT).await {
+        Ok(rows) => {
+            host.store_reached();
+            !rows.iter().any(|r| r.part == cell)
+        }
+        Err(e) => {
+            host.store_missed(&e);
+            false
+        }
+    }
+}
+
+/// Joins the group of a cell and stays in it until another host holds the cell.
+async fn stay(host: &Arc<Host>, cell: u32) {
     let mut generation = 0;
     let (name, member) = (group(cell), host.member());
-    let ttl = ttl(&host);
-    let pause = Duration::from_millis(ttl / JOINS);
-    let waker = host.waker(cell);
+    let time = Duration::from_millis(ttl(host));
+    let mut joined_at = now();
     while !host.stopping() {
         let sent = now();
-        let time = Duration::from_millis(ttl);
+        if sent > joined_at + ttl(host) && !lapsed_quietly(host, cell, &member).await {
+            return;
+        }
         match host.store.join(&name, &member, PROGRESS, time, generation, LIMIT).await {
             Ok(joined) => {
                 host.store_reached();
+                joined_at = sent;
                 generation = joined.generation;
                 let mine = joined.holdings.iter().any(|h| h.part == cell);
-                if settle(&host, cell, mine, generation, sent).await {
-                    // Joining again lets the cell go.
-                    let time = Duration::from_millis(ttl);
-                    let again =
-                        host.store.join(&name, &member, PROGRESS, time, generation, LIMIT).await;
-                    if let Ok(joined) = again {
-                        generation = joined.generation;
-                        call_next(&host, cell).await;
-                    }
+                if !settle(host, cell, mine, generation, sent).await {
+                    return give_up(host, cell).await;
                 }
             }
             Err(StoreError::Strange { status, text }) => {
@@ -63,33 +104,54 @@
             }
             Err(e) => host.store_missed(&e),
         }
-        let _ = timeout(pause, waker.notified()).await;
+        sleep(time / JOINS as u32).await;
     }
 }
 
-/// Begins or ends to own the cell as the store says; true if the store has to be told at once.
+/// Whether a host whose membership may have lapsed can join again without taking the cell from a
+/// host that has followed it; ends to own the cell if not.
+async fn lapsed_quietly(host: &Host, cell: u32, member: &str) -> bool {
+    let rows = match host.store.owners(&group(cell), LIMIT).await {
+        Ok(rows) => rows,
+        Err(e) => {
+            host.store_missed(&e);
+            return true;
+        }
+    };
+    let other = rows.into_iter().find(|r| r.part == cell && r.member != member);
+    let Some(other) = other else {
+        return true;
+    };
+    info!("event=membership-lapsed cell={cell} owner={}", other.member);
+    if let Some(owned) = host.disown(cell) {
+        owned.close("another host has followed while the store was out of reach");
+    }
+    false
+}
+
+/// Begins or ends to own the cell as the store says; false if the host has to leave the group.
 async fn settle(host: &Arc<Host>, cell: u32, mine: bool, generation: u64, sent: u64) -> bool {
     match (mine, host.owned(cell)) {
         (true, None) => drop(takeover::begin(host, cell, generation)),
         (true, Some(owned)) if owned.deposed() => {
             host.disown(cell);
-            if generation > owned.fence {
-                takeover::begin(host, cell, generation);
-            } else {
+            if generation <= owned.fence {
                 // The token is spent: another one comes with another membership.
-                give_up(host, cell).await;
+                return false;
             }
+            takeover::begin(host, cell, generation);
         }
         (true, Some(owned)) => owned.confirm(sent),
         (false, Some(owned)) => {
             owned.close("the store gave the cell to another host");
             finish(&owned).await;
             host.disown(cell);
-            return true;
+            return false;
         }
-        (false, None) => {}
+        // Two have joined at once and the other one holds the cell.
+        (false, None) => return false,
     }
-    false
+    true
 }
 
 /// Leaves the group, so that what is held passes on at once.
@@ -100,29 +162,49 @@
     }
 }
 
-/// Tells the next owner of a cell that its turn has come.
-async fn call_next(host: &Host, cell: u32) {
-    host.owners.forget(cell);
-    if let Some(at) = host.owners.find(host, cell).await.filter(|at| *at != host.peer()) {
-        let call =
-            host.owners.call(at, CALL, |c, context| async move { c.wake(context, cell).await });
-        if call.await.is_none() {
-            info!("event=next-owner-not-called cell={cell} at={at}");
-        }
+/// Gives the cell up after the last append and tells the other hosts that it is free.
+pub async fn hand_over(host: &Host, cell: u32) {
+    let Some(owned) = host.owned(cell) else {
+        return;
+    };
+    owned.close("the host stops");
+    finish(&owned).await;
+    host.disown(cell);
+    give_up(host, cell).await;
+    let mut notice = BytesMut::new();
+    frame(&mut notice, host.settings.name.as_bytes());
+    if let Err(e) = host.store.append(NOTICES, cell, None, notice.freeze(), LIMIT).await {
+        warn!("event=notice-failed cell={cell} reason=\"{e}\"");
     }
 }
 
-/// Gives the cell up after the last append, so that the next owner can begin at once.
-pub async fn hand_over(host: &Host, cell: u32) {
-    let owned = host.owned(cell);
-    if let Some(owned) = &owned {
-        owned.close("the host stops");
-        finish(owned).await;
-        host.disown(cell);
-    }
-    give_up(host, cell).await;
-    if owned.is_some() {
-        call_next(host, cell).await;
+/// Ends the pause before the next look whenever a cell is given up.
+pub async fn hear(host: Arc<Host>, cell: u32) {
+    let mut from = None;
+    while !host.stopping() {
+        if from.is_none() {
+            // An append of nothing tells where the partition ends.
+            let end = host.store.append(NOTICES, cell, None, Bytes::new(), LIMIT).await;
+            from = end.inspect_err(|e| host.store_missed(e)).ok();
+        }
+        let Some(at) = from else {
+            sleep(PAUSE).await;
+            continue;
+        };
+        let limit = NOTICE_WAIT + NOTICE_BEYOND;
+        match host.store.read(NOTICES, cell, at, NOTICE_WAIT, limit).await {
+            Ok(page) => {
+                from = Some(at + page.records.len() as u64);
+                if !page.records.is_empty() {
+                    host.wake(cell);
+                }
+            }
+            Err(StoreError::Gone { .. }) => from = None,
+            Err(e) => {
+                host.store_missed(&e);
+                sleep(PAUSE).await;
+            }
+        }
     }
 }
 
--- a/crates/front/src/names.rs
+++ b/crates/front/src/names.rs
@@ -6,6 +6,9 @@
 /// The progress of jobs, by their names, written only by the owners of the cells.
 pub const PROGRESS: &str = "keyed.progress";
 
+/// Notices that a cell is free, one partition a cell.
+pub const NOTICES: &str = "notices";
+
 /// The writer's name of every owner; the fencing token tells them apart.
 pub const OWNER: &str = "owner";
 
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -43,10 +43,6 @@
         intake::write(&self.0, cell, job, &record, PASS).await
     }
 
-    async fn wake(self, _: Context, cell: u32) {
-        self.0.wake(cell);
-    }
-
     async fn explain(self, _: Context, cell: u32, job: JobId) -> Vec<String> {
         self.0.owned(cell).map_or_else(Vec::new, |o| o.state().explain(job, now()))
     }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -57,6 +57,7 @@
     for cell in 0..host.settings.cell_count() {
         if Some(cell) == home {
             tokio::spawn(member::take_part(host.clone(), cell));
+            tokio::spawn(member::hear(host.clone(), cell));
         } else {
             tokio::spawn(watch::watch(host.clone(), cell));
         }
@@ -97,11 +98,7 @@
     let grace = host.settings.grace().saturating_sub(SPARE);
     let end = tokio::time::Instant::now() + grace;
     for cell in 0..host.settings.cell_count() {
-        if host.owned(cell).is_some()
-            || Some(cell) == host.settings.cell_of(&host.settings.data_centre)
-        {
-            member::hand_over(host, cell).await;
-        }
+        member::hand_over(host, cell).await;
     }
     sleep(NOTICED).await;
     closing.cancel();
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -170,7 +170,7 @@
         });
         let older: Vec<_> = older.map(|(id, _)| id.clone()).collect();
         for id in older {
-            self.lose(&id, "another life at its address", now);
+            self.succeeded(&id, now);
         }
         let worker = self.workers.entry(life.into()).or_insert_with(|| Worker::new(now));
         let news = worker.listing.as_ref().is_none_or(|l| l.draining != listing.draining);
@@ -285,6 +285,14 @@
         }
     }
 
+    /// Another life answers where a life of a worker did: it is over for good.
+    pub(crate) fn succeeded(&mut self, life: &Arc<str>, now: u64) {
+        self.lose(life, "another life is at its address", now);
+        if let Some(worker) = self.workers.get_mut(life) {
+            worker.listed = false;
+        }
+    }
+
     /// A life of a worker is surely over, or all its leases are: its runs are taken off.
     pub(crate) fn lose(&mut self, life: &Arc<str>, why: &str, now: u64) {
         let Some(worker) = self.workers.get_mut(life) else {
--- a/crates/owner/src/ends.rs
+++ b/crates/owner/src/ends.rs
@@ -48,7 +48,7 @@
     /// A hold of a life has failed.
     pub fn hold_failed(&mut self, life: &Arc<str>, reborn: bool, now: u64) {
         if reborn {
-            self.lose(life, "another life answers at its address", now);
+            self.succeeded(life, now);
             return;
         }
         if let Some(worker) = self.workers.get_mut(life)
--- a/crates/owner/src/lease.rs
+++ b/crates/owner/src/lease.rs
@@ -38,9 +38,12 @@
     }
 
     /// The end of a lease that begins now, on the worker's clock; remembered as given out.
+    ///
+    /// A worker that does not answer gets none: each one would put off the moment from which on
+    /// its runs are surely over.
     pub fn until(&mut self, life: &str, now: u64) -> Option<u64> {
         let hold = self.bounds.hold;
-        let worker = self.workers.get_mut(life)?;
+        let worker = self.workers.get_mut(life).filter(|w| w.life == Life::Well)?;
         let (clock, at) = worker.clock?;
         let until = clock + now.saturating_sub(at) + hold;
         worker.until = worker.until.max(until);
--- a/crates/owner/src/told.rs
+++ b/crates/owner/src/told.rs
@@ -6,7 +6,7 @@
 
 use myrtle_job::{TaskId, Told};
 
-use crate::{Cell, Order, Outcome, Stage};
+use crate::{Cell, Life, Order, Outcome, Stage};
 
 /// The wait before a run that got no answer is told again, in milliseconds: longer than a usual
 /// answer, far shorter than a task.
@@ -37,7 +37,7 @@
         match outcome {
             Outcome::Told(Told::Done) => self.started(life, task, run, now),
             Outcome::Told(Told::Fenced) => return true,
-            Outcome::Reborn => self.lose(life, "another life answers at its address", now),
+            Outcome::Reborn => self.succeeded(life, now),
             // It has been there: the worker's lists tell how it ended.
             Outcome::Told(Told::Old) => self.started(life, task, run, now),
             Outcome::Told(told) => self.refused(life, task, run, told, now),
@@ -64,7 +64,7 @@
             return true;
         }
         if outcome == Outcome::Reborn {
-            self.lose(life, "another life answers at its address", now);
+            self.succeeded(life, now);
             return false;
         }
         let Some(worker) = self.workers.get_mut(life) else {
@@ -85,7 +85,7 @@
     pub fn repeat(&mut self, now: u64) -> Vec<Order> {
         let mut again = Vec::new();
         let mut starts = Vec::new();
-        for (life, worker) in &mut self.workers {
+        for (life, worker) in self.workers.iter_mut().filter(|(_, w)| w.life == Life::Well) {
             for (&task, flight) in &mut worker.flights {
                 if now < flight.since + AGAIN {
                     continue;
--- a/crates/peer/src/front.rs
+++ b/crates/peer/src/front.rs
@@ -43,9 +43,6 @@
     /// Writes an accepted job for a host that the store turns away.
     async fn pass(cell: u32, job: JobId, record: Vec<u8>) -> Passed;
 
-    /// Asks the host to look at once whether it owns a cell now.
-    async fn wake(cell: u32);
-
     /// What the owner knows of a job, in lines for operators.
     async fn explain(cell: u32, job: JobId) -> Vec<String>;
 }
