--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -31,7 +31,7 @@
 
 /// The longest wait of a host that finds a cell without an owner, in milliseconds, so that seldom
 /// two join at once.
-const JITTER: u64 = 160;
+const JITTER: u64 = 500;
 
 /// How long a join, a leave or a look may take.
 const LIMIT: Duration = Duration::from_millis(600);
@@ -85,8 +85,16 @@
     let mut joined_at = now();
     while !host.stopping() {
         let sent = now();
-        if sent > joined_at + ttl(host) && !lapsed_quietly(host, cell, &member).await {
-            return;
+        if sent > joined_at + ttl(host) {
+            match followed(host, cell, &member).await {
+                Some(false) => {}
+                Some(true) => return,
+                // Joining blindly could take the cell from a host that has followed.
+                None => {
+                    sleep(PAUSE).await;
+                    continue;
+                }
+            }
         }
         match host.store.join(&name, &member, PROGRESS, time, generation, LIMIT).await {
             Ok(joined) => {
@@ -108,25 +116,20 @@
     }
 }
 
-/// Whether a host whose membership may have lapsed can join again without taking the cell from a
-/// host that has followed it; ends to own the cell if not.
-async fn lapsed_quietly(host: &Host, cell: u32, member: &str) -> bool {
-    let rows = match host.store.owners(&group(cell), LIMIT).await {
-        Ok(rows) => rows,
-        Err(e) => {
-            host.store_missed(&e);
-            return true;
-        }
-    };
+/// Whether another host has followed while this one's membership lapsed, if the store tells; ends
+/// to own the cell if so.
+async fn followed(host: &Host, cell: u32, member: &str) -> Option<bool> {
+    let rows = host.store.owners(&group(cell), LIMIT).await;
+    let rows = rows.inspect_err(|e| host.store_missed(e)).ok()?;
     let other = rows.into_iter().find(|r| r.part == cell && r.member != member);
     let Some(other) = other else {
-        return true;
+        return Some(false);
     };
     info!("event=membership-lapsed cell={cell} owner={}", other.member);
     if let Some(owned) = host.disown(cell) {
         owned.close("another host has followed while the store was out of reach");
     }
-    false
+    Some(true)
 }
 
 /// Begins or ends to own the cell as the store says; false if the host has to leave the group.
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -20,8 +20,8 @@
     pub done: bool,
     /// The highest run number given out.
     pub last: u32,
-    /// How many runs have failed.
-    pub fails: u32,
+    /// The runs that have failed; a worker may tell of an end to several owners.
+    pub failed: Vec<u32>,
     /// Runs that may be going on.
     pub live: Vec<Run>,
     /// The newest checkpoint, empty if there is none.
@@ -34,6 +34,15 @@
         !self.done && self.live.is_empty()
     }
 
+    /// Counts a run as failed, once; false if it was counted before.
+    pub fn fail(&mut self, number: u32) -> bool {
+        let first = !self.failed.contains(&number);
+        if first {
+            self.failed.push(number);
+        }
+        first
+    }
+
     /// The run of this number, if it may be going on.
     pub fn run(&self, number: u32) -> Option<&Run> {
         self.live.iter().find(|r| r.number == number)
@@ -52,14 +61,14 @@
 pub struct Step {
     /// The tasks by index.
     pub tasks: Vec<Task>,
-    /// How many runs of the whole step as a gang have failed.
-    pub fails: u32,
+    /// The runs of the whole step as a gang that have failed.
+    pub failed: Vec<u32>,
 }
 
 impl Step {
     /// A step none of whose tasks has begun.
     pub fn fresh(count: u16) -> Self {
-        Self { tasks: vec![Task::default(); usize::from(count)], fails: 0 }
+        Self { tasks: vec![Task::default(); usize::from(count)], failed: Vec::new() }
     }
 
     /// Whether every task is done.
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -342,7 +342,8 @@
             let runs: Vec<_> =
                 task.live.iter().map(|r| format!("run {} on {}", r.number, r.worker)).collect();
             let what = if runs.is_empty() { "waits".to_string() } else { runs.join(", ") };
-            lines.push(format!("{id}.{round}.{step}.{index}: {what}, {} failed", task.fails));
+            lines
+                .push(format!("{id}.{round}.{step}.{index}: {what}, {} failed", task.failed.len()));
         }
         lines
     }
--- a/crates/owner/src/ends.rs
+++ b/crates/owner/src/ends.rs
@@ -105,7 +105,7 @@
         match how {
             How::Done if !lasting => record.done = true,
             How::Failed => {
-                record.fails += 1;
+                record.fail(run);
                 job.retry.insert(task, now + AFTER_FAIL);
                 job.shunned.entry(task).or_default().push(life.clone());
             }
@@ -117,7 +117,7 @@
         self.open.insert(task.job);
         match how {
             How::Done if !lasting => self.done(task, gang, now, wall),
-            How::Failed if !lasting => self.failed(task, gang, now, wall),
+            How::Failed if !lasting => self.failed(task, run, gang, now, wall),
             _ if gang => self.regroup(task, now),
             _ => {}
         }
@@ -165,7 +165,7 @@
         }
     }
 
-    fn failed(&mut self, task: TaskId, gang: bool, now: u64, wall: u64) {
+    fn failed(&mut self, task: TaskId, run: u32, gang: bool, now: u64, wall: u64) {
         self.counts.failed += 1;
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -175,12 +175,13 @@
             return;
         };
         let step = &mut round.steps[usize::from(task.step)];
-        if gang {
-            step.fails += 1;
+        if gang && !step.failed.contains(&run) {
+            step.failed.push(run);
         }
-        let fails = if gang { step.fails } else { step.tasks[usize::from(task.index)].fails };
+        let of_task = &step.tasks[usize::from(task.index)].failed;
+        let fails = if gang { step.failed.len() } else { of_task.len() };
         info!("event=run-failed task={task} fails={fails} attempts={attempts}");
-        if fails >= attempts {
+        if fails >= attempts as usize {
             let job = task.job;
             warn!("event=job-failed job={job} task={task} fails={fails}");
             self.finish(job, State::Failed, now, wall);
