--- /dev/null
+++ b/crates/owner/tests/common/judge.rs
@@ -0,0 +1,90 @@
+//! Watches what workers do and says which promise was broken.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use myrtle_job::{JobId, StepSpec, Submission, TaskId};
+
+/// What the workers have seen.
+#[derive(Default)]
+pub struct Judge {
+    jobs: BTreeMap<JobId, Submission>,
+    running: BTreeMap<TaskId, BTreeSet<Arc<str>>>,
+    done: BTreeSet<TaskId>,
+    noted: BTreeSet<TaskId>,
+    cancelled: BTreeSet<JobId>,
+    /// What was broken, in words.
+    pub broken: Vec<String>,
+    /// How often tasks were started.
+    pub starts: BTreeMap<TaskId, u32>,
+    /// The most tasks of one step seen on one worker.
+    pub together: usize,
+}
+
+impl Judge {
+    /// A job was handed in.
+    pub fn job(&mut self, id: JobId, submission: &Submission) {
+        self.jobs.insert(id, submission.clone());
+    }
+
+    /// A job's cancelling is in the log; nothing of it may start any more.
+    pub fn cancelled(&mut self, id: JobId) {
+        self.cancelled.insert(id);
+    }
+
+    /// The step of a task.
+    pub fn step(&self, task: TaskId) -> &StepSpec {
+        &self.jobs[&task.job].spec.steps[usize::from(task.step)]
+    }
+
+    /// A worker began a run.
+    pub fn begun(&mut self, worker: &Arc<str>, task: TaskId, now: u64) {
+        let submission = &self.jobs[&task.job];
+        let spec = &submission.spec.steps[usize::from(task.step)];
+        let there = self.running.entry(task).or_default();
+        if !there.is_empty() && !spec.copies {
+            self.broken.push(format!("{now}: {task} runs on {there:?} and {worker}"));
+        }
+        there.insert(worker.clone());
+        if self.noted.contains(&task) && !spec.copies {
+            self.broken.push(format!("{now}: {task} starts after its end was noted"));
+        }
+        if self.cancelled.contains(&task.job) {
+            self.broken.push(format!("{now}: {task} starts though its job is cancelled"));
+        }
+        for &before in &spec.after {
+            for index in 0..submission.spec.steps[usize::from(before)].count {
+                let first = TaskId { step: before, index, ..task };
+                if !self.done.contains(&first) {
+                    self.broken.push(format!("{now}: {task} starts before {first} is done"));
+                }
+            }
+        }
+        if let Some(repeat) = submission.spec.repeat {
+            let due = repeat.first + u64::from(task.round) * repeat.every;
+            if now < due {
+                self.broken.push(format!("{now}: {task} starts before {due}"));
+            }
+        }
+        *self.starts.entry(task).or_default() += 1;
+        let here = self.running.iter().filter(|(t, on)| {
+            (t.job, t.round, t.step) == (task.job, task.round, task.step) && on.contains(worker)
+        });
+        self.together = self.together.max(here.count());
+    }
+
+    /// A run is over.
+    pub fn over(&mut self, worker: &Arc<str>, task: TaskId, done: bool) {
+        if let Some(there) = self.running.get_mut(&task) {
+            there.remove(worker);
+        }
+        if done {
+            self.done.insert(task);
+        }
+    }
+
+    /// An owner has noted that a task is done.
+    pub fn noted(&mut self, task: TaskId) {
+        self.noted.insert(task);
+    }
+}
--- /dev/null
+++ b/crates/owner/tests/common/worker.rs
@@ -0,0 +1,230 @@
+//! A worker: fences, leases, runs, ends; answers as the platform's workers do.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use myrtle_base::Room;
+use myrtle_job::{Ended, Held, How, Listing, Running, StepSpec, TaskId, Told};
+
+use super::Judge;
+
+/// A run on a worker.
+#[derive(Clone)]
+struct FakeRun {
+    number: u32,
+    room: Room,
+    work: u64,
+    worked: u64,
+    lasting: bool,
+    pace: u32,
+    figure: f64,
+}
+
+/// A worker's life.
+pub struct FakeWorker {
+    pub listing: Listing,
+    pub listed: bool,
+    pub reachable: bool,
+    pub gone: bool,
+    /// Fails everything that it runs.
+    pub failing: bool,
+    /// Lets everything that it runs stand still.
+    pub hanging: bool,
+    /// The figure that serving tasks tell; by tests that need one.
+    pub tail: Option<f64>,
+    began: u64,
+    fence: u64,
+    until: u64,
+    last: u64,
+    runs: BTreeMap<TaskId, FakeRun>,
+    ends: Vec<Ended>,
+    barred: BTreeMap<TaskId, u32>,
+    name: Arc<str>,
+}
+
+impl FakeWorker {
+    /// A life that begins now.
+    pub fn new(listing: Listing, now: u64) -> Self {
+        let name = listing.address.to_string().into();
+        Self {
+            listing,
+            listed: true,
+            reachable: true,
+            gone: false,
+            failing: false,
+            hanging: false,
+            tail: None,
+            began: now,
+            fence: 0,
+            until: 0,
+            last: now,
+            runs: BTreeMap::new(),
+            ends: Vec::new(),
+            barred: BTreeMap::new(),
+            name,
+        }
+    }
+
+    /// How many runs there are.
+    pub fn count(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// The pace of a task, if it runs here.
+    pub fn pace_of(&self, task: TaskId) -> Option<u32> {
+        self.runs.get(&task).map(|r| r.pace)
+    }
+
+    /// Whether a task runs here.
+    pub fn runs(&self, task: TaskId) -> bool {
+        self.runs.contains_key(&task)
+    }
+
+    /// Sets the figure of a task.
+    pub fn figure(&mut self, task: TaskId, figure: f64) {
+        if let Some(run) = self.runs.get_mut(&task) {
+            run.figure = figure;
+        }
+    }
+
+    /// The life ends without a word; what ran there is over.
+    pub fn crash(&mut self, judge: &mut Judge) {
+        for task in std::mem::take(&mut self.runs).into_keys() {
+            judge.over(&self.name, task, false);
+        }
+        self.gone = true;
+        self.listed = false;
+    }
+
+    /// Time passes.
+    pub fn work(&mut self, now: u64, judge: &mut Judge) {
+        let passed = now - std::mem::replace(&mut self.last, now);
+        if self.gone {
+            return;
+        }
+        if now - self.began > self.until && !self.runs.is_empty() {
+            let tasks: Vec<_> = self.runs.keys().copied().collect();
+            tasks.into_iter().for_each(|t| self.end(t, How::Lapsed, judge));
+        }
+        let mut over = Vec::new();
+        for (&task, run) in &mut self.runs {
+            if self.failing {
+                over.push((task, How::Failed));
+            } else if !self.hanging {
+                run.worked += passed * u64::from(run.pace) / 100;
+                if run.worked >= run.work && !run.lasting {
+                    over.push((task, How::Done));
+                }
+            }
+        }
+        over.into_iter().for_each(|(t, how)| self.end(t, how, judge));
+    }
+
+    /// Renews, notes and lists.
+    pub fn hold(
+        &mut self,
+        fence: u64,
+        seen: u64,
+        until: Option<u64>,
+        now: u64,
+        judge: &mut Judge,
+    ) -> Result<Held, Told> {
+        if fence < self.fence {
+            return Err(Told::Fenced);
+        }
+        self.fence = fence;
+        let clock = now - self.began;
+        self.until = self.until.max(until.unwrap_or(0).min(clock + 10_000));
+        for end in self.ends.iter().filter(|e| e.number <= seen && e.how == How::Done) {
+            judge.noted(end.task);
+        }
+        self.ends.retain(|e| e.number > seen);
+        let running = self.runs.iter().map(|(&task, r)| Running {
+            task,
+            run: r.number,
+            saved: String::new(),
+            percent: if r.lasting { 100.0 } else { (r.worked * 100 / r.work.max(1)) as f64 },
+            figure: Some(if r.lasting { self.tail.unwrap_or(r.figure) } else { r.figure }),
+        });
+        Ok(Held { clock, running: running.collect(), ended: self.ends.clone() })
+    }
+
+    /// Starts a run under a fencing token and a lease.
+    pub fn start(
+        &mut self,
+        task: TaskId,
+        run: u32,
+        spec: &StepSpec,
+        (fence, until): (u64, u64),
+        now: u64,
+        judge: &mut Judge,
+    ) -> Told {
+        if fence < self.fence {
+            return Told::Fenced;
+        }
+        self.fence = fence;
+        let clock = now - self.began;
+        if until <= clock {
+            return Told::Late;
+        }
+        self.until = self.until.max(until.min(clock + 10_000));
+        if self.runs.get(&task).is_some_and(|r| r.number == run) {
+            return Told::Done;
+        }
+        if self.barred.get(&task).is_some_and(|&b| run <= b) || self.runs.contains_key(&task) {
+            return Told::Old;
+        }
+        let used = self.runs.values().fold(Room::default(), |sum, r| sum + r.room);
+        if !spec.claim().fits(&self.listing.room.less(&used)) {
+            return Told::Full;
+        }
+        let fresh = FakeRun {
+            number: run,
+            room: spec.claim(),
+            work: spec.estimate,
+            worked: 0,
+            lasting: spec.lasting,
+            pace: 100,
+            figure: if spec.target.is_some() { 40.0 } else { f64::from(spec.room.cpu) },
+        };
+        self.runs.insert(task, fresh);
+        judge.begun(&self.name, task, now);
+        Told::Done
+    }
+
+    /// Stops a run, or bars it.
+    pub fn stop(&mut self, task: TaskId, run: u32, fence: u64, judge: &mut Judge) -> Told {
+        if fence < self.fence {
+            return Told::Fenced;
+        }
+        self.fence = fence;
+        if self.runs.get(&task).is_some_and(|r| r.number == run) {
+            self.end(task, How::Stopped, judge);
+        }
+        let barred = self.barred.entry(task).or_default();
+        *barred = (*barred).max(run);
+        Told::Done
+    }
+
+    /// Sets the pace of a run.
+    pub fn pace(&mut self, task: TaskId, run: u32, percent: u32, fence: u64) -> Told {
+        if fence < self.fence {
+            return Told::Fenced;
+        }
+        if let Some(r) = self.runs.get_mut(&task).filter(|r| r.number == run) {
+            r.pace = percent;
+        }
+        Told::Done
+    }
+
+    fn end(&mut self, task: TaskId, how: How, judge: &mut Judge) {
+        let Some(run) = self.runs.remove(&task) else {
+            return;
+        };
+        let barred = self.barred.entry(task).or_default();
+        *barred = (*barred).max(run.number);
+        judge.over(&self.name, task, how == How::Done);
+        let number = self.ends.last().map_or(self.last * 100, |e| e.number) + 1;
+        self.ends.push(Ended { number, task, run: run.number, how, saved: String::new() });
+    }
+}
--- /dev/null
+++ b/crates/owner/tests/promises.rs
@@ -0,0 +1,319 @@
+//! What must always hold, under faults in virtual time; the world's judge watches the workers.
+
+mod common;
+
+use rand::RngExt;
+use rstest::rstest;
+
+use myrtle_job::{How, JobId, Repeat, State, TaskId, Told};
+use myrtle_owner::{Order, Outcome};
+
+use common::{Faults, World, ended, job, policy, step};
+
+/// Names a case and gives it a world of four workers.
+macro_rules! case {
+    ($(#[$doc:meta])* $name:ident, $world:ident, $body:block) => {
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            #[allow(unused_mut)]
+            let mut $world = World::new(7, 4);
+            $body
+            assert_eq!($world.judge.broken, Vec::<String>::new());
+        }
+    };
+}
+
+fn task(id: JobId, step: u16, index: u16) -> TaskId {
+    TaskId { job: id, round: 0, step, index }
+}
+
+case!(steps_run_in_order_and_the_job_is_shown_as_completed, world, {
+    let mut second = step(2);
+    second.after = vec![0];
+    let id = world.submit(job(vec![step(3), second]));
+    assert!(world.finish(5_000));
+    assert_eq!(world.owner().cell.state(id), Some(State::Completed));
+    assert_eq!(world.judge.starts.values().sum::<u32>(), 5);
+});
+
+case!(a_completed_state_is_shown_only_from_the_log, world, {
+    let id = world.submit(job(vec![step(1)]));
+    world.run(500);
+    world.owner().logged = false;
+    world.run(2_000);
+    assert_eq!(world.owner().cell.state(id), Some(State::Running));
+    world.owner().logged = true;
+    world.run(50);
+    assert_eq!(world.owner().cell.state(id), Some(State::Completed));
+});
+
+case!(a_new_owner_goes_on_where_the_last_one_was, world, {
+    world.submit(job(vec![step(6)]));
+    world.run(300);
+    world.owner().awake = false;
+    world.take_over();
+    assert!(world.finish(5_000));
+    assert_eq!(world.judge.starts.values().sum::<u32>(), 6, "nothing is started again");
+});
+
+case!(an_owner_that_was_frozen_can_start_nothing_any_more, world, {
+    world.submit(job(vec![step(6)]));
+    world.run(20);
+    world.owner().awake = false;
+    let first = world.owners.len() - 1;
+    world.take_over();
+    world.run(200);
+    world.owners[first].awake = true;
+    assert!(world.finish(5_000));
+    assert!(world.owners[first].deposed);
+});
+
+case!(a_cancelled_job_stays_so_at_a_takeover, world, {
+    let mut long = step(4);
+    long.estimate = 60_000;
+    let id = world.submit(job(vec![long]));
+    world.run(300);
+    world.cancel(id);
+    world.run(50);
+    assert_eq!(world.owner().cell.state(id), Some(State::Cancelled));
+    world.judge.cancelled(id);
+    world.take_over();
+    world.run(2_000);
+    assert_eq!(world.owner().cell.state(id), Some(State::Cancelled));
+    assert!(world.workers.values().all(|w| w.count() == 0));
+});
+
+case!(a_job_cancelled_before_it_is_known_never_runs, world, {
+    let now = world.now;
+    world.owner().cell.bar(JobId(1), now);
+    let id = world.submit(job(vec![step(1)]));
+    world.judge.cancelled(id);
+    world.run(1_000);
+    assert_eq!(world.owner().cell.state(id), Some(State::Cancelled));
+});
+
+case!(a_failure_told_to_two_owners_counts_once, world, {
+    let id = world.submit_as(job(vec![step(1)]), myrtle_job::Policy { attempts: 2, ..policy() });
+    world.run(200);
+    let life: std::sync::Arc<str> =
+        world.workers.iter().find(|(_, w)| w.count() > 0).unwrap().0.clone();
+    let (now, first) = (world.now, ended(900_000, task(id, 0, 0), 1, How::Failed));
+    let held = myrtle_job::Held { clock: now, running: vec![], ended: vec![first] };
+    let cell = &mut world.owner().cell;
+    cell.held(&life, held.clone(), now - 1, now, now);
+    // The next owner inherits the record and hears of the same end.
+    cell.workers.get_mut(&life).unwrap().taken = 0;
+    cell.held(&life, held, now - 1, now, now);
+    assert_ne!(cell.jobs[&id].progress.state, State::Failed);
+});
+
+case!(a_task_that_fails_as_often_as_allowed_fails_its_job, world, {
+    let id = world.submit(job(vec![step(1)]));
+    world.workers.values_mut().for_each(|w| w.failing = true);
+    assert!(world.finish(20_000));
+    assert_eq!(world.owner().cell.state(id), Some(State::Failed));
+    assert_eq!(world.judge.starts[&task(id, 0, 0)], 3);
+});
+
+case!(a_worker_that_fails_everything_is_left_alone, world, {
+    world.workers.values_mut().next().unwrap().failing = true;
+    for _ in 0..12 {
+        world.submit(job(vec![step(2)]));
+        world.run(150);
+    }
+    assert!(world.finish(10_000));
+    let cell = &world.owner().cell;
+    assert!(cell.jobs.values().all(|j| j.shown == State::Completed));
+    assert!(cell.counts.failed <= 6, "{} runs failed", cell.counts.failed);
+});
+
+case!(what_stands_still_goes_on_elsewhere, world, {
+    world.workers.values_mut().next().unwrap().hanging = true;
+    world.submit(job(vec![step(8)]));
+    assert!(world.finish(8_000));
+});
+
+case!(an_old_run_has_been_there_and_is_not_started_elsewhere, world, {
+    // Every first answer is lost; repeats are refused as old once the run has ended.
+    world.faults = Faults { unanswered: 1.0, late: 0.0 };
+    let mut quick = step(1);
+    quick.estimate = 100;
+    let id = world.submit(job(vec![quick]));
+    world.run(1_500);
+    world.faults = Faults::default();
+    assert!(world.finish(3_000));
+    assert_eq!(world.judge.starts[&task(id, 0, 0)], 1);
+});
+
+case!(a_repeat_that_is_refused_as_old_leaves_its_run_to_the_lists, world, {
+    world.run(200);
+    let id = world.submit(job(vec![step(1)]));
+    world.faults = Faults { unanswered: 0.0, late: 1.0 };
+    world.run(50);
+    let now = world.now;
+    let cell = &mut world.owner().cell;
+    let live = cell.jobs[&id].progress.task(task(id, 0, 0)).unwrap().live[0].clone();
+    let old = Outcome::Told(Told::Old);
+    cell.start_told(&live.worker, task(id, 0, 0), live.number, Outcome::Unknown, now);
+    cell.start_told(&live.worker, task(id, 0, 0), live.number, old, now + 100);
+    assert_eq!(cell.jobs[&id].progress.task(task(id, 0, 0)).unwrap().live, vec![live]);
+});
+
+case!(a_start_in_doubt_is_barred_before_the_task_goes_elsewhere, world, {
+    world.run(200);
+    let id = world.submit(job(vec![step(1)]));
+    world.faults = Faults { unanswered: 0.0, late: 1.0 };
+    world.run(50);
+    let world_now = world.now;
+    let cell = &mut world.owner().cell;
+    let (life, run) = {
+        let task = cell.jobs[&id].progress.task(task(id, 0, 0)).unwrap();
+        (task.live[0].worker.clone(), task.live[0].number)
+    };
+    let full = Outcome::Told(Told::Full);
+    cell.start_told(&life, task(id, 0, 0), run, Outcome::Unknown, world_now);
+    cell.start_told(&life, task(id, 0, 0), run, full, world_now + 100);
+    let stops = cell.orders();
+    assert!(stops.iter().any(|o| matches!(o, Order::Stop { .. })), "{stops:?}");
+    assert!(!cell.jobs[&id].progress.task(task(id, 0, 0)).unwrap().live.is_empty());
+    world.faults = Faults::default();
+    assert!(world.finish(20_000));
+});
+
+case!(a_silent_workers_tasks_go_elsewhere_only_after_its_lease, world, {
+    let mut long = step(4);
+    long.estimate = 30_000;
+    world.submit(job(vec![long]));
+    world.run(300);
+    let (_, worker) = world.workers.iter_mut().find(|(_, w)| w.count() > 0).unwrap();
+    worker.reachable = false;
+    world.run(9_000);
+    assert_eq!(world.judge.starts.values().sum::<u32>(), 4);
+    world.run(3_000);
+    assert!(world.judge.starts.values().sum::<u32>() > 4, "the lease ended, the tasks go on");
+});
+
+case!(a_worker_reborn_at_its_address_is_known_to_be_gone_at_once, world, {
+    let mut long = step(4);
+    long.estimate = 4_000;
+    world.submit(job(vec![long]));
+    world.run(300);
+    let busy = world.workers.iter().find(|(_, w)| w.count() > 0).unwrap().0.clone();
+    let port = world.workers[&busy].listing.address.port() - 1000;
+    let mut judge = std::mem::take(&mut world.judge);
+    world.workers.get_mut(&busy).unwrap().crash(&mut judge);
+    world.judge = judge;
+    world.add_worker("reborn", port);
+    assert!(world.finish(6_000));
+});
+
+case!(a_timed_job_begins_at_its_times, world, {
+    let mut spec = job(vec![step(1)]);
+    spec.repeat = Some(Repeat { first: world.now + 2_000, every: 3_000, count: 3 });
+    let id = world.submit(spec);
+    assert!(world.finish(12_000));
+    assert_eq!(world.judge.starts.len(), 3);
+    assert_eq!(world.owner().cell.state(id), Some(State::Completed));
+});
+
+case!(a_gang_starts_as_a_whole_or_not_at_all, world, {
+    let mut gang = step(70);
+    gang.gang = true;
+    world.submit(job(vec![gang.clone()]));
+    world.run(1_000);
+    assert_eq!(world.judge.starts.len(), 0, "64 fit, 70 do not");
+    gang.count = 60;
+    world.submit(job(vec![gang]));
+    world.run(100);
+    assert_eq!(world.judge.starts.len(), 60);
+});
+
+case!(tasks_of_a_step_are_spread_and_labels_are_kept, world, {
+    let mut spread = step(4);
+    spread.spread = 1;
+    world.submit(job(vec![spread]));
+    let mut labelled = step(1);
+    labelled.requires = Some("none has it".into());
+    let id = world.submit(job(vec![labelled]));
+    world.run(3_000);
+    assert_eq!(world.judge.together, 1);
+    assert_eq!(world.owner().cell.state(id), Some(State::Queued));
+});
+
+case!(a_worker_that_leaves_gets_nothing_new, world, {
+    let first = world.workers.keys().next().unwrap().clone();
+    world.workers.get_mut(&first).unwrap().listing.draining = true;
+    world.run(200);
+    world.submit(job(vec![step(20)]));
+    assert!(world.finish(5_000));
+    let used = world.workers[&first].count();
+    assert_eq!(used, 0);
+});
+
+case!(lasting_tasks_leave_a_leaving_worker_one_at_a_time, world, {
+    let mut lasting = step(8);
+    lasting.lasting = true;
+    lasting.may_miss = Some(1);
+    world.submit(job(vec![lasting]));
+    world.run(1_000);
+    let first = world.workers.iter().find(|(_, w)| w.count() > 1).unwrap().0.clone();
+    world.workers.get_mut(&first).unwrap().listing.draining = true;
+    world.workers.get_mut(&first).unwrap().listing.remaining = Some(4_000);
+    let mut least = 8;
+    for _ in 0..200 {
+        world.run(10);
+        least = least.min(world.workers.values().map(|w| w.count()).sum());
+    }
+    assert!(least >= 7, "{least} of 8 were at work");
+    assert_eq!(world.workers[&first].count(), 0);
+});
+
+/// Everything at once: lost and late orders, silent and reborn workers, owners replaced.
+#[rstest]
+fn promises_hold_under_random_faults(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64) {
+    let mut world = World::new(seed, 5);
+    world.faults = Faults { unanswered: 0.1, late: 0.06 };
+    let mut lives = 5;
+    for round in 0..60 {
+        let mut second = step(2);
+        second.after = vec![0];
+        second.estimate = 400;
+        world.submit(job(vec![step(3), second]));
+        world.run(400);
+        let at = world.rng.random_range(0..world.workers.len());
+        let id = world.workers.keys().nth(at).unwrap().clone();
+        match world.rng.random_range(0..8) {
+            0 => world.workers.get_mut(&id).unwrap().reachable = false,
+            1 => world.workers.values_mut().for_each(|w| w.reachable = true),
+            2 if !world.workers[&id].gone => {
+                let port = world.workers[&id].listing.address.port() - 1000;
+                let mut judge = std::mem::take(&mut world.judge);
+                world.workers.get_mut(&id).unwrap().crash(&mut judge);
+                world.judge = judge;
+                world.add_worker(&format!("x{lives}"), port);
+                lives += 1;
+            }
+            3 if round % 5 == 0 => {
+                world.take_over();
+            }
+            4 => {
+                let owner = world.owners.len() - 1;
+                world.cut(owner, &id, true);
+            }
+            5 => {
+                let owner = world.owners.len() - 1;
+                world.cut(owner, &id, false);
+            }
+            6 => world.owner().logged = false,
+            _ => world.owner().logged = true,
+        }
+    }
+    world.faults = Faults::default();
+    world.workers.values_mut().for_each(|w| w.reachable = true);
+    world.take_over();
+    assert!(world.finish(60_000), "some job never ended");
+    assert_eq!(world.judge.broken, Vec::<String>::new());
+    let cell = &world.owner().cell;
+    assert!(cell.jobs.values().all(|j| j.shown == State::Completed));
+}
