--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use log::{info, warn};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use myrtle_adapter::{StoreError, Writer, frame_keyed};
 use myrtle_job::JobId;
@@ -14,6 +14,7 @@
 use crate::host::Host;
 use crate::names::{JOBS, OWNER, PROGRESS};
 use crate::owned::Owned;
+use crate::patience::Patience;
 
 /// How long changes are gathered before they are written; adds little to the store's own time.
 const GATHER: Duration = Duration::from_millis(2);
@@ -24,11 +25,8 @@
 /// The largest append, in bytes; below the platform's bound of 2 MB a call.
 const LARGEST: usize = 1 << 20;
 
-/// The first time that an append may take; doubled up to the longest while the store is slow.
-const FIRST_LIMIT: Duration = Duration::from_millis(250);
-
-/// The longest time that an append may take.
-const LONGEST_LIMIT: Duration = Duration::from_millis(2_000);
+/// How long the store may take to drop forgotten jobs; a failure does no harm.
+const DROP: Duration = Duration::from_millis(1_000);
 
 /// The pause after an append that was refused.
 const PAUSE: Duration = Duration::from_millis(40);
@@ -36,6 +34,7 @@
 /// Runs until the cell is another host's; what was planned last is written before it ends.
 pub async fn run(host: Arc<Host>, owned: Arc<Owned>) {
     let mut number = 1;
+    let mut patience = Patience::new();
     while !owned.deposed() {
         if owned.closed() && owned.state().idle() {
             return;
@@ -58,7 +57,7 @@
         }
         let began = now();
         for body in bodies(&batch.records) {
-            if !append(&host, &owned, number, body).await {
+            if !append(&host, &owned, number, body, &mut patience).await {
                 return;
             }
             number += 1;
@@ -91,12 +90,19 @@
 }
 
 /// Appends until the store has taken it; false if a later owner has written.
-async fn append(host: &Host, owned: &Owned, number: u64, body: Bytes) -> bool {
-    let mut limit = FIRST_LIMIT;
+async fn append(
+    host: &Host,
+    owned: &Owned,
+    number: u64,
+    body: Bytes,
+    patience: &mut Patience,
+) -> bool {
     loop {
+        let (began, limit) = (Instant::now(), patience.limit());
         let writer = Writer { name: OWNER, epoch: owned.fence, number };
         match host.store.append(PROGRESS, owned.cell, Some(writer), body.clone(), limit).await {
             Ok(_) => {
+                patience.answered(began.elapsed());
                 host.store_reached();
                 return true;
             }
@@ -116,7 +122,7 @@
             Err(e) => {
                 host.store_missed(&e);
                 info!("event=append-again cell={} number={number} reason=\"{e}\"", owned.cell);
-                limit = (limit * 2).min(LONGEST_LIMIT);
+                patience.missed();
                 sleep(PAUSE).await;
             }
         }
@@ -135,7 +141,7 @@
     if body.is_empty() {
         return;
     }
-    if let Err(e) = host.store.append(JOBS, owned.cell, None, body.freeze(), LONGEST_LIMIT).await {
+    if let Err(e) = host.store.append(JOBS, owned.cell, None, body.freeze(), DROP).await {
         warn!("event=drop-failed cell={} reason=\"{e}\"", owned.cell);
     }
 }
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -12,6 +12,7 @@
 use myrtle_meter::Meter;
 
 use crate::clock::now;
+use crate::intake::Intake;
 use crate::owned::Owned;
 use crate::owners::Owners;
 use crate::settings::Settings;
@@ -35,6 +36,7 @@
     reached: AtomicU64,
     lost: AtomicBool,
     incarnation: u32,
+    intakes: Mutex<HashMap<u32, Arc<Intake>>>,
     wakes: Mutex<HashMap<u32, Arc<Notify>>>,
     stopping: AtomicBool,
 }
@@ -52,6 +54,7 @@
             reached: AtomicU64::new(0),
             lost: AtomicBool::new(false),
             incarnation: rand::random(),
+            intakes: Mutex::default(),
             wakes: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
@@ -143,6 +146,11 @@
         format!("{}-{:08x}@{}", self.settings.name, self.incarnation, self.peer())
     }
 
+    /// The jobs of a cell that wait to be written.
+    pub fn intake(&self, cell: u32) -> Arc<Intake> {
+        self.intakes.lock().expect("no holder panics").entry(cell).or_default().clone()
+    }
+
     /// What ends the pause before the next look at who owns a cell.
     pub fn waker(&self, cell: u32) -> Arc<Notify> {
         self.wakes.lock().expect("no holder panics").entry(cell).or_default().clone()
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -1,59 +1,169 @@
-//! Writes accepted jobs to the log.
+//! Writes accepted jobs to the log, many in one call.
+//!
+//! A host has one call a cell under way: while the store is slow, its partitions take their appends
+//! in turn, and each call more would make all of them wait.
 
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use log::{info, warn};
-use tokio::time::{Instant, sleep};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, interval, sleep, timeout};
 
-use myrtle_adapter::frame_keyed;
+use myrtle_adapter::{StoreError, frame_keyed};
 use myrtle_job::JobId;
 use myrtle_peer::Passed;
 
 use crate::host::Host;
 use crate::names::JOBS;
+use crate::patience::Patience;
 
-/// The first time that an append may take; doubled while the store is slow.
-const FIRST_LIMIT: Duration = Duration::from_millis(200);
+/// How long a job waits for the call before its own; then it is refused, so that its client can
+/// try elsewhere. A quarter of the shortest objectives is 300 ms; a slow store needs more.
+const QUEUE: Duration = Duration::from_millis(600);
+
+/// The time between two looks for jobs that have waited too long.
+const LOOK: Duration = Duration::from_millis(100);
 
 /// The pause before an append is tried again.
-const PAUSE: Duration = Duration::from_millis(20);
+const PAUSE: Duration = Duration::from_millis(10);
 
-/// How long a job whose fate is open is passed on to a peer.
+/// How long a job that this host can't write is passed on to a peer.
 const PASS: Duration = Duration::from_millis(1_000);
 
-/// Appends a job until the store has it; a refusal is surely one, whatever went before.
-pub async fn write(host: &Host, cell: u32, job: JobId, record: &[u8], limit: Duration) -> Passed {
-    let end = Instant::now() + limit;
+/// The largest append, in bytes; below the platform's bound of 2 MB a call.
+const LARGEST: usize = 1 << 20;
+
+/// A job that waits to be written.
+#[derive(Debug)]
+struct Waiting {
+    job: JobId,
+    record: Vec<u8>,
+    since: Instant,
+    end: Instant,
+    done: oneshot::Sender<Passed>,
+}
+
+/// The jobs of one cell that wait to be written.
+#[derive(Debug, Default)]
+pub struct Intake {
+    queue: Mutex<Vec<Waiting>>,
+    work: Notify,
+}
+
+impl Intake {
+    /// Puts a job into the queue and waits for its fate.
+    async fn put(&self, job: JobId, record: Vec<u8>, limit: Duration) -> Passed {
+        let (done, fate) = oneshot::channel();
+        let since = Instant::now();
+        let waiting = Waiting { job, record, since, end: since + limit, done };
+        self.queue.lock().expect("no holder panics").push(waiting);
+        self.work.notify_one();
+        match timeout(limit, fate).await {
+            Ok(Ok(passed)) => passed,
+            // The call may be under way.
+            _ => Passed::Unknown,
+        }
+    }
+
+    fn take(&self) -> Vec<Waiting> {
+        let mut queue = self.queue.lock().expect("no holder panics");
+        let mut size = 0;
+        let fit = queue.iter().take_while(|w| {
+            size += w.record.len() + 32;
+            size <= LARGEST
+        });
+        let count = fit.count().max(1).min(queue.len());
+        queue.drain(..count).collect()
+    }
+
+    /// Refuses jobs that have waited too long; they surely were not sent.
+    fn purge(&self) {
+        let mut queue = self.queue.lock().expect("no holder panics");
+        let (old, rest) = queue.drain(..).partition(|w: &Waiting| w.since.elapsed() > QUEUE);
+        *queue = rest;
+        drop(queue);
+        settle(old, Passed::Refused);
+    }
+}
+
+/// Writes the jobs of one cell, for good.
+pub async fn run(host: Arc<Host>, cell: u32) {
+    let intake = host.intake(cell);
+    let mut patience = Patience::new();
+    loop {
+        intake.purge();
+        let batch = intake.take();
+        if batch.is_empty() {
+            intake.work.notified().await;
+            continue;
+        }
+        let passed = {
+            let write = write(&host, cell, &batch, &mut patience);
+            tokio::pin!(write);
+            let mut looks = interval(LOOK);
+            loop {
+                tokio::select! {
+                    passed = &mut write => break passed,
+                    _ = looks.tick() => intake.purge(),
+                }
+            }
+        };
+        settle(batch, passed);
+    }
+}
+
+fn settle(batch: Vec<Waiting>, passed: Passed) {
+    for waiting in batch {
+        // Its client may have gone.
+        let _ = waiting.done.send(passed);
+    }
+}
+
+/// Appends a batch until the store has it; a refusal is surely one, whatever went before.
+async fn write(host: &Host, cell: u32, batch: &[Waiting], patience: &mut Patience) -> Passed {
     let mut body = BytesMut::new();
-    frame_keyed(&mut body, &job.to_string(), record);
+    for waiting in batch {
+        frame_keyed(&mut body, &waiting.job.to_string(), &waiting.record);
+    }
     let body: Bytes = body.freeze();
+    let end = batch.iter().map(|w| w.end).max().unwrap_or_else(Instant::now);
     let mut doubt = false;
-    let mut time = FIRST_LIMIT;
     loop {
-        let left = end.saturating_duration_since(Instant::now());
+        let began = Instant::now();
+        let left = end.saturating_duration_since(began);
         if left.is_zero() {
             return if doubt { Passed::Unknown } else { Passed::Refused };
         }
-        // A repeat writes the same record under the same key, so it does no harm.
-        match host.store.append(JOBS, cell, None, body.clone(), time.min(left)).await {
+        // A repeat writes the same records under the same keys, so it does no harm.
+        let limit = patience.limit().min(left);
+        match host.store.append(JOBS, cell, None, body.clone(), limit).await {
             Ok(_) => {
+                patience.answered(began.elapsed());
                 host.store_reached();
                 return Passed::Kept;
             }
             Err(e) => {
-                doubt |= e.unknown();
                 host.store_missed(&e);
+                doubt |= e.unknown();
                 if !doubt {
                     return Passed::Refused;
                 }
-                time *= 2;
+                if matches!(e, StoreError::Failure(_)) {
+                    patience.missed();
+                }
                 sleep(PAUSE).await;
             }
         }
     }
 }
 
+/// Writes a job here, without asking anybody else.
+pub async fn keep(host: &Host, cell: u32, job: JobId, record: Vec<u8>, limit: Duration) -> Passed {
+    host.intake(cell).put(job, record, limit).await
+}
+
 /// Accepts a job: writes it here, or by way of the cell's owner if the store turns this host away.
 pub async fn accept(
     host: &Host,
@@ -63,24 +173,20 @@
     limit: Duration,
 ) -> Passed {
     let end = Instant::now() + limit;
-    let first = write(host, cell, job, &record, limit.mul_f64(0.4)).await;
-    if first == Passed::Kept {
-        return first;
-    }
+    let first = keep(host, cell, job, record.clone(), limit).await;
     let owner = host.owners.known(cell).filter(|at| *at != host.peer());
-    let left = end.saturating_duration_since(Instant::now()).min(PASS);
-    let Some(at) = owner else {
+    let Some(at) = owner.filter(|_| first == Passed::Refused) else {
         return first;
     };
-    info!("event=job-passed job={job} cell={cell} to={at} own=\"{first:?}\"");
+    let left = end.saturating_duration_since(Instant::now()).min(PASS);
+    info!("event=job-passed job={job} cell={cell} to={at}");
     let passed = host
         .owners
         .call(at, left, |c, context| async move { c.pass(context, cell, job, record).await });
-    match (first, passed.await) {
-        (_, Some(Passed::Kept)) => Passed::Kept,
-        (Passed::Refused, Some(Passed::Refused)) => Passed::Refused,
-        (_, answer) => {
-            warn!("event=job-in-doubt job={job} cell={cell} own={first:?} peer={answer:?}");
+    match passed.await {
+        Some(passed) => passed,
+        None => {
+            warn!("event=job-in-doubt job={job} cell={cell} peer={at}");
             Passed::Unknown
         }
     }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -14,6 +14,7 @@
 mod orders;
 mod owned;
 mod owners;
+mod patience;
 mod peers;
 mod roster;
 mod run;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -40,7 +40,7 @@
     }
 
     async fn pass(self, _: Context, cell: u32, job: JobId, record: Vec<u8>) -> Passed {
-        intake::write(&self.0, cell, job, &record, PASS).await
+        intake::keep(&self.0, cell, job, record, PASS).await
     }
 
     async fn explain(self, _: Context, cell: u32, job: JobId) -> Vec<String> {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -16,7 +16,7 @@
 use crate::host::Host;
 use crate::peers::Server;
 use crate::settings::Settings;
-use crate::{follow, listen, member, watch};
+use crate::{follow, intake, listen, member, watch};
 
 /// How long new connections still come after a host says that it is not ready: two checks of a
 /// second each, and some.
@@ -55,6 +55,7 @@
     tokio::spawn(answer_peers(host.clone(), peers));
     let home = host.settings.cell_of(&host.settings.data_centre);
     for cell in 0..host.settings.cell_count() {
+        tokio::spawn(intake::run(host.clone(), cell));
         if Some(cell) == home {
             tokio::spawn(member::take_part(host.clone(), cell));
             tokio::spawn(member::hear(host.clone(), cell));
