Tickets, waves of upkeep; tests of the model, the formats and the learner

Cause: queues with advice and waves may come on any deployment; none was served. A test of lasting tasks that wait for room found that each one waited anew (mended).

--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -15,6 +15,7 @@
 use crate::names::{JOBS, OWNER, PROGRESS};
 use crate::owned::Owned;
 use crate::patience::Patience;
+use crate::permits;
 
 /// How long changes are gathered before they are written; adds little to the store's own time.
 const GATHER: Duration = Duration::from_millis(2);
@@ -42,16 +43,17 @@
         if timeout(IDLE, owned.work.notified()).await.is_ok() {
             sleep(GATHER).await;
         }
-        let (orders, batch) = {
+        let (orders, questions, batch) = {
             let mut cell = owned.state();
             if !owned.closed() {
                 cell.plan(now());
             }
             let batch = cell.batch();
             owned.write(!batch.is_empty());
-            (cell.orders(), batch)
+            (cell.orders(), cell.questions(), batch)
         };
         owned.dispatch(orders);
+        permits::ask_all(&host, &owned, questions);
         if batch.is_empty() {
             continue;
         }
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -6,7 +6,7 @@
 use log::{info, warn};
 use tokio::time::sleep;
 
-use myrtle_adapter::{StoreError, read_configuration, topics, unframe_keyed};
+use myrtle_adapter::{StoreError, read_configuration, read_wave, topics, unframe_keyed};
 
 use crate::host::Host;
 
@@ -76,11 +76,19 @@
 }
 
 fn take(host: &Host, key: &str, value: &[u8]) {
-    if key != topics::CONFIGURATION || value.is_empty() {
+    if value.is_empty() {
         return;
     }
-    match read_configuration(value) {
-        Ok(configuration) => host.configure(configuration),
-        Err(e) => warn!("event=configuration-unread reason=\"{e}\""),
+    if key.starts_with(topics::WAVES) {
+        match read_wave(value) {
+            Ok(wave) => host.add_wave(wave),
+            Err(e) => warn!("event=wave-unread key={key} reason=\"{e}\""),
+        }
+    }
+    if key == topics::CONFIGURATION {
+        match read_configuration(value) {
+            Ok(configuration) => host.configure(configuration),
+            Err(e) => warn!("event=configuration-unread reason=\"{e}\""),
+        }
     }
 }
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -1,6 +1,6 @@
 //! What all parts of a front host share.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -8,7 +8,7 @@
 use log::{info, warn};
 use tokio::sync::Notify;
 
-use myrtle_adapter::{Configuration, Store};
+use myrtle_adapter::{Configuration, Machines, Store, Tickets, WaveOrder};
 use myrtle_meter::Meter;
 
 use crate::clock::now;
@@ -27,10 +27,15 @@
     pub settings: Settings,
     /// The platform's store.
     pub store: Store,
+    /// The service that gives out tickets, if there is one.
+    pub tickets: Option<Tickets>,
+    /// The service that keeps up machines, if there is one.
+    pub machines: Option<Machines>,
     /// Counts and latencies.
     pub meter: Meter,
     /// Who owns which cell.
     pub owners: Owners,
+    waves: Mutex<BTreeMap<u64, WaveOrder>>,
     configuration: Mutex<Option<Arc<Configuration>>>,
     owned: Mutex<HashMap<u32, Arc<Owned>>>,
     reached: AtomicU64,
@@ -47,8 +52,11 @@
         Self {
             store: Store::new(settings.store),
             owners: Owners::new(),
+            tickets: settings.tickets.map(Tickets::new),
+            machines: settings.machines.map(Machines::new),
             settings,
             meter: Meter::default(),
+            waves: Mutex::default(),
             configuration: Mutex::default(),
             owned: Mutex::default(),
             reached: AtomicU64::new(0),
@@ -77,6 +85,16 @@
         info!("event=configuration version={version} before={old} queues={queues}");
     }
 
+    /// Notes a wave of upkeep that the operator asks for.
+    pub fn add_wave(&self, wave: WaveOrder) {
+        self.waves.lock().expect("no holder panics").insert(wave.number, wave);
+    }
+
+    /// The waves of upkeep that the operator asks for.
+    pub fn waves(&self) -> Vec<WaveOrder> {
+        self.waves.lock().expect("no holder panics").values().cloned().collect()
+    }
+
     /// The cell, if this host owns it.
     pub fn owned(&self, cell: u32) -> Option<Arc<Owned>> {
         self.owned.lock().expect("no holder panics").get(&cell).cloned()
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -16,11 +16,13 @@
 mod owners;
 mod patience;
 mod peers;
+mod permits;
 mod roster;
 mod run;
 mod settings;
 mod takeover;
 mod tick;
+mod upkeep;
 mod watch;
 
 use std::path::PathBuf;
--- a/crates/front/src/names.rs
+++ b/crates/front/src/names.rs
@@ -6,6 +6,9 @@
 /// The progress of jobs, by their names, written only by the owners of the cells.
 pub const PROGRESS: &str = "keyed.progress";
 
+/// The machines that waves of upkeep have seen through, by the waves' numbers.
+pub const WAVES: &str = "keyed.waves";
+
 /// Notices that a cell is free, one partition a cell.
 pub const NOTICES: &str = "notices";
 
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -37,6 +37,9 @@
     /// The service that gives out tickets, if there is one.
     #[serde(default)]
     pub tickets: Option<SocketAddr>,
+    /// The service that keeps up machines, if there is one.
+    #[serde(default)]
+    pub machines: Option<SocketAddr>,
     /// How workers form cells.
     #[serde(default)]
     pub cells: Cells,
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -17,7 +17,7 @@
 use crate::host::Host;
 use crate::names::{JOBS, OWNER, PROGRESS};
 use crate::owned::Owned;
-use crate::{flush, roster, tick};
+use crate::{flush, roster, tick, upkeep};
 
 /// How long the store may take for an append or a page during a takeover.
 const LIMIT: Duration = Duration::from_millis(2_000);
@@ -68,6 +68,7 @@
     tokio::spawn(roster::follow(host.clone(), owned.clone()));
     tokio::spawn(flush::run(host.clone(), owned.clone()));
     tokio::spawn(tick::run(owned.clone()));
+    tokio::spawn(upkeep::run(host.clone(), owned.clone()));
     tail(host, owned).await;
 }
 
--- /dev/null
+++ b/crates/front/src/upkeep.rs
@@ -0,0 +1,122 @@
+//! Sees waves of upkeep through, for the owner of the first cell.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use log::{info, warn};
+use tokio::time::sleep;
+
+use myrtle_adapter::{StoreError, UpkeepReply, WaveOrder, frame_keyed, topics, wave_status};
+use myrtle_job::{decode, encode};
+use myrtle_owner::{Upkeep, Wave};
+
+use crate::clock::now;
+use crate::host::Host;
+use crate::names::WAVES;
+use crate::owned::Owned;
+
+/// The cell whose owner sees waves through; one host has to count the machines that are down.
+const CELL: u32 = 0;
+
+/// The time between two looks.
+const EVERY: Duration = Duration::from_millis(200);
+
+/// How long the store or the machine service may take.
+const LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Runs until the cell is another host's.
+pub async fn run(host: Arc<Host>, owned: Arc<Owned>) {
+    if owned.cell != CELL {
+        return;
+    }
+    let mut done: Option<BTreeMap<u64, BTreeSet<String>>> = None;
+    while !owned.closed() {
+        sleep(EVERY).await;
+        let waves = host.waves();
+        if waves.is_empty() {
+            continue;
+        }
+        // What earlier owners have seen through is read before the first wave goes on.
+        if done.is_none() {
+            done = read(&host).await.inspect_err(|e| host.store_missed(e)).ok();
+        }
+        let Some(before) = &done else {
+            continue;
+        };
+        for wave in waves {
+            let seen = before.get(&wave.number).cloned().unwrap_or_default();
+            owned.state().add_wave(wave_of(wave), seen, now());
+        }
+        let (orders, news) = {
+            let mut cell = owned.state();
+            (cell.waves(now()), cell.wave_news())
+        };
+        for (machine, wave) in orders {
+            let (host, owned) = (host.clone(), owned.clone());
+            tokio::spawn(async move { order(&host, &owned, &machine, wave).await });
+        }
+        for (number, machines, complete) in news {
+            write(&host, number, &machines, complete).await;
+        }
+        owned.work.notify_one();
+    }
+}
+
+fn wave_of(order: WaveOrder) -> Wave {
+    let duration = order.duration.as_millis() as u64;
+    Wave { number: order.number, machines: order.machines, duration, limit: order.limit }
+}
+
+async fn order(host: &Host, owned: &Owned, machine: &str, wave: u64) {
+    let Some(machines) = &host.machines else {
+        warn!("event=no-machine-service wave={wave} machine={machine}");
+        return;
+    };
+    let name = &host.settings.name;
+    let reply = machines.upkeep(machine, wave, name, owned.fence, LIMIT).await;
+    let told = match reply {
+        Ok(UpkeepReply::Begun) => Upkeep::Begun,
+        Ok(UpkeepReply::Foreign) => Upkeep::Dropped,
+        Ok(UpkeepReply::Fenced) => {
+            owned.depose("the machine service");
+            Upkeep::Again
+        }
+        Ok(UpkeepReply::Busy) => Upkeep::Again,
+        Err(e) => {
+            info!("event=upkeep-failed wave={wave} machine={machine} reason=\"{e}\"");
+            Upkeep::Again
+        }
+    };
+    owned.state().upkeep_told(wave, machine, told, now());
+}
+
+async fn read(host: &Host) -> Result<BTreeMap<u64, BTreeSet<String>>, StoreError> {
+    let page = host.store.newest(WAVES, 0, "", LIMIT).await?;
+    let mut done = BTreeMap::new();
+    for item in page.items {
+        let (Ok(number), Ok(machines)) = (item.key.parse(), decode(&item.value)) else {
+            warn!("event=wave-record-unread key={}", item.key);
+            continue;
+        };
+        done.insert(number, machines);
+    }
+    Ok(done)
+}
+
+async fn write(host: &Host, number: u64, machines: &BTreeSet<String>, complete: bool) {
+    let mut record = BytesMut::new();
+    frame_keyed(&mut record, &number.to_string(), &encode(machines));
+    let mut status = BytesMut::new();
+    let key = format!("{}{number}", topics::WAVES);
+    frame_keyed(&mut status, &key, wave_status(complete).as_bytes());
+    for (topic, body) in [(WAVES, record), (topics::STATUS, status)] {
+        let body = body.freeze();
+        while let Err(e) = host.store.append(topic, 0, None, body.clone(), LIMIT).await {
+            host.store_missed(&e);
+            sleep(EVERY).await;
+        }
+    }
+    info!("event=wave-told wave={number} done={} complete={complete}", machines.len());
+}
--- /dev/null
+++ b/crates/job/tests/model.rs
@@ -0,0 +1,98 @@
+//! Names, checks, chains and records of jobs.
+
+use rstest::rstest;
+
+use myrtle_job::{
+    Fault, JobId, JobSpec, Progress, Round, Run, Step, StepSpec, Submission, Task, TaskId, decode,
+    encode,
+};
+
+fn step(count: u16, estimate: u64, after: &[u16]) -> StepSpec {
+    StepSpec { count, estimate, after: after.to_vec(), ..StepSpec::default() }
+}
+
+fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec { body: "b".into(), steps, repeat: None }
+}
+
+#[rstest]
+#[case::plain("5c0e7a21d94b36f8.0.1.17")]
+#[case::zeros("0000000000000000.4294967295.65535.0")]
+fn a_tasks_name_is_read_as_it_is_written(#[case] name: &str) {
+    let id: TaskId = name.parse().unwrap();
+    assert_eq!(id.to_string(), name);
+}
+
+#[rstest]
+#[case::short("5c0e7a21d94b36f.0.1.17")]
+#[case::capitals("5C0E7A21D94B36F8.0.1.17")]
+#[case::few("5c0e7a21d94b36f8.0.1")]
+#[case::many("5c0e7a21d94b36f8.0.1.17.2")]
+#[case::letters("5c0e7a21d94b36f8.0.x.17")]
+#[case::empty("")]
+fn a_bad_name_is_refused(#[case] name: &str) {
+    assert!(name.parse::<TaskId>().is_err());
+}
+
+#[rstest]
+#[case::no_steps(job(vec![]), Fault::NoSteps)]
+#[case::no_tasks(job(vec![step(0, 1, &[])]), Fault::Tasks { step: 0 })]
+#[case::itself(job(vec![step(1, 1, &[0])]), Fault::Order { step: 0 })]
+#[case::later(job(vec![step(1, 1, &[]), step(1, 1, &[2]), step(1, 1, &[])]), Fault::Order { step: 1 })]
+#[case::long(JobSpec { body: "x".repeat(4001).into(), ..job(vec![step(1, 1, &[])]) }, Fault::LongBody)]
+fn a_job_that_makes_no_sense_is_refused(#[case] spec: JobSpec, #[case] fault: Fault) {
+    assert_eq!(spec.check(), Err(fault));
+}
+
+#[test]
+fn the_longest_chain_counts_what_is_not_done() {
+    let spec = job(vec![step(1, 100, &[]), step(1, 500, &[]), step(1, 50, &[0, 1])]);
+    assert_eq!(spec.chain(|_| false), 550);
+    assert_eq!(spec.chain(|s| s == 1), 150);
+    assert_eq!(spec.chain(|_| true), 0);
+}
+
+#[test]
+fn a_step_is_ready_once_those_before_it_are_done() {
+    let spec = job(vec![step(2, 1, &[]), step(1, 1, &[0])]);
+    let mut round = Round::fresh(&spec);
+    assert!(round.ready(&spec, 0) && !round.ready(&spec, 1));
+    round.steps[0].tasks.iter_mut().for_each(|t| t.done = true);
+    assert!(round.ready(&spec, 1) && !round.done());
+}
+
+#[test]
+fn records_are_read_as_they_were_written() {
+    let spec = job(vec![step(3, 10, &[])]);
+    let submission = Submission { spec: spec.clone(), taken: 7, ..Submission::default() };
+    assert_eq!(decode::<Submission>(&encode(&submission)).unwrap(), submission);
+    let mut progress = Progress::default();
+    let mut round = Round::fresh(&spec);
+    let live = vec![Run { number: 2, worker: "w".into() }];
+    round.steps[0].tasks[1] = Task { last: 2, failed: vec![1], live, ..Task::default() };
+    progress.rounds.insert(0, round);
+    assert_eq!(decode::<Progress>(&encode(&progress)).unwrap(), progress);
+}
+
+#[rstest]
+#[case::empty(&[])]
+#[case::version(&[9, 1, 2])]
+#[case::torn(&[1])]
+fn a_record_that_makes_no_sense_is_an_error(#[case] bytes: &[u8]) {
+    assert!(decode::<Submission>(bytes).is_err());
+}
+
+#[test]
+fn a_run_counts_as_failed_once() {
+    let mut task = Task::default();
+    assert!(task.fail(3));
+    assert!(!task.fail(3));
+    assert_eq!(Step::fresh(2).tasks.len(), 2);
+}
+
+#[test]
+fn jobs_with_rising_numbers_spread_over_cells() {
+    let mut cells = [0; 4];
+    (0..4000).for_each(|n| cells[(JobId(n).spread() % 4) as usize] += 1);
+    assert!(cells.iter().all(|&n| n > 800), "{cells:?}");
+}
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -7,7 +7,8 @@
 
 use myrtle_job::{JobId, Listing, Progress, Round, State, Submission, TaskId};
 
-use crate::{Bounds, Flight, Harm, Job, Life, Order, Stage, Worker};
+use crate::wave::WaveState;
+use crate::{Bounds, Flight, Harm, Job, Life, Order, Question, Stage, Worker};
 
 /// The longest age that a job's own stamp may give it; clocks of hosts may jump.
 const OLDEST: u64 = 60_000;
@@ -58,6 +59,10 @@
     pub(crate) orders: Vec<Order>,
     /// Jobs with repetitions still to come.
     pub(crate) timed: BTreeSet<JobId>,
+    /// Waves of upkeep.
+    pub(crate) waves: BTreeMap<u64, WaveState>,
+    /// Questions to the policy service.
+    pub(crate) questions: Vec<Question>,
     /// Jobs that were taken back before they were known, and when.
     pub(crate) barred: HashMap<JobId, u64>,
 }
@@ -78,6 +83,8 @@
             dirty: BTreeSet::new(),
             orders: Vec::new(),
             timed: BTreeSet::new(),
+            waves: BTreeMap::new(),
+            questions: Vec::new(),
             barred: HashMap::new(),
         }
     }
--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -85,8 +85,7 @@
         flight.enter(Stage::Sent, now);
         let job = self.jobs.get(&task.job)?;
         let saved = job.progress.task(task)?.saved.clone();
-        let permits = job.tickets.get(&(task.round, task.step));
-        let ticket = permits.and_then(|p| p.good.get(life).cloned());
+        let ticket = job.ticket(task, life, now);
         self.counts.starts += 1;
         let body = job.submission.spec.body.clone();
         Some(Order::Start { worker: life.clone(), task, run, body, saved, ticket })
--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -45,15 +45,13 @@
         now: u64,
     ) -> Option<Arc<str>> {
         let shunned = job.shunned.get(&task).map_or(&[][..], Vec::as_slice);
-        let permits = job.tickets.get(&(task.round, task.step));
         let mut best: Option<(f64, &Arc<str>)> = None;
         for (life, worker) in &self.workers {
             if !worker.open(now) || !self.allowed(worker, job, spec, task) {
                 continue;
             }
-            if job.submission.policy.advice.is_some()
-                && permits.is_none_or(|p| p.until <= now || !p.good.contains_key(life))
-            {
+            let ticketed = job.submission.policy.advice.is_some();
+            if ticketed && job.ticket(task, life, now).is_none() {
                 continue;
             }
             let Some(mut cost) = self.cost(worker, spec, task, job.waited(now)) else {
--- a/crates/owner/src/job.rs
+++ b/crates/owner/src/job.rs
@@ -22,19 +22,19 @@
     pub retry: BTreeMap<TaskId, u64>,
     /// Where a task failed or stood still, so that it goes elsewhere.
     pub shunned: BTreeMap<TaskId, Vec<Arc<str>>>,
-    /// Workers that may run a step, with their tickets and when those end.
+    /// What the policy service said of steps.
     pub tickets: BTreeMap<(u32, u16), Permits>,
 }
 
 /// What the policy service said of a step.
 #[derive(Debug, Clone, Default)]
 pub struct Permits {
-    /// Workers with their tickets.
-    pub good: BTreeMap<Arc<str>, Arc<str>>,
+    /// Workers with their tickets and when these end, by the steady clock.
+    pub good: BTreeMap<Arc<str>, (Arc<str>, u64)>,
     /// Workers that were asked about.
     pub asked: Vec<Arc<str>>,
-    /// When the tickets end.
-    pub until: u64,
+    /// No question before this time.
+    pub pause: u64,
     /// Whether a question is under way.
     pub asking: bool,
 }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -17,8 +17,10 @@
 mod job;
 mod lease;
 mod order;
+mod permit;
 mod plan;
 mod told;
+mod wave;
 mod worker;
 
 pub use bounds::Bounds;
@@ -30,4 +32,6 @@
 pub use job::Job;
 pub use lease::HoldArgs;
 pub use order::{Order, Outcome};
+pub use permit::Question;
+pub use wave::{Upkeep, Wave};
 pub use worker::{Life, Worker};
--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -109,11 +109,15 @@
             let spec = &job.submission.spec.steps[usize::from(step)];
             let Some(life) = self.fit(job, spec, task, now) else {
                 // The others of the step want the same.
+                self.ask(task, now);
                 self.stuck(id, now);
                 return true;
             };
             self.assign(task, &life, None, now);
         }
+        if let Some(job) = self.jobs.get_mut(&id).filter(|_| !left) {
+            job.stuck = None;
+        }
         left
     }
 
@@ -139,6 +143,7 @@
                 for &placed in &members[..at] {
                     self.unassign(placed, number);
                 }
+                self.ask(task, now);
                 self.stuck(id, now);
                 return true;
             };
@@ -171,7 +176,9 @@
         record.last = run;
         record.live.push(Run { number: run, worker: life.clone() });
         job.retry.remove(&task);
-        job.stuck = None;
+        if !spec.lasting {
+            job.stuck = None;
+        }
         self.dirty.insert(task.job);
         if let Some(worker) = self.workers.get_mut(life) {
             worker.flights.insert(task, Flight::new(run, &spec, Stage::Written, now));
--- /dev/null
+++ b/crates/owner/src/wave.rs
@@ -0,0 +1,252 @@
+//! Waves of upkeep: machines are emptied and handed to the platform, a few at a time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use log::{info, warn};
+
+use myrtle_job::TaskId;
+
+use crate::{Cell, Life, Stage};
+
+/// The pause before an upkeep that was refused or got no answer is ordered again, in milliseconds.
+const AGAIN: u64 = 400;
+
+/// How long after the order the same life must still be there to count as spared, in milliseconds:
+/// an upkeep and the listing of the new life take less.
+const SPARED_AFTER: u64 = 6_000;
+
+/// The share of a machine's part of the wave's time that it may take to be emptied; after that
+/// what can be started again is stopped.
+const EMPTYING: f64 = 0.5;
+
+/// A wave as the operator asked for it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Wave {
+    /// Its number.
+    pub number: u64,
+    /// The machines.
+    pub machines: Vec<String>,
+    /// The time it may take, in milliseconds.
+    pub duration: u64,
+    /// How many machines may be down at once.
+    pub limit: usize,
+}
+
+/// How far a machine has come.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Turn {
+    /// Its worker is being emptied since a moment.
+    Emptying { life: Arc<str>, since: u64 },
+    /// The order is under way or failed; ordered again at a moment.
+    Ordered { life: Arc<str>, again: u64 },
+    /// It went down at a moment; another life is awaited.
+    Down { life: Arc<str>, since: u64 },
+}
+
+/// A wave under way.
+#[derive(Debug, Clone)]
+pub struct WaveState {
+    wave: Wave,
+    since: u64,
+    turns: BTreeMap<String, Turn>,
+    done: BTreeSet<String>,
+    shown: bool,
+}
+
+/// What came of an upkeep that was ordered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Upkeep {
+    /// The machine goes down, or went down before.
+    Begun,
+    /// The machine does not exist or is not of that wave.
+    Dropped,
+    /// Not now, or no answer.
+    Again,
+}
+
+impl Cell {
+    /// Takes in a wave; `done` are the machines that earlier owners have seen through.
+    pub fn add_wave(&mut self, wave: Wave, done: BTreeSet<String>, now: u64) {
+        if self.waves.contains_key(&wave.number) {
+            return;
+        }
+        info!(
+            "event=wave wave={} machines={} limit={} duration_ms={} done={}",
+            wave.number,
+            wave.machines.len(),
+            wave.limit,
+            wave.duration,
+            done.len()
+        );
+        let state = WaveState {
+            since: now,
+            turns: BTreeMap::new(),
+            done,
+            shown: false,
+            wave: wave.clone(),
+        };
+        self.waves.insert(wave.number, state);
+    }
+
+    /// Waves whose records have to be written: number, machines done, whether all are.
+    pub fn wave_news(&mut self) -> Vec<(u64, BTreeSet<String>, bool)> {
+        let news = self.waves.iter_mut().filter(|(_, w)| !w.shown);
+        news.map(|(&number, w)| {
+            w.shown = true;
+            (number, w.done.clone(), w.complete())
+        })
+        .collect()
+    }
+
+    /// Goes on with every wave; returns upkeeps to order.
+    pub fn waves(&mut self, now: u64) -> Vec<(String, u64)> {
+        let numbers: Vec<u64> = self.waves.keys().copied().collect();
+        let mut orders = Vec::new();
+        for number in numbers {
+            let Some(mut state) = self.waves.remove(&number) else {
+                continue;
+            };
+            self.advance(&mut state, now, &mut orders);
+            self.waves.insert(number, state);
+        }
+        orders
+    }
+
+    /// Takes in what came of an upkeep.
+    pub fn upkeep_told(&mut self, number: u64, machine: &str, told: Upkeep, now: u64) {
+        info!("event=upkeep-told wave={number} machine={machine} outcome={told:?}");
+        let Some(state) = self.waves.get_mut(&number) else {
+            return;
+        };
+        let Some(Turn::Ordered { life, .. }) = state.turns.get(machine).cloned() else {
+            return;
+        };
+        match told {
+            Upkeep::Begun => {
+                state.turns.insert(machine.into(), Turn::Down { life: life.clone(), since: now });
+                self.succeeded(&life, now);
+            }
+            Upkeep::Dropped => state.finish(machine),
+            Upkeep::Again => {
+                let again = now + AGAIN;
+                state.turns.insert(machine.into(), Turn::Ordered { life, again });
+            }
+        }
+    }
+
+    fn advance(&mut self, state: &mut WaveState, now: u64, orders: &mut Vec<(String, u64)>) {
+        let turns: Vec<_> = state.turns.iter().map(|(m, t)| (m.clone(), t.clone())).collect();
+        for (machine, turn) in turns {
+            match turn {
+                Turn::Emptying { life, since } => {
+                    let part = state.wave.duration as f64 * state.wave.limit.max(1) as f64
+                        / state.wave.machines.len().max(1) as f64;
+                    let urgent = now.saturating_sub(since) as f64 > EMPTYING * part;
+                    if self.empty(&life, urgent, now) {
+                        let again = now + AGAIN;
+                        state.turns.insert(machine.clone(), Turn::Ordered { life, again });
+                        orders.push((machine, state.wave.number));
+                    }
+                }
+                Turn::Ordered { life, again } if now >= again => {
+                    let again = now + AGAIN;
+                    state.turns.insert(machine.clone(), Turn::Ordered { life, again });
+                    orders.push((machine, state.wave.number));
+                }
+                Turn::Ordered { .. } => {}
+                Turn::Down { life, since } => {
+                    // The same life is there if the upkeep had been done before.
+                    let spared = now.saturating_sub(since) > SPARED_AFTER;
+                    if self.life_on(&machine).is_some_and(|l| l != life || spared) {
+                        state.finish(&machine);
+                        if let Some(worker) = self.workers.get_mut(&life) {
+                            worker.closing = false;
+                        }
+                    }
+                }
+            }
+        }
+        while state.turns.len() < state.wave.limit {
+            let next = state.wave.machines.iter().find(|m| {
+                !state.done.contains(*m)
+                    && !state.turns.contains_key(*m)
+                    && self.life_on(m).is_some()
+            });
+            let Some((machine, life)) = next.and_then(|m| Some((m.clone(), self.life_on(m)?)))
+            else {
+                break;
+            };
+            if let Some(worker) = self.workers.get_mut(&life) {
+                worker.closing = true;
+            }
+            state.turns.insert(machine, Turn::Emptying { life, since: now });
+        }
+        if state.complete() && state.since > 0 {
+            warn_late(state, now);
+        }
+    }
+
+    /// The life of a worker that answers on a machine.
+    fn life_on(&self, machine: &str) -> Option<Arc<str>> {
+        let on = |l: &myrtle_job::Listing| l.machine.as_deref() == Some(machine);
+        let mut lives = self.workers.iter().filter(|(_, w)| w.listed && w.life == Life::Well);
+        lives.find(|(_, w)| w.listing.as_ref().is_some_and(on)).map(|(id, _)| id.clone())
+    }
+
+    /// Moves runs off a worker; true once nothing is left there.
+    fn empty(&mut self, life: &Arc<str>, urgent: bool, now: u64) -> bool {
+        let Some(worker) = self.workers.get(life) else {
+            return true;
+        };
+        if worker.flights.is_empty() {
+            return true;
+        }
+        let mut moves: Vec<(TaskId, u32)> = Vec::new();
+        for (&task, flight) in worker.flights.iter().filter(|(_, f)| f.stage == Stage::Up) {
+            let free = match flight.lasting {
+                true => {
+                    let twin = moves.iter().any(|(t, _)| {
+                        (t.job, t.round, t.step) == (task.job, task.round, task.step)
+                    });
+                    !twin && self.may_move(task)
+                }
+                false => flight.saves || urgent,
+            };
+            if free {
+                moves.push((task, flight.run));
+            }
+        }
+        for (task, run) in moves {
+            info!(
+                "event=move task={task} run={run} worker={life} reason=\"upkeep of its machine\""
+            );
+            self.counts.moved += 1;
+            self.halt(life, task, run, now);
+        }
+        false
+    }
+}
+
+impl WaveState {
+    fn complete(&self) -> bool {
+        self.wave.machines.iter().all(|m| self.done.contains(m))
+    }
+
+    fn finish(&mut self, machine: &str) {
+        self.turns.remove(machine);
+        self.done.insert(machine.into());
+        self.shown = false;
+    }
+}
+
+fn warn_late(state: &mut WaveState, now: u64) {
+    let took = now.saturating_sub(state.since);
+    // Told once.
+    state.since = 0;
+    if took > state.wave.duration {
+        warn!("event=wave-late wave={} took_ms={took}", state.wave.number);
+    } else {
+        info!("event=wave-done wave={} took_ms={took}", state.wave.number);
+    }
+}
--- a/crates/owner/src/worker.rs
+++ b/crates/owner/src/worker.rs
@@ -61,6 +61,8 @@
     pub eased: u64,
     /// Fillers that ended lately: image, thousandths of a core in use, when.
     pub faded: Vec<(Arc<str>, f64, u64)>,
+    /// Whether it is being emptied for the upkeep of its machine.
+    pub closing: bool,
     /// When it leaves, if it said so.
     pub leaves: Option<u64>,
 }
@@ -85,6 +87,7 @@
             uses: Vec::new(),
             eased: 0,
             faded: Vec::new(),
+            closing: false,
             leaves: None,
         }
     }
@@ -116,7 +119,11 @@
 
     /// Whether new work may go there.
     pub fn open(&self, now: u64) -> bool {
-        self.life == Life::Well && self.listed && !self.draining() && self.aside <= now
+        self.life == Life::Well
+            && self.listed
+            && !self.draining()
+            && !self.closing
+            && self.aside <= now
     }
 
     /// The rack, which is the last of its labels.
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -57,6 +57,8 @@
     pub judge: Judge,
     pub faults: Faults,
     pub rng: ChaCha8Rng,
+    /// Workers that a queue with advice may use.
+    pub permitted: Vec<&'static str>,
     jobs: BTreeMap<JobId, Submission>,
     progress: BTreeMap<JobId, Vec<u8>>,
     fence: u64,
@@ -76,6 +78,7 @@
             judge: Judge::default(),
             faults: Faults::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            permitted: Vec::new(),
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
             fence: 0,
@@ -100,7 +103,7 @@
             remaining: None,
             room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
             labels: vec!["a".into(), format!("r{}", address / 4)],
-            machine: None,
+            machine: Some(format!("m{address}")),
             number: 1,
         };
         self.workers.insert(id.into(), FakeWorker::new(listing, self.now));
@@ -211,6 +214,11 @@
             self.send_all(at, again);
         }
         self.owners[at].cell.plan(now);
+        for question in self.owners[at].cell.questions() {
+            let good = question.workers.iter().filter(|w| self.permitted.contains(&&***w));
+            let good = good.map(|w| (w.clone(), "t".to_string())).collect();
+            self.owners[at].cell.answered(&question, Some(good), now, now);
+        }
         let orders = self.owners[at].cell.orders();
         self.send_all(at, orders);
         self.commit(at);
--- a/crates/owner/tests/common/worker.rs
+++ b/crates/owner/tests/common/worker.rs
@@ -32,6 +32,8 @@
     pub hanging: bool,
     /// The figure that serving tasks tell; by tests that need one.
     pub tail: Option<f64>,
+    /// How many runs were ever started here.
+    pub ever: u32,
     began: u64,
     fence: u64,
     until: u64,
@@ -54,6 +56,7 @@
             failing: false,
             hanging: false,
             tail: None,
+            ever: 0,
             began: now,
             fence: 0,
             until: 0,
@@ -188,6 +191,7 @@
             figure: if spec.target.is_some() { 40.0 } else { f64::from(spec.room.cpu) },
         };
         self.runs.insert(task, fresh);
+        self.ever += 1;
         judge.begun(&self.name, task, now);
         Told::Done
     }
--- /dev/null
+++ b/crates/owner/tests/duties.rs
@@ -0,0 +1,96 @@
+//! Tickets of queues with advice, and waves of upkeep.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use myrtle_job::Advice;
+use myrtle_owner::{Upkeep, Wave};
+
+use common::{World, job, policy, step};
+
+fn advised() -> myrtle_job::Policy {
+    let advice = Some(Advice { base: 10, each: 1, valid: 3_000 });
+    myrtle_job::Policy { advice, ..policy() }
+}
+
+#[test]
+fn a_queue_with_advice_uses_only_workers_that_have_a_ticket() {
+    let mut world = World::new(3, 4);
+    world.permitted = vec!["w2"];
+    world.submit_as(job(vec![step(3)]), advised());
+    assert!(world.finish(5_000));
+    for (id, worker) in &world.workers {
+        assert_eq!(worker.ever > 0, &**id == "w2", "{id}");
+    }
+}
+
+#[test]
+fn a_queue_without_a_permitted_worker_waits() {
+    let mut world = World::new(3, 4);
+    let id = world.submit_as(job(vec![step(1)]), advised());
+    world.run(2_000);
+    assert!(world.judge.starts.is_empty());
+    assert!(world.owner().cell.state(id).is_some_and(|s| !s.over()));
+}
+
+/// Plays the machine service: what is ordered goes down and comes back two seconds later.
+fn play(world: &mut World, millis: u64, limit: usize) -> BTreeSet<String> {
+    let mut down: Vec<(u64, String)> = Vec::new();
+    let mut seen = BTreeSet::new();
+    let end = world.now + millis;
+    while world.now < end {
+        world.run(200);
+        let now = world.now;
+        for (machine, wave) in world.owner().cell.waves(now) {
+            let at = |w: &common::FakeWorker| w.listing.machine.as_ref() == Some(&machine);
+            let id = world.workers.iter().find(|(_, w)| !w.gone && at(w)).unwrap().0.clone();
+            assert_eq!(world.workers[&id].count(), 0, "{machine} is emptied first");
+            let mut judge = std::mem::take(&mut world.judge);
+            world.workers.get_mut(&id).unwrap().crash(&mut judge);
+            world.judge = judge;
+            down.push((now + 2_000, machine.clone()));
+            assert!(down.len() <= limit, "{down:?}");
+            world.owner().cell.upkeep_told(wave, &machine, Upkeep::Begun, now);
+            seen.insert(machine);
+        }
+        let back: Vec<_> = down.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, machine) in back {
+            let address: u16 = machine[1..].parse().unwrap();
+            world.add_worker(&format!("again{address}"), address);
+        }
+    }
+    seen
+}
+
+#[test]
+fn a_wave_empties_its_machines_a_few_at_a_time() {
+    let mut world = World::new(5, 4);
+    let mut lasting = step(6);
+    lasting.lasting = true;
+    lasting.may_miss = Some(1);
+    world.submit(job(vec![lasting]));
+    world.run(1_000);
+    let machines: Vec<String> = (0..4).map(|n| format!("m{n}")).collect();
+    let wave = Wave { number: 1, machines: machines.clone(), duration: 40_000, limit: 1 };
+    let now = world.now;
+    world.owner().cell.add_wave(wave, BTreeSet::new(), now);
+    assert_eq!(play(&mut world, 30_000, 1), machines.into_iter().collect());
+    let news = world.owner().cell.wave_news();
+    assert!(
+        news.iter()
+            .any(|(number, done, complete)| (*number, done.len(), *complete) == (1, 4, true))
+    );
+    assert_eq!(world.judge.broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_new_owner_spares_machines_that_are_done() {
+    let mut world = World::new(5, 2);
+    let machines = vec!["m0".to_string(), "m1".to_string()];
+    let wave = Wave { number: 7, machines, duration: 20_000, limit: 2 };
+    let done = BTreeSet::from(["m0".to_string()]);
+    let now = world.now;
+    world.owner().cell.add_wave(wave, done, now);
+    assert_eq!(play(&mut world, 6_000, 2), BTreeSet::from(["m1".to_string()]));
+}
--- /dev/null
+++ b/crates/owner/tests/harm.rs
@@ -0,0 +1,177 @@
+//! Which images disturb which, learned from noisy reports; and what is done about it.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use myrtle_base::Room;
+use myrtle_job::{StepSpec, TaskId};
+use myrtle_owner::Harm;
+
+use common::{World, job, step};
+
+const TARGET: f64 = 150.0;
+
+/// A tail as workers tell it: 25 ms at rest, more with load and what presses on it.
+fn tail(pressure: f64) -> f64 {
+    25.0 / (1.0 - pressure.min(0.99))
+}
+
+/// Feeds a learner what two serving images show while three filling ones come and go.
+fn learned(seed: u64, windows: usize) -> Harm {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut harm = Harm::default();
+    let truth: BTreeMap<(&str, &str), f64> =
+        [(("s1", "f1"), 1.5), (("s2", "f2"), 1.2), (("s1", "f3"), 0.1), (("s2", "f3"), 0.1)].into();
+    let names: Vec<Arc<str>> = ["f1", "f2", "f3"].map(Arc::from).to_vec();
+    for image in ["s1", "s2"] {
+        let image: Arc<str> = image.into();
+        let mut last: Option<(f64, BTreeMap<Arc<str>, f64>)> = None;
+        let mut load: f64 = 0.4;
+        for _ in 0..windows {
+            load = (load + rng.random_range(-0.04..0.04)).clamp(0.24, 0.7);
+            let mut uses: BTreeMap<Arc<str>, f64> = BTreeMap::new();
+            for name in &names {
+                if rng.random_bool(0.4) {
+                    uses.insert(name.clone(), rng.random_range(0.05..0.15));
+                }
+            }
+            let pressed: f64 =
+                uses.iter().map(|(n, u)| truth.get(&(&*image, &**n)).unwrap_or(&0.0) * u).sum();
+            let noise = rng.random_range(0.9..1.1);
+            let pressure = harm.pressure(&image, tail(load + pressed) * noise / TARGET);
+            if let Some((from, before)) = &last {
+                harm.learn(&image, *from, pressure, before, &uses);
+            }
+            last = Some((pressure, uses));
+        }
+    }
+    harm
+}
+
+#[test]
+fn harmful_pairs_stand_out_after_some_hundred_windows() {
+    for seed in 0..8 {
+        let harm = learned(seed, 400);
+        for (image, bad, good) in [("s1", "f1", "f2"), ("s2", "f2", "f1")] {
+            let (bad, good) = (harm.rise(image, bad, 0.1), harm.rise(image, good, 0.1));
+            assert!(bad > 0.06, "seed {seed}: {image} {bad}");
+            assert!(good < 0.035, "seed {seed}: {image} {good}");
+        }
+    }
+}
+
+#[test]
+fn doubt_counts_against_a_filler_until_it_is_known() {
+    let known = learned(1, 400);
+    let unknown = Harm::default();
+    assert!(unknown.risk("s1", "f2", 0.1) > known.risk("s1", "f2", 0.1));
+    assert!(unknown.risk("s1", "f2", 0.1) > unknown.rise("s1", "f2", 0.1));
+}
+
+#[test]
+fn images_that_the_same_fillers_disturb_are_alike() {
+    let harm = learned(2, 400);
+    assert_eq!(harm.unlike("s1", "s1"), 0.0);
+    assert!(harm.unlike("s1", "s2") > 0.5);
+}
+
+fn serving(image: &str, count: u16) -> StepSpec {
+    StepSpec {
+        room: Room { cpu: 6_000, mem: 4_000, accel: 0 },
+        lasting: true,
+        image: Some(image.into()),
+        target: Some(150),
+        ..step(count)
+    }
+}
+
+fn filler(image: &str, count: u16) -> StepSpec {
+    StepSpec {
+        room: Room { cpu: 3_000, mem: 4_000, accel: 0 },
+        estimate: 60_000,
+        image: Some(image.into()),
+        filler: true,
+        saves: true,
+        ..step(count)
+    }
+}
+
+#[test]
+fn serving_tasks_of_one_image_stay_together() {
+    let mut world = World::new(1, 4);
+    for image in ["a", "b"] {
+        world.submit(job(vec![serving(image, 8)]));
+        world.run(500);
+    }
+    let cell = &world.owner().cell;
+    let mixed = cell.workers.values().filter(|w| {
+        let mut images: Vec<_> = w.flights.values().filter_map(|f| f.image.clone()).collect();
+        images.sort();
+        images.dedup();
+        images.len() > 1
+    });
+    assert_eq!(mixed.count(), 0);
+}
+
+#[test]
+fn fillers_beside_a_task_over_its_target_halt_before_the_time_allowed() {
+    let mut world = World::new(1, 1);
+    let id = world.submit(job(vec![serving("a", 2)]));
+    world.run(500);
+    let fill = world.submit(job(vec![filler("f", 3)]));
+    world.run(500);
+    let victim = TaskId { job: id, round: 0, step: 0, index: 0 };
+    let mut figure = 600.0;
+    for _ in 0..30 {
+        figure += 1.0;
+        world.workers.values_mut().for_each(|w| w.tail = Some(figure));
+        world.run(100);
+    }
+    let worker = world.workers.values().next().unwrap();
+    assert!(worker.runs(victim));
+    for index in 0..3 {
+        let pace = worker.pace_of(TaskId { job: fill, round: 0, step: 0, index });
+        assert!(matches!(pace, None | Some(0)), "task {index} has pace {pace:?}");
+    }
+}
+
+#[test]
+fn nothing_is_added_beside_a_task_that_is_over_its_target() {
+    let mut world = World::new(1, 1);
+    world.submit(job(vec![serving("a", 2)]));
+    world.run(500);
+    let mut figure = 600.0;
+    for _ in 0..10 {
+        figure += 1.0;
+        world.workers.values_mut().for_each(|w| w.tail = Some(figure));
+        world.run(100);
+    }
+    world.submit(job(vec![filler("f", 3)]));
+    for _ in 0..20 {
+        figure += 1.0;
+        world.workers.values_mut().for_each(|w| w.tail = Some(figure));
+        world.run(100);
+    }
+    assert_eq!(world.workers.values().next().unwrap().count(), 2);
+}
+
+#[test]
+fn lasting_tasks_leave_room_to_short_ones() {
+    let mut world = World::new(1, 4);
+    world.submit(job(vec![StepSpec {
+        room: Room { cpu: 8_000, mem: 1, accel: 0 },
+        ..serving("a", 16)
+    }]));
+    world.run(1_000);
+    let free = |world: &mut World| {
+        world.owner().cell.workers.values().filter(|w| w.free().cpu >= 2_000).count()
+    };
+    assert_eq!(free(&mut world), 4, "each worker keeps room for a short task");
+    world.run(3_000);
+    assert_eq!(free(&mut world), 0, "but lasting tasks do not wait for ever");
+}
