Lasting tasks fill workers, leave whole ones free and a scrap on each

Change: a worker without lasting tasks is opened last, 8 % of all processors stay on such workers and 6 % of each worker is left, for 1.5 s. The test of images that stay together has six workers now: with four the last one is the share that is left.

--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -4,21 +4,28 @@
 
 use myrtle_job::{StepSpec, TaskId};
 
-use crate::{Cell, Job, Stage, Worker};
+use crate::{Cell, Job, Life, Stage, Worker};
 
 /// The share of its processors that a filler must find free.
 const LEAST_SHARE: f64 = 0.5;
 
-/// The share of a worker's processors that lasting tasks leave to short ones, which are worth more
-/// for the time that they take.
+/// The share of all processors on workers without lasting tasks that lasting tasks leave to short
+/// ones, which are worth more for the time that they take, and to fillers that disturb many.
 const KEPT: f64 = 0.08;
 
-/// How long a lasting task waits for a worker where that share stays, in milliseconds.
+/// The share of each worker's processors that lasting tasks leave: too little for one of them, so
+/// that it stays for short ones.
+const SCRAP: f64 = 0.06;
+
+/// How long a lasting task waits for room elsewhere before it takes of that share, in milliseconds.
 const KEPT_FOR: u64 = 1_500;
 
-/// What a worker costs where it does not stay.
+/// What a worker of that share costs.
 const FULL: f64 = 2.0;
 
+/// What a worker without lasting tasks costs a lasting one.
+const OPENED: f64 = 1.5;
+
 /// How long a filler waits for a worker where it disturbs nobody, in milliseconds; after that it
 /// goes where it disturbs least, and is slowed there as needed.
 const BEARABLE_FOR: u64 = 10_000;
@@ -102,8 +109,12 @@
             return Some(cost + self.filler_cost(worker, spec, waited)?);
         }
         if spec.lasting {
+            if !worker.lasts() {
+                cost += OPENED;
+            }
             let left = f64::from(worker.free().less(&spec.claim()).cpu);
-            if left < KEPT * worker.size() {
+            let last = !worker.lasts() && self.unopened() - worker.size() < KEPT * self.size();
+            if last || left < SCRAP * worker.size() {
                 if waited < KEPT_FOR {
                     return None;
                 }
@@ -117,6 +128,17 @@
         Some(cost - (worker.spare() - worker.filled()) / room)
     }
 
+    /// The processors of all workers that answer, in thousandths of a core.
+    fn size(&self) -> f64 {
+        self.workers.values().filter(|w| w.life == Life::Well).map(Worker::size).sum()
+    }
+
+    /// The processors of workers that hold no lasting task.
+    fn unopened(&self) -> f64 {
+        let open = self.workers.values().filter(|w| w.life == Life::Well && !w.lasts());
+        open.map(Worker::size).sum()
+    }
+
     /// Fillers go where much is left and nobody is known to be disturbed.
     fn filler_cost(&self, worker: &Worker, spec: &StepSpec, waited: u64) -> Option<f64> {
         let cpu = f64::from(spec.room.cpu);
