--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,29 @@
+//! A front host: takes jobs, owns cells, and keeps what must last in the platform's store.
+
+mod clock;
+mod entry;
+mod flush;
+mod follow;
+mod hold;
+mod host;
+mod intake;
+mod listen;
+pub mod logs;
+mod member;
+mod names;
+mod orders;
+mod owned;
+mod owners;
+mod patience;
+mod peers;
+mod permits;
+mod roster;
+mod run;
+mod settings;
+mod takeover;
+mod tick;
+mod upkeep;
+mod watch;
+
+pub use run::run;
+pub use settings::Settings;
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -1,36 +1,11 @@
 //! `myrtle-front`: takes jobs, owns cells, and keeps what must last in the platform's store.
 
-mod clock;
-mod entry;
-mod flush;
-mod follow;
-mod hold;
-mod host;
-mod intake;
-mod listen;
-mod logs;
-mod member;
-mod names;
-mod orders;
-mod owned;
-mod owners;
-mod patience;
-mod peers;
-mod permits;
-mod roster;
-mod run;
-mod settings;
-mod takeover;
-mod tick;
-mod upkeep;
-mod watch;
-
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
 
-use settings::Settings;
+use myrtle_front::{Settings, logs, run};
 
 /// The settings are wrong.
 const BAD_SETTINGS: u8 = 2;
@@ -74,7 +49,7 @@
         .enable_all()
         .build()
         .expect("the system gives a process its timers");
-    match runtime.block_on(run::run(settings, path)) {
+    match runtime.block_on(run(settings, path)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("error: cannot listen: {e}\n  hint: use free addresses of this host");
--- /dev/null
+++ b/crates/front/tests/whole.rs
@@ -0,0 +1,355 @@
+//! The whole path over loopback: front hosts, the stand-in of the platform's store, workers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use rstest::rstest;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+
+use myrtle_platform::serve;
+use myrtle_standin::{Book, Runner, Store, StoreMode};
+
+/// The longest that a test waits for something; far above what it takes.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// The host name of the queue.
+const QUEUE: &str = "q.example";
+
+/// A site of one data centre.
+struct Site {
+    store: Arc<Store>,
+    store_at: SocketAddr,
+    book: Arc<Book>,
+    hosts: BTreeMap<String, Host>,
+}
+
+/// A front host, which is a process of its own.
+struct Host {
+    clients: SocketAddr,
+    process: Child,
+    settings: PathBuf,
+}
+
+impl Host {
+    /// Sends a signal.
+    fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.process.id() as i32), signal).unwrap();
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// Names a case and gives it a site with two hosts and four workers.
+macro_rules! case {
+    ($(#[$doc:meta])* $name:ident, $site:ident, $body:block) => {
+        $(#[$doc])*
+        #[tokio::test]
+        async fn $name() {
+            #[allow(unused_mut)]
+            let mut $site = Site::start(Duration::from_millis(60)).await;
+            $body
+            assert_eq!($site.book.doubled(), vec![]);
+        }
+    };
+}
+
+async fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap().port()
+}
+
+impl Site {
+    async fn start(work: Duration) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let store_at = listener.local_addr().unwrap();
+        let store = Arc::new(Store::default());
+        let served = store.clone();
+        tokio::spawn(serve(listener, move |ask| {
+            let store = served.clone();
+            async move { store.handle(ask).await }
+        }));
+        let book = Arc::new(Book::default());
+        for n in 0..4 {
+            let runner = Runner::start(&format!("i-{n}"), work, book.clone()).await.unwrap();
+            store.put("keyed.servers", &runner.name, runner.listing().as_bytes());
+        }
+        store.put("keyed.op", "config", configuration(1).to_string().as_bytes());
+        let mut site = Self { store, store_at, book, hosts: BTreeMap::new() };
+        site.host("h1").await;
+        site.host("h2").await;
+        site
+    }
+
+    async fn host(&mut self, name: &str) {
+        let ports = [free_port().await, free_port().await, free_port().await];
+        let file = format!("myrtle-{}-{}.yaml", std::process::id(), ports[0]);
+        let path = std::env::temp_dir().join(file);
+        std::fs::write(&path, settings(name, self.store_at, ports)).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_myrtle-front"))
+            .arg(&path)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let (clients, checks) = (at(ports[0]), at(ports[1]));
+        self.hosts.insert(name.into(), Host { clients, process, settings: path });
+        until(|| async { status(checks, "/api/readiness").await == 200 }).await;
+    }
+
+    fn clients(&self, name: &str) -> SocketAddr {
+        self.hosts[name].clients
+    }
+
+    async fn submit(&self, host: &str, id: &str, tasks: u32) -> u16 {
+        let body = json!({ "spec": "t", "steps": [
+            { "count": tasks, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60 },
+            { "count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60, "after": [0] },
+        ] });
+        call(self.clients(host), "POST", &format!("/p/{id}"), &body.to_string()).await.0
+    }
+
+    async fn state(&self, host: &str, id: &str) -> Option<String> {
+        let (status, body) = call(self.clients(host), "GET", &format!("/p/{id}"), "").await;
+        let value: Value = serde_json::from_str(&body).ok()?;
+        (status == 200).then(|| value["state"].as_str().unwrap_or_default().to_string())
+    }
+
+    async fn completed(&self, host: &str, id: &str) {
+        until(|| async { self.state(host, id).await.as_deref() == Some("completed") }).await;
+    }
+}
+
+fn configuration(version: u64) -> Value {
+    json!({ "version": version, "routes": [{ "name": "r", "host": QUEUE, "path_prefix": "/p/",
+        "timeout_ms": 3000, "target_latency_ms": 1000, "priority": 0, "service": "s",
+        "max_attempts": 3, "stretch": 2.0 }], "services": [{ "name": "s" }],
+        "limits": { "max_body_bytes": 4096 } })
+}
+
+fn settings(name: &str, store: SocketAddr, [clients, checks, peer]: [u16; 3]) -> String {
+    format!(
+        "name: {name}\ndata_centre: d\ndata_centres: [d]\nclients: 127.0.0.1:{clients}\n\
+         checks: 127.0.0.1:{checks}\nip: 127.0.0.1\npeer_port: {peer}\nstore: {store}\n\
+         member_ttl: 1000\nbounds: {{hold: 10000, stop: 900, gang: 3000, harm: 4000, far: 1.5, \
+         status: 120, notice: 4500, save: 0.5, grace: 6, contact: 3000}}\n"
+    )
+}
+
+async fn until<F, R>(check: F)
+where
+    F: Fn() -> R,
+    R: Future<Output = bool>,
+{
+    let wait = async {
+        while !check().await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LIMIT, wait).await.expect("it never came to pass");
+}
+
+async fn status(at: SocketAddr, path: &str) -> u16 {
+    call(at, "GET", path, "").await.0
+}
+
+async fn call(at: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let Ok(mut stream) = tokio::net::TcpStream::connect(at).await else {
+        return (0, String::new());
+    };
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: {QUEUE}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut answer = Vec::new();
+    let exchange = async {
+        stream.write_all(head.as_bytes()).await?;
+        stream.write_all(body.as_bytes()).await?;
+        stream.read_to_end(&mut answer).await
+    };
+    if exchange.await.is_err() {
+        return (0, String::new());
+    }
+    let text = String::from_utf8_lossy(&answer);
+    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, b)| b);
+    (status, body.to_string())
+}
+
+case!(a_job_is_taken_run_and_shown_as_completed_by_every_host, site, {
+    assert_eq!(site.submit("h1", "00000000000000a1", 5).await, 200);
+    site.completed("h1", "00000000000000a1").await;
+    site.completed("h2", "00000000000000a1").await;
+    assert_eq!(site.book.runs().len(), 6);
+});
+
+case!(a_job_handed_in_twice_runs_once, site, {
+    let id = "00000000000000a2";
+    let twice = futures::future::join(site.submit("h1", id, 3), site.submit("h2", id, 3));
+    assert_eq!(twice.await, (200, 200));
+    site.completed("h2", id).await;
+    assert_eq!(site.book.runs().len(), 4);
+});
+
+case!(a_job_that_nobody_handed_in_is_unknown, site, {
+    assert_eq!(call(site.clients("h1"), "GET", "/p/00000000000000ff", "").await.0, 410);
+    assert_eq!(call(site.clients("h2"), "DELETE", "/p/00000000000000ff", "").await.0, 410);
+});
+
+case!(a_cancelled_job_is_shown_as_such_and_stops, site, {
+    let slow = Site::start(Duration::from_secs(60)).await;
+    let id = "00000000000000a3";
+    assert_eq!(slow.submit("h1", id, 3).await, 200);
+    until(|| async { slow.book.runs().len() == 3 }).await;
+    assert_eq!(call(slow.clients("h2"), "DELETE", &format!("/p/{id}"), "").await.0, 200);
+    assert_eq!(slow.state("h1", id).await.as_deref(), Some("cancelled"));
+    until(|| async { slow.book.runs().iter().all(|r| r.over.is_some()) }).await;
+    assert!(site.book.runs().is_empty());
+});
+
+case!(jobs_that_wait_are_counted, site, {
+    let (status, body) = call(site.clients("h1"), "GET", "/p/", "").await;
+    assert_eq!((status, body.as_str()), (200, "{\"pending\":0}"));
+});
+
+/// Requests that can't be served get an answer that says why.
+#[rstest]
+#[case::no_queue("POST", "/x/00000000000000a1", "{}", 404)]
+#[case::no_name("POST", "/p/zz", "{}", 400)]
+#[case::no_job("POST", "/p/00000000000000a1", "{", 400)]
+#[case::no_steps("POST", "/p/00000000000000a1", "{\"spec\":\"t\"}", 400)]
+#[case::no_method("PUT", "/p/00000000000000a1", "", 405)]
+#[tokio::test]
+async fn bad_requests(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] body: &str,
+    #[case] status: u16,
+) {
+    let site = Site::start(Duration::from_millis(50)).await;
+    let (got, why) = call(site.clients("h1"), method, path, body).await;
+    assert_eq!(got, status, "{why}");
+    assert!(!why.is_empty());
+}
+
+case!(a_body_over_the_limit_is_refused, site, {
+    let body = format!("{{\"spec\":\"{}\"}}", "x".repeat(5000));
+    assert_eq!(call(site.clients("h1"), "POST", "/p/00000000000000a1", &body).await.0, 413);
+});
+
+case!(a_job_refused_while_the_store_is_away_never_runs, site, {
+    site.store.set(StoreMode::Away);
+    assert_eq!(site.submit("h1", "00000000000000a4", 2).await, 503);
+    site.store.set(StoreMode::Ok);
+    sleep(Duration::from_millis(500)).await;
+    assert!(site.book.runs().is_empty());
+});
+
+case!(a_job_whose_appends_answer_is_lost_is_not_refused, site, {
+    site.store.set(StoreMode::Lose);
+    assert_eq!(site.submit("h1", "00000000000000a5", 2).await, 504);
+    site.store.set(StoreMode::Ok);
+    site.completed("h1", "00000000000000a5").await;
+    assert_eq!(site.book.runs().len(), 3);
+});
+
+case!(a_configuration_of_an_older_version_is_not_taken, site, {
+    let mut later = configuration(5);
+    later["routes"] = json!([]);
+    site.store.put("keyed.op", "config", later.to_string().as_bytes());
+    let gone = || async { call(site.clients("h1"), "GET", "/p/", "").await.0 == 404 };
+    until(gone).await;
+    site.store.put("keyed.op", "config", configuration(2).to_string().as_bytes());
+    sleep(Duration::from_millis(300)).await;
+    assert!(gone().await);
+});
+
+case!(a_cell_taken_away_without_a_word_goes_on, site, {
+    assert_eq!(site.submit("h1", "00000000000000a6", 4).await, 200);
+    site.store.rebalance("cell-0");
+    assert_eq!(site.submit("h2", "00000000000000a7", 4).await, 200);
+    site.completed("h1", "00000000000000a6").await;
+    site.completed("h2", "00000000000000a7").await;
+});
+
+/// Which host owns the only cell, once one does.
+async fn owner(site: &Site) -> String {
+    let held = |(part, _): &(u32, String)| *part == 0;
+    until(|| async { site.store.owners("cell-0").iter().any(held) }).await;
+    let member = site.store.owners("cell-0").into_iter().find(held).map(|(_, member)| member);
+    member.and_then(|m| Some(m.split('-').next()?.to_string())).unwrap_or_default()
+}
+
+case!(a_killed_owner_is_followed_and_nothing_runs_twice, site, {
+    let mut slow = Site::start(Duration::from_millis(1500)).await;
+    assert_eq!(slow.submit("h1", "00000000000000a8", 6).await, 200);
+    until(|| async { slow.book.runs().len() == 6 }).await;
+    let first = owner(&slow).await;
+    slow.hosts.remove(&first).unwrap();
+    let other = slow.hosts.keys().next().unwrap().clone();
+    slow.completed(&other, "00000000000000a8").await;
+    assert_ne!(owner(&slow).await, first);
+    assert_eq!(slow.book.runs().len(), 7);
+    assert_eq!(slow.book.doubled(), vec![]);
+});
+
+case!(every_host_is_replaced_and_what_was_accepted_is_kept, site, {
+    assert_eq!(site.submit("h1", "00000000000000a9", 4).await, 200);
+    site.hosts.clear();
+    site.host("h3").await;
+    site.completed("h3", "00000000000000a9").await;
+    assert_eq!(site.book.runs().len(), 5);
+});
+
+case!(a_planned_stop_hands_the_cell_over_and_ends_in_time, site, {
+    let first = owner(&site).await;
+    let mut stopped = site.hosts.remove(&first).unwrap();
+    stopped.signal(Signal::SIGTERM);
+    let other = site.hosts.keys().next().unwrap().clone();
+    until(|| async { owner(&site).await == other }).await;
+    assert_eq!(site.submit(&other, "00000000000000aa", 4).await, 200);
+    site.completed(&other, "00000000000000aa").await;
+    let ended = tokio::task::spawn_blocking(move || stopped.process.wait().unwrap());
+    assert!(ended.await.unwrap().success());
+});
+
+case!(a_frozen_owner_wakes_to_a_later_one_and_starts_nothing, site, {
+    let first = owner(&site).await;
+    site.hosts[&first].signal(Signal::SIGSTOP);
+    let other = site.hosts.keys().find(|h| **h != first).unwrap().clone();
+    until(|| async { owner(&site).await == other }).await;
+    assert_eq!(site.submit(&other, "00000000000000ab", 4).await, 200);
+    site.completed(&other, "00000000000000ab").await;
+    site.hosts[&first].signal(Signal::SIGCONT);
+    assert_eq!(site.submit(&other, "00000000000000ac", 4).await, 200);
+    site.completed(&first, "00000000000000ac").await;
+    assert_eq!(site.book.runs().len(), 10);
+});
+
+#[test]
+fn wrong_settings_stop_the_process_with_the_place_and_a_hint() {
+    let path = std::env::temp_dir().join(format!("myrtle-bad-{}.yaml", std::process::id()));
+    let at = ([127, 0, 0, 1], 1).into();
+    let text = settings("h", at, [1, 2, 3]).replace("data_centre: d\n", "data_centre: e\n");
+    std::fs::write(&path, text).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_myrtle-front")).arg(&path).output().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(error.contains("yaml:2:") && error.contains("hint"), "{error}");
+}
--- a/crates/owner/src/guard.rs
+++ b/crates/owner/src/guard.rs
@@ -46,6 +46,15 @@
 /// The pressure below which a filler is not worth slowing.
 const TRIFLE: f64 = 0.004;
 
+/// What is done to a filler's run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Remedy {
+    /// It goes elsewhere.
+    Move(TaskId, u32),
+    /// It halts where it is.
+    Slow(TaskId, u32),
+}
+
 impl Cell {
     /// Takes in what a worker's report says of tails and uses, once for each window.
     pub(crate) fn learn(&mut self, life: &Arc<str>, now: u64) {
@@ -102,25 +111,30 @@
             return self.resume(life, now);
         };
         let limit = (self.bounds.harm as f64 * HALT_SHARE) as u64;
-        let (moves, paces) = self.relief(worker, time >= limit);
-        if moves.is_empty() && paces.is_empty() {
+        let relief = self.relief(worker, time >= limit);
+        if relief.is_empty() {
             return;
         }
         if let Some(worker) = self.workers.get_mut(life) {
             worker.eased = now;
         }
-        for (task, run) in moves {
-            info!("event=move task={task} run={run} worker={life} reason=\"it disturbs others\"");
-            self.counts.moved += 1;
-            self.halt(life, task, run, now);
-        }
-        for (task, run) in paces {
-            self.pace(life, task, run, 0, now);
+        for remedy in relief {
+            match remedy {
+                Remedy::Move(task, run) => {
+                    info!(
+                        "event=move task={task} run={run} worker={life} \
+                         reason=\"it disturbs others\""
+                    );
+                    self.counts.moved += 1;
+                    self.halt(life, task, run, now);
+                }
+                Remedy::Slow(task, run) => self.pace(life, task, run, 0, now),
+            }
         }
     }
 
     /// What has to be moved and what slowed so that every task comes below its limit.
-    fn relief(&self, worker: &Worker, all: bool) -> (Vec<(TaskId, u32)>, Vec<(TaskId, u32)>) {
+    fn relief(&self, worker: &Worker, all: bool) -> Vec<Remedy> {
         let mut rows: Vec<(f64, TaskId, &Flight)> = Vec::new();
         let mut excess: f64 = 0.0;
         for victim in worker.flights.values().filter(|f| f.over.is_some()) {
@@ -136,19 +150,17 @@
             }
         }
         rows.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let (mut moves, mut paces) = (Vec::new(), Vec::new());
+        let mut relief = Vec::new();
         for (rise, task, flight) in rows {
             if !all && (excess <= 0.0 || rise < TRIFLE) {
                 break;
             }
             excess -= rise;
-            if rise >= CULPRIT {
-                moves.push((task, flight.run));
-            } else {
-                paces.push((task, flight.run));
-            }
+            let culprit = rise >= CULPRIT;
+            let remedy = if culprit { Remedy::Move } else { Remedy::Slow };
+            relief.push(remedy(task, flight.run));
         }
-        (moves, paces)
+        relief
     }
 
     /// Lets slowed fillers go on where there is room for what they add; else they go elsewhere.
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -204,7 +204,7 @@
                 self.owners[at].cell.unlist(id);
             }
         }
-        if now / STEP % HOLD_EVERY == 0 {
+        if (now / STEP).is_multiple_of(HOLD_EVERY) {
             self.hold_all(at);
             let cell = &mut self.owners[at].cell;
             cell.lapse(now);
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -9,7 +9,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -29,6 +29,8 @@
     pub path: String,
     /// The query, empty if there is none.
     pub query: String,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -98,5 +100,6 @@
     };
     let path = head.uri.path().to_string();
     let query = head.uri.query().unwrap_or_default().to_string();
-    Ok(handle(Ask { method: head.method, path, query, body: body.to_bytes() }).await)
+    let (method, headers, body) = (head.method, head.headers, body.to_bytes());
+    Ok(handle(Ask { method, path, query, headers, body }).await)
 }
