A job's lines tell when its steps were placed, why it waits and how its runs ended badly

Cause: a late job's lines showed that it was known and done and nothing between. Change: a line a step and pass for what was placed, one when a task finds no worker with the reason, one for each run that did not end well.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -125,7 +125,8 @@
     let version = configuration.version;
     info!(
         "event=job-taken job={job} queue={queue} cell={cell} steps={steps} version={version} \
-         outcome={passed:?} took_ms={took}"
+         outcome={passed:?} took_ms={took} store_age_ms={}",
+        host.store_age()
     );
     match passed {
         Passed::Kept => Response::new(Full::default()),
--- a/crates/owner/src/ends.rs
+++ b/crates/owner/src/ends.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use log::{Level, debug, info, log, warn};
+use log::{Level, info, log, warn};
 
 use myrtle_job::{Ended, Held, How, Running, State, TaskId, Told};
 
@@ -82,7 +82,9 @@
             }
         }
         let took = flight.as_ref().map_or(0, |f| now.saturating_sub(f.since));
-        debug!("event=run-ended task={task} run={run} worker={life} how={how} took_ms={took}");
+        // Good ends are told by step, so that the volume stays bounded.
+        let level = if how == How::Done { Level::Debug } else { Level::Info };
+        log!(level, "event=run-ended task={task} run={run} worker={life} how={how} took_ms={took}");
         self.judge(life, how, task, now);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -157,9 +159,10 @@
         if job.progress.rounds.is_empty() && job.progress.next >= rounds {
             let took = now.saturating_sub(job.came);
             info!(
-                "event=job-done job={} took_ms={took} objective_ms={}",
+                "event=job-done job={} took_ms={took} objective_ms={} late={}",
                 task.job,
-                job.objective()
+                job.objective(),
+                took > job.objective()
             );
             self.finish(task.job, State::Completed, now, wall);
         }
--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use log::debug;
+use log::{debug, info};
 
 use myrtle_job::{JobId, Round, Run, TaskId};
 
@@ -100,6 +100,8 @@
             .map(|(index, _)| TaskId { job: id, round, step, index: index as u16 })
             .collect();
         let mut left = false;
+        let mut placed = 0;
+        let wanted = waiting.len();
         for task in waiting {
             let job = &self.jobs[&id];
             if job.retry.get(&task).is_some_and(|&at| at > now) {
@@ -110,11 +112,15 @@
             let Some(life) = self.fit(job, spec, task, now) else {
                 // The others of the step want the same.
                 self.ask(task, now);
-                self.stuck(id, now);
+                self.tell_placed(task, placed, wanted, now);
+                self.stuck(task, now);
                 return true;
             };
             self.assign(task, &life, None, now);
+            placed += 1;
         }
+        let first = TaskId { job: id, round, step, index: 0 };
+        self.tell_placed(first, placed, wanted, now);
         if let Some(job) = self.jobs.get_mut(&id).filter(|_| !left) {
             job.stuck = None;
         }
@@ -144,7 +150,7 @@
                     self.unassign(placed, number);
                 }
                 self.ask(task, now);
-                self.stuck(id, now);
+                self.stuck(task, now);
                 return true;
             };
             self.assign(task, &life, Some(number), now);
@@ -157,10 +163,54 @@
         false
     }
 
-    fn stuck(&mut self, id: JobId, now: u64) {
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.stuck = job.stuck.or(Some(now));
+    /// Notes that a task has found no worker; the first time with the reason.
+    fn stuck(&mut self, task: TaskId, now: u64) {
+        let Some(job) = self.jobs.get(&task.job).filter(|j| j.stuck.is_none()) else {
+            return;
+        };
+        let why = self.why_not(job, task, now);
+        info!("event=waits task={task} reason=\"{why}\" age_ms={}", now.saturating_sub(job.came));
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.stuck = Some(now);
+        }
+    }
+
+    /// Why no worker takes a task now.
+    fn why_not(&self, job: &Job, task: TaskId, now: u64) -> &'static str {
+        let spec = &job.submission.spec.steps[usize::from(task.step)];
+        let open = || self.workers.values().filter(|w| w.open(now));
+        if open().next().is_none() {
+            return "no worker is open to new work";
+        }
+        if !open().any(|w| self.allowed(w, job, spec, task)) {
+            return "no worker with its labels has room";
+        }
+        if job.submission.policy.advice.is_some() {
+            return "no worker with room has a ticket";
         }
+        if spec.filler {
+            "it would disturb serving tasks wherever there is room"
+        } else {
+            "room is kept"
+        }
+    }
+
+    fn tell_placed(&self, task: TaskId, placed: usize, wanted: usize, now: u64) {
+        if placed == 0 {
+            return;
+        }
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        info!(
+            "event=placed step={}.{}.{} tasks={placed} of={wanted} fence={} waited_ms={} age_ms={}",
+            task.job,
+            task.round,
+            task.step,
+            self.fence,
+            job.waited(now),
+            now.saturating_sub(job.came)
+        );
     }
 
     /// Reserves room for the next run of a task; it starts once that is in the log.
