--- a/crates/front/src/owned.rs
+++ b/crates/front/src/owned.rs
@@ -1,6 +1,6 @@
 //! A cell that this host owns: its state, and the parts that act for it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -38,6 +38,7 @@
     /// How far accepted jobs have been read.
     pub read: AtomicU64,
     state: Mutex<Cell>,
+    held: Mutex<BTreeSet<Arc<str>>>,
     lines: Mutex<HashMap<Arc<str>, Arc<Line>>>,
     confirmed: AtomicU64,
     closed: AtomicBool,
@@ -55,6 +56,7 @@
             committed: watch::Sender::new(0),
             read: AtomicU64::new(0),
             state: Mutex::new(state),
+            held: Mutex::default(),
             lines: Mutex::default(),
             confirmed: AtomicU64::new(now()),
             closed: AtomicBool::new(false),
@@ -79,8 +81,14 @@
         Some(line.clone())
     }
 
-    /// Forgets a worker's client.
+    /// Notes that a life of a worker is held; false if it was before.
+    pub fn hold(&self, worker: &Arc<str>) -> bool {
+        self.held.lock().expect("no holder panics").insert(worker.clone())
+    }
+
+    /// Forgets a worker's client; it is held anew if it is listed again.
     pub fn hang_up(&self, worker: &Arc<str>) {
+        self.held.lock().expect("no holder panics").remove(worker);
         self.lines.lock().expect("no holder panics").remove(worker);
     }
 
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -21,7 +21,6 @@
 
 /// Keeps the cell's workers up to date until the cell is another host's.
 pub async fn follow(host: Arc<Host>, owned: Arc<Owned>) {
-    let mut held = BTreeSet::new();
     let mut from = None;
     while !owned.closed() {
         let step = match from {
@@ -37,7 +36,7 @@
             }
             Err(e) => host.store_missed(&e),
         }
-        hold_all(&host, &owned, &mut held);
+        hold_all(&host, &owned);
         sleep(EVERY).await;
     }
 }
@@ -98,13 +97,13 @@
 }
 
 /// Starts to hold workers that are listed and not held yet.
-fn hold_all(host: &Arc<Host>, owned: &Arc<Owned>, held: &mut BTreeSet<Arc<str>>) {
+fn hold_all(host: &Arc<Host>, owned: &Arc<Owned>) {
     let listed: Vec<Arc<str>> = {
         let cell = owned.state();
         cell.workers.iter().filter(|(_, w)| w.listed).map(|(id, _)| id.clone()).collect()
     };
     for life in listed {
-        if held.insert(life.clone()) {
+        if owned.hold(&life) {
             let (host, owned) = (host.clone(), owned.clone());
             tokio::spawn(async move { crate::hold::keep(host, owned, life).await });
         }
--- a/crates/front/tests/whole.rs
+++ b/crates/front/tests/whole.rs
@@ -29,6 +29,9 @@
     store_at: SocketAddr,
     book: Arc<Book>,
     hosts: BTreeMap<String, Host>,
+    runners: Vec<Arc<Runner>>,
+    /// The longest lease of a worker, in milliseconds.
+    hold: u64,
 }
 
 /// A front host, which is a process of its own.
@@ -75,6 +78,10 @@
 
 impl Site {
     async fn start(work: Duration) -> Self {
+        Self::with(work, 10_000).await
+    }
+
+    async fn with(work: Duration, hold: u64) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_at = listener.local_addr().unwrap();
         let store = Arc::new(Store::default());
@@ -84,12 +91,14 @@
             async move { store.handle(ask).await }
         }));
         let book = Arc::new(Book::default());
+        let mut runners = Vec::new();
         for n in 0..4 {
             let runner = Runner::start(&format!("i-{n}"), work, book.clone()).await.unwrap();
             store.put("keyed.servers", &runner.name, runner.listing().as_bytes());
+            runners.push(runner);
         }
         store.put("keyed.op", "config", configuration(1).to_string().as_bytes());
-        let mut site = Self { store, store_at, book, hosts: BTreeMap::new() };
+        let mut site = Self { store, store_at, book, hosts: BTreeMap::new(), runners, hold };
         site.host("h1").await;
         site.host("h2").await;
         site
@@ -99,7 +108,7 @@
         let ports = [free_port().await, free_port().await, free_port().await];
         let file = format!("myrtle-{}-{}.yaml", std::process::id(), ports[0]);
         let path = std::env::temp_dir().join(file);
-        std::fs::write(&path, settings(name, self.store_at, ports)).unwrap();
+        std::fs::write(&path, settings(name, self.store_at, ports, self.hold)).unwrap();
         let process = Command::new(env!("CARGO_BIN_EXE_myrtle-front"))
             .arg(&path)
             .stdout(Stdio::null())
@@ -141,11 +150,11 @@
         "limits": { "max_body_bytes": 4096 } })
 }
 
-fn settings(name: &str, store: SocketAddr, [clients, checks, peer]: [u16; 3]) -> String {
+fn settings(name: &str, store: SocketAddr, [clients, checks, peer]: [u16; 3], hold: u64) -> String {
     format!(
         "name: {name}\ndata_centre: d\ndata_centres: [d]\nclients: 127.0.0.1:{clients}\n\
          checks: 127.0.0.1:{checks}\nip: 127.0.0.1\npeer_port: {peer}\nstore: {store}\n\
-         member_ttl: 1000\nbounds: {{hold: 10000, stop: 900, gang: 3000, harm: 4000, far: 1.5, \
+         member_ttl: 1000\nbounds: {{hold: {hold}, stop: 900, gang: 3000, harm: 4000, far: 1.5, \
          status: 120, notice: 4500, save: 0.5, grace: 6, contact: 3000}}\n"
     )
 }
@@ -341,11 +350,29 @@
     assert_eq!(site.book.runs().len(), 10);
 });
 
+case!(workers_back_from_a_long_cut_are_used_again, site, {
+    let cut = Site::with(Duration::from_millis(60), 600).await;
+    assert_eq!(cut.submit("h1", "00000000000000ad", 4).await, 200);
+    cut.completed("h1", "00000000000000ad").await;
+    for runner in &cut.runners {
+        runner.mute(true);
+        cut.store.put("keyed.servers", &runner.name, b"");
+    }
+    // Far longer than every lease, so that the workers are given up.
+    sleep(Duration::from_millis(3_000)).await;
+    for runner in &cut.runners {
+        runner.mute(false);
+        cut.store.put("keyed.servers", &runner.name, runner.listing().as_bytes());
+    }
+    assert_eq!(cut.submit("h2", "00000000000000ae", 4).await, 200);
+    cut.completed("h2", "00000000000000ae").await;
+});
+
 #[test]
 fn wrong_settings_stop_the_process_with_the_place_and_a_hint() {
     let path = std::env::temp_dir().join(format!("myrtle-bad-{}.yaml", std::process::id()));
     let at = ([127, 0, 0, 1], 1).into();
-    let text = settings("h", at, [1, 2, 3]).replace("data_centre: d\n", "data_centre: e\n");
+    let text = settings("h", at, [1, 2, 3], 10_000).replace("data_centre: d\n", "data_centre: e\n");
     std::fs::write(&path, text).unwrap();
     let output = Command::new(env!("CARGO_BIN_EXE_myrtle-front")).arg(&path).output().unwrap();
     std::fs::remove_file(&path).unwrap();
--- a/crates/owner/src/lease.rs
+++ b/crates/owner/src/lease.rs
@@ -91,7 +91,7 @@
         };
         let Some((clock, at)) = worker.clock else {
             let longest = (self.bounds.hold as f64 * (1.0 + DRIFT)) as u64 + MARGIN;
-            return now >= self.began + longest;
+            return now >= self.began.max(worker.heard) + longest;
         };
         let passed = now.saturating_sub(at).saturating_sub(MARGIN) as f64 * (1.0 - DRIFT);
         clock as f64 + passed >= worker.until as f64
--- a/crates/owner/tests/promises.rs
+++ b/crates/owner/tests/promises.rs
@@ -194,6 +194,24 @@
     assert!(world.judge.starts.values().sum::<u32>() > 4, "the lease ended, the tasks go on");
 });
 
+case!(a_worker_back_from_a_long_cut_is_used_again, world, {
+    world.run(300);
+    for worker in world.workers.values_mut() {
+        worker.reachable = false;
+        worker.listed = false;
+    }
+    world.run(15_000);
+    for worker in world.workers.values_mut() {
+        worker.reachable = true;
+        worker.listed = true;
+    }
+    world.run(300);
+    let wells = world.owner().cell.workers.values().filter(|w| w.open(16_000)).count();
+    assert_eq!(wells, 4);
+    world.submit(job(vec![step(4)]));
+    assert!(world.finish(3_000));
+});
+
 case!(a_worker_reborn_at_its_address_is_known_to_be_gone_at_once, world, {
     let mut long = step(4);
     long.estimate = 4_000;
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -82,6 +83,7 @@
     began: Instant,
     state: Mutex<State>,
     ended: Notify,
+    mute: AtomicBool,
     book: Arc<Book>,
 }
 
@@ -124,6 +126,7 @@
             began: Instant::now(),
             state: Mutex::default(),
             ended: Notify::new(),
+            mute: AtomicBool::new(false),
             book,
         });
         let me = runner.clone();
@@ -136,6 +139,11 @@
         Ok(runner)
     }
 
+    /// Answers nobody from now on, or answers again.
+    pub fn mute(&self, mute: bool) {
+        self.mute.store(mute, Ordering::Relaxed);
+    }
+
     /// What it writes of itself.
     pub fn listing(&self) -> String {
         json!({
@@ -164,6 +172,9 @@
     }
 
     async fn handle(&self, ask: Ask) -> Answer {
+        if self.mute.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
         if ask.headers.get("expect-instance").is_some_and(|h| h.as_bytes() != self.name.as_bytes())
         {
             return text(421, "another life");
