Copies of runs that are late, where the client allows them

Change: a run on a worker silent for 600 ms, or 2.5 times over its estimate, gets one copy elsewhere.

--- a/crates/owner/src/flight.rs
+++ b/crates/owner/src/flight.rs
@@ -49,6 +49,8 @@
     pub filler: bool,
     /// Whether it goes on until its job is cancelled.
     pub lasting: bool,
+    /// Whether copies may run beside it.
+    pub copies: bool,
     /// Whether it saves checkpoints.
     pub saves: bool,
     /// The guess of its time.
@@ -82,6 +84,7 @@
             target: spec.target,
             filler: spec.filler,
             lasting: spec.lasting,
+            copies: spec.copies,
             saves: spec.saves,
             estimate: spec.estimate,
             percent: 0.0,
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -6,6 +6,7 @@
 mod bounds;
 mod cell;
 mod commit;
+mod copy;
 mod drain;
 mod ends;
 mod fit;
--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -71,7 +71,10 @@
         let mut ready: Vec<(u32, u16)> = Vec::new();
         for (&number, round) in &job.progress.rounds {
             for (at, step) in round.steps.iter().enumerate() {
-                if step.tasks.iter().any(|t| t.waits()) && round.ready(spec, at) {
+                let copies = spec.steps[at].copies;
+                if step.tasks.iter().any(|t| t.waits() || copies && !t.done)
+                    && round.ready(spec, at)
+                {
                     ready.push((number, at as u16));
                 }
             }
@@ -96,8 +99,9 @@
         let waiting: Vec<TaskId> = tasks
             .iter()
             .enumerate()
-            .filter(|(_, t)| t.waits())
-            .map(|(index, _)| TaskId { job: id, round, step, index: index as u16 })
+            .map(|(index, t)| (TaskId { job: id, round, step, index: index as u16 }, t))
+            .filter(|(task, t)| t.waits() || self.wants_copy(*task, t, now))
+            .map(|(task, _)| task)
             .collect();
         let mut left = false;
         let mut placed = 0;
@@ -109,7 +113,13 @@
                 continue;
             }
             let spec = &job.submission.spec.steps[usize::from(step)];
-            let Some(life) = self.fit(job, spec, task, now) else {
+            let copy = job.progress.task(task).is_some_and(|t| !t.waits());
+            let fit = self.fit(job, spec, task, now);
+            if copy && fit.is_none() {
+                // The run that is there may still end.
+                continue;
+            }
+            let Some(life) = fit else {
                 // The others of the step want the same.
                 self.ask(task, now);
                 self.tell_placed(task, placed, wanted, now);
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -209,6 +209,7 @@
             let cell = &mut self.owners[at].cell;
             cell.lapse(now);
             cell.evacuate(now);
+            cell.look_for_copies(now);
             cell.begin_rounds(now);
             let again = cell.repeat(now);
             self.send_all(at, again);
--- a/crates/owner/tests/promises.rs
+++ b/crates/owner/tests/promises.rs
@@ -194,6 +194,17 @@
     assert!(world.judge.starts.values().sum::<u32>() > 4, "the lease ended, the tasks go on");
 });
 
+case!(a_silent_workers_tasks_are_copied_at_once_where_that_is_allowed, world, {
+    let mut copied = step(4);
+    copied.copies = true;
+    copied.estimate = 2_000;
+    world.submit(job(vec![copied]));
+    world.run(400);
+    let (_, worker) = world.workers.iter_mut().find(|(_, w)| w.count() > 0).unwrap();
+    worker.reachable = false;
+    assert!(world.finish(6_000), "without copies it takes the whole lease");
+});
+
 case!(a_worker_back_from_a_long_cut_is_used_again, world, {
     world.run(300);
     for worker in world.workers.values_mut() {
