Refusals come at once while the store is out of reach, and the host says that it is not ready

Cause: hosts cut off from the store went on trying for a client's whole time (504) and took new connections for 3 s. Change: nothing is sent once the store gave no good answer for 500 ms; not ready after 1.5 s; a peer gets 400 ms.

--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -20,6 +20,10 @@
 /// How long the store may give no good answer before it counts as lost, in milliseconds.
 const LOST_AFTER: u64 = 500;
 
+/// How long the store may give no good answer before clients should go elsewhere, in milliseconds:
+/// three looks at who owns the cell, which a slow store may delay.
+const READY_WITHIN: u64 = 1_500;
+
 /// A front host. Locks are taken one at a time and never held while waiting.
 #[derive(Debug)]
 pub struct Host {
@@ -138,7 +142,12 @@
 
     /// Whether new connections should come here.
     pub fn ready(&self) -> bool {
-        !self.stopping() && self.configuration().is_some() && self.in_touch()
+        !self.stopping() && self.configuration().is_some() && self.store_age() <= READY_WITHIN
+    }
+
+    /// Whether the store has given no good answer for a while; other parts go on asking it.
+    pub fn store_gone(&self) -> bool {
+        self.lost.load(Ordering::Relaxed)
     }
 
     /// Whether the host has been told to stop.
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -30,7 +30,7 @@
 const PAUSE: Duration = Duration::from_millis(10);
 
 /// How long a job that this host can't write is passed on to a peer.
-const PASS: Duration = Duration::from_millis(1_000);
+const PASS: Duration = Duration::from_millis(400);
 
 /// The largest append, in bytes; below the platform's bound of 2 MB a call.
 const LARGEST: usize = 1 << 20;
@@ -173,7 +173,11 @@
     limit: Duration,
 ) -> Passed {
     let end = Instant::now() + limit;
-    let first = keep(host, cell, job, record.clone(), limit).await;
+    // While the store is out of reach nothing is sent, so that the refusal is sure and comes at once.
+    let first = match host.store_gone() {
+        true => Passed::Refused,
+        false => keep(host, cell, job, record.clone(), limit).await,
+    };
     let owner = host.owners.known(cell).filter(|at| *at != host.peer());
     let Some(at) = owner.filter(|_| first == Passed::Refused) else {
         return first;
