myrtlectl job: how far a job on the users' platform is, asked of its cell's owner

Cause: operators had logs only. Change: the command finds the owner by the store's groups and prints what it knows; two tests against a real host and the stand-in store, one for a bad name.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -50,6 +50,20 @@
     Cancel(Cancel),
     /// Shows the time line.
     Timeline(Timeline),
+    /// Says how far a job on the users' platform is.
+    Job(Job),
+}
+
+/// say how far a job on the users' platform is, and what it waits for
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "job")]
+pub struct Job {
+    /// the platform's store
+    #[argh(positional)]
+    pub store: SocketAddr,
+    /// the job: 16 hexadecimal digits
+    #[argh(positional)]
+    pub job: String,
 }
 
 /// check a file without applying it
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -15,6 +15,7 @@
 mod ask;
 mod cluster;
 mod files;
+mod job;
 mod table;
 mod timeline;
 
@@ -70,9 +71,12 @@
     if let Command::Check(check) = &args.command {
         return files::check(&check.file, json);
     }
+    if let Command::Job(asked) = &args.command {
+        return job::show(asked.store, &asked.job, json).await;
+    }
     let cluster = Cluster::new(args.log, args.hosts)?;
     match args.command {
-        Command::Check(_) => Ok(()),
+        Command::Check(_) | Command::Job(_) => Ok(()),
         Command::Diff(diff) => apply::diff(&cluster, &diff.file, json).await,
         Command::Apply(apply) => apply::apply(&cluster, &apply, json).await,
         Command::Get(get) => ask::get(&cluster, &get.what, json).await,
--- /dev/null
+++ b/crates/ctl/tests/job.rs
@@ -0,0 +1,90 @@
+//! `myrtlectl job` against a front host and the stand-in of the platform's store.
+
+use std::net::SocketAddr;
+use std::process::{Command, Output};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+
+use myrtle_adapter::frame_keyed;
+use myrtle_front::Settings;
+use myrtle_job::{JobSpec, StepSpec, Submission, encode};
+use myrtle_platform::serve;
+use myrtle_standin::Store;
+
+const JOB: &str = "00000000000000b1";
+
+async fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap().port()
+}
+
+/// A store, a host that owns its only cell, and one accepted job that no worker can run.
+async fn site() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap();
+    let store = Arc::new(Store::default());
+    tokio::spawn(serve(listener, move |ask| {
+        let store = store.clone();
+        async move { store.handle(ask).await }
+    }));
+    let ports = [free_port().await, free_port().await, free_port().await];
+    let text = format!(
+        "name: h\ndata_centre: d\ndata_centres: [d]\nclients: 127.0.0.1:{}\n\
+         checks: 127.0.0.1:{}\nip: 127.0.0.1\npeer_port: {}\nstore: {at}\nmember_ttl: 1000\n\
+         bounds: {{hold: 10000, stop: 900, gang: 3000, harm: 4000, far: 1.5, status: 120, \
+         notice: 4500, save: 0.5, grace: 6, contact: 3000}}\n",
+        ports[0], ports[1], ports[2]
+    );
+    let path = std::env::temp_dir().join(format!("myrtle-ctl-{}.yaml", ports[0]));
+    std::fs::write(&path, text).unwrap();
+    let settings = Settings::load(&path).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    tokio::spawn(async move { myrtle_front::run(settings, path).await.unwrap() });
+    let steps = vec![StepSpec { count: 2, estimate: 100, ..StepSpec::default() }];
+    let spec = JobSpec { body: "b".into(), steps, repeat: None };
+    let mut body = BytesMut::new();
+    frame_keyed(&mut body, JOB, &encode(&Submission { spec, ..Submission::default() }));
+    let client = myrtle_adapter::Store::new(at);
+    let limit = Duration::from_secs(5);
+    client.append("keyed.jobs", 0, None, body.freeze(), limit).await.unwrap();
+    at
+}
+
+async fn ask(store: SocketAddr, words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_myrtlectl"));
+    command.args(words).arg("job").arg(store.to_string());
+    command.arg(JOB);
+    tokio::task::spawn_blocking(move || command.output().unwrap()).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_jobs_waiting_tasks_are_told() {
+    let store = site().await;
+    let told = async {
+        loop {
+            let output = ask(store, &[]).await;
+            if output.status.success() {
+                return String::from_utf8_lossy(&output.stdout).into_owned();
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    };
+    let text = timeout(Duration::from_secs(30), told).await.unwrap();
+    assert!(text.contains("owner h-") && text.contains("queued"), "{text}");
+    assert!(text.contains(&format!("{JOB}.0.0.1: waits")), "{text}");
+    let output = ask(store, &["--json"]).await;
+    let value: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(value["cell"], 0);
+}
+
+#[tokio::test]
+async fn a_bad_name_is_refused_with_a_hint() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_myrtlectl"));
+    let output = command.args(["job", "127.0.0.1:1", "zz"]).output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("16 lower-case"));
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -25,5 +25,7 @@
 mod upkeep;
 mod watch;
 
+pub use names::group as cell_group;
+pub use owners::address as member_address;
 pub use run::run;
 pub use settings::Settings;
