Split the owner's longest files: ends, plan, guard

Moved out of ends.rs: what answers to holds tell to held.rs; end is split into end and note_end, done into done and complete; what a run shows is Flight::show, taking off an ended run is Worker::drop_flight. Out of plan.rs: placing a step or a gang to place.rs, telling why tasks wait to waits.rs. Out of guard.rs: slowing and letting go on to pace.rs, the pressure on serving tasks to pressure.rs. Figures, events and behaviour are unchanged.

--- a/crates/owner/src/flight.rs
+++ b/crates/owner/src/flight.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use myrtle_base::Room;
-use myrtle_job::StepSpec;
+use myrtle_job::{Running, StepSpec};
 
 /// How far a run has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,6 +102,26 @@
         self.since = now;
     }
 
+    /// Takes in what the worker says of the run; true if its figure has changed.
+    pub(crate) fn show(&mut self, running: &Running, now: u64) -> bool {
+        if matches!(self.stage, Stage::Sent | Stage::Unsure | Stage::Inherited) {
+            self.enter(Stage::Up, now);
+        }
+        if self.begun.is_none() {
+            self.begun = Some(now);
+        }
+        if running.percent != self.percent {
+            self.percent = running.percent;
+            self.moved = now;
+        }
+        let figure = running.figure.unwrap_or(0.0);
+        let changed = figure != self.figure;
+        if changed {
+            self.figure = figure;
+        }
+        changed
+    }
+
     /// How hard its own load and what fills beside it press on its tail, if that is known.
     pub fn pressure(&self) -> Option<f64> {
         self.pressures.last().copied()
--- a/crates/owner/src/guard.rs
+++ b/crates/owner/src/guard.rs
@@ -1,4 +1,4 @@
-//! Keeps serving tasks within their targets: learns who disturbs them, moves and slows that.
+//! Keeps serving tasks within their targets: learns who disturbs them, chooses what moves or slows.
 
 use std::sync::Arc;
 
@@ -7,10 +7,11 @@
 use myrtle_job::TaskId;
 
 use crate::harm::Uses;
-use crate::{Cell, Flight, Order, Stage, Worker};
+use crate::pressure::{MARGIN, TRIFLE};
+use crate::{Cell, Flight, Stage, Worker};
 
 /// The time that a figure covers, in milliseconds; the platform's figure.
-const WINDOW: u64 = 500;
+pub(crate) const WINDOW: u64 = 500;
 
 /// Windows between two that are compared: what begins or ends within a window shows in part only,
 /// so neighbours tell too little. Measured: docs/report/DISRUPTION.md.
@@ -26,26 +27,9 @@
 /// How long before all fillers beside a task are halted, as a share of the longest time allowed.
 const HALT_SHARE: f64 = 0.6;
 
-/// How far below its limit pressure has to come, and has to stay when work is added.
-const MARGIN: f64 = 0.08;
-
-/// The share of its processors that a serving task uses at its highest.
-const HIGHEST_LOAD: f64 = 0.80;
-
-/// How far below its limit a task has to be to bear more than it could at its highest load: what
-/// its load may rise while a usual filler runs.
-const SWING: f64 = 0.2;
-
-/// How long a filler stays slowed before it goes elsewhere, in milliseconds: its stop and its start
-/// from a checkpoint cost about as much.
-const PATIENCE: u64 = 1_000;
-
 /// The pressure from which on a filler is moved rather than slowed.
 const CULPRIT: f64 = 0.03;
 
-/// The pressure below which a filler is not worth slowing.
-const TRIFLE: f64 = 0.004;
-
 /// What is done to a filler's run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Remedy {
@@ -162,112 +146,10 @@
         }
         relief
     }
-
-    /// Lets slowed fillers go on where there is room for what they add; else they go elsewhere.
-    fn resume(&mut self, life: &Arc<str>, now: u64) {
-        let Some(worker) = self.workers.get(life) else {
-            return;
-        };
-        let mut first: Option<(TaskId, &Flight)> = None;
-        for (&task, f) in fillers(worker).filter(|(_, f)| f.pace < 100) {
-            if self.room_to_resume(worker, f) && first.is_none_or(|(_, g)| f.percent > g.percent) {
-                first = Some((task, f));
-            }
-        }
-        if let Some((task, f)) = first {
-            let run = f.run;
-            self.pace(life, task, run, 100, now);
-        }
-    }
-
-    /// Moves fillers that have been slowed for long.
-    fn move_slowed(&mut self, life: &Arc<str>, now: u64) {
-        let Some(worker) = self.workers.get(life) else {
-            return;
-        };
-        let stuck: Vec<(TaskId, u32)> = fillers(worker)
-            .filter(|(_, f)| f.pace < 100 && now.saturating_sub(f.moved) > PATIENCE)
-            .map(|(&task, f)| (task, f.run))
-            .collect();
-        for (task, run) in stuck {
-            info!("event=move task={task} run={run} worker={life} reason=\"no room to go on\"");
-            self.counts.moved += 1;
-            self.halt(life, task, run, now);
-        }
-    }
-
-    fn room_to_resume(&self, worker: &Worker, filler: &Flight) -> bool {
-        worker.flights.values().filter(|f| f.target.is_some()).all(|f| {
-            let image = f.image.as_deref().unwrap_or("");
-            let rise = self.press(worker, image, filler);
-            let pressure = f.pressure().unwrap_or(HIGHEST_LOAD);
-            pressure + self.unseen(worker, image) + rise <= self.harm.limit(image) - MARGIN
-        })
-    }
-
-    /// The pressure that a filler puts on a serving image on its worker.
-    fn press(&self, worker: &Worker, image: &str, flight: &Flight) -> f64 {
-        let filler = flight.image.as_deref().unwrap_or("");
-        let used = if flight.figure > 0.0 { flight.figure } else { f64::from(flight.cpu) };
-        self.harm.rise(image, filler, used / worker.size())
-    }
-
-    /// Whether every serving task on a worker would stay below its limit beside one more filler.
-    pub(crate) fn bearable(&self, worker: &Worker, filler: &str, cpu: u32) -> bool {
-        let share = f64::from(cpu) / worker.size();
-        worker.flights.values().filter(|f| f.target.is_some()).all(|f| {
-            let image = f.image.as_deref().unwrap_or("");
-            // A single window may be over by noise.
-            if f.over.is_some_and(|since| worker.figured >= since + WINDOW) {
-                return false;
-            }
-            let rise = self.harm.risk(image, filler, share);
-            if rise < TRIFLE {
-                return f.over.is_none();
-            }
-            let limit = self.harm.limit(image);
-            // Slowed ones are to go on before others come.
-            let beside = worker.flights.values().filter(|g| g.filler);
-            let beside: f64 = beside.map(|g| self.press(worker, image, g)).sum();
-            if beside + rise <= limit - HIGHEST_LOAD {
-                return true;
-            }
-            let pressure = f.pressure().unwrap_or(HIGHEST_LOAD);
-            pressure + self.unseen(worker, image) + rise <= limit - SWING
-        })
-    }
-
-    /// The pressure of fillers that no figure shows yet.
-    fn unseen(&self, worker: &Worker, image: &str) -> f64 {
-        let fresh = worker.flights.values().filter(|f| f.filler && f.pace > 0 && f.figure <= 0.0);
-        fresh.map(|f| self.press(worker, image, f)).sum()
-    }
-
-    /// Takes in that a pace was not confirmed: it may hold or not, so it is set again if needed.
-    pub fn pace_unsure(&mut self, life: &Arc<str>, task: TaskId, run: u32, percent: u32) {
-        let flight = self.workers.get_mut(life).and_then(|w| w.flights.get_mut(&task));
-        if let Some(flight) = flight.filter(|f| f.run == run && f.pace == percent) {
-            flight.pace = if percent == 0 { 100 } else { 0 };
-        }
-    }
-
-    fn pace(&mut self, life: &Arc<str>, task: TaskId, run: u32, percent: u32, now: u64) {
-        let Some(flight) = self.workers.get_mut(life).and_then(|w| w.flights.get_mut(&task)) else {
-            return;
-        };
-        let from = std::mem::replace(&mut flight.pace, percent);
-        info!("event=pace task={task} run={run} worker={life} from={from} percent={percent}");
-        flight.moved = now;
-        if percent > from {
-            // Counts as unseen until a window shows it.
-            flight.figure = 0.0;
-        }
-        self.counts.paced += 1;
-        self.orders.push(Order::Pace { worker: life.clone(), task, run, percent });
-    }
 }
 
-fn fillers(worker: &Worker) -> impl Iterator<Item = (&TaskId, &Flight)> {
+/// The fillers that are at work on a worker.
+pub(crate) fn fillers(worker: &Worker) -> impl Iterator<Item = (&TaskId, &Flight)> {
     worker.flights.iter().filter(|(_, f)| f.filler && f.stage == Stage::Up)
 }
 
--- /dev/null
+++ b/crates/owner/src/held.rs
@@ -0,0 +1,132 @@
+//! What workers answer to holds.
+
+use std::sync::Arc;
+
+use log::{Level, info, log, warn};
+
+use myrtle_job::{Held, Running, State, TaskId, Told};
+
+use crate::{Cell, Life, Order, Stage};
+
+/// A worker tells no more ends than this in one answer; the platform's figure.
+const ENDS_AT_ONCE: usize = 500;
+
+impl Cell {
+    /// Takes in a hold's answer; the hold was sent at `sent`.
+    pub fn held(&mut self, life: &Arc<str>, held: Held, sent: u64, now: u64, wall: u64) {
+        self.tick_of(life, held.clock, now);
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        if worker.life != Life::Well {
+            let since = now.saturating_sub(worker.heard);
+            // At a takeover every worker is met; one line tells of them all.
+            let level = if worker.life == Life::Unmet { Level::Debug } else { Level::Info };
+            let running = held.running.len();
+            log!(level, "event=worker-met worker={life} running={running} silent_ms={since}");
+            worker.life = Life::Well;
+        }
+        let whole = held.ended.len() < ENDS_AT_ONCE;
+        for ended in held.ended {
+            self.end(life, ended, now, wall);
+        }
+        for running in &held.running {
+            self.see(life, running, now);
+        }
+        if whole {
+            self.miss(life, &held.running, sent, now);
+        }
+        self.learn(life, now);
+        self.guard(life, now);
+        self.notice(life, now);
+    }
+
+    /// A hold of a life has failed.
+    pub fn hold_failed(&mut self, life: &Arc<str>, reborn: bool, now: u64) {
+        if reborn {
+            self.succeeded(life, now);
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(life)
+            && worker.life == Life::Well
+        {
+            worker.life = Life::Silent;
+            warn!("event=worker-silent worker={life} runs={}", worker.flights.len());
+        }
+    }
+
+    /// A hold was refused; true if a later owner is the reason.
+    pub fn hold_refused(&mut self, life: &Arc<str>, told: Told) -> bool {
+        warn!("event=hold-refused worker={life} told=\"{told}\"");
+        told == Told::Fenced
+    }
+
+    /// Takes in what a worker says of a run that goes on.
+    fn see(&mut self, life: &Arc<str>, running: &Running, now: u64) {
+        let Running { task, run, saved, .. } = running;
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        let known = worker.flights.get_mut(task).filter(|f| f.run == *run);
+        let Some(flight) = known else {
+            // A start that was given up has been carried out late.
+            info!("event=run-unasked task={task} run={run} worker={life}");
+            self.orders.push(Order::Stop { worker: life.clone(), task: *task, run: *run });
+            return;
+        };
+        if flight.show(running, now) {
+            worker.figured = now;
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if !saved.is_empty()
+            && let Some(record) = job.progress.task_mut(*task)
+            && record.saved != *saved
+        {
+            record.saved.clone_from(saved);
+        }
+        if job.progress.state.over() {
+            // An earlier owner ended the job and may not have come to stop its runs.
+            return self.halt(life, *task, *run, now);
+        }
+        self.begun(*task);
+    }
+
+    /// A task of a job is at work.
+    pub(crate) fn begun(&mut self, task: TaskId) {
+        if let Some(job) = self.jobs.get_mut(&task.job)
+            && job.progress.state == State::Queued
+        {
+            job.progress.state = State::Running;
+            self.dirty.insert(task.job);
+        }
+    }
+
+    /// Takes off runs that an answer should have shown and did not.
+    fn miss(&mut self, life: &Arc<str>, running: &[Running], sent: u64, now: u64) {
+        let Some(worker) = self.workers.get(life) else {
+            return;
+        };
+        let shown = |task: &TaskId, run| running.iter().any(|r| r.task == *task && r.run == run);
+        let missing: Vec<_> = worker
+            .flights
+            .iter()
+            .filter(|(_, f)| match f.stage {
+                // Our fencing token bars it from now on.
+                Stage::Inherited => true,
+                Stage::Up | Stage::Stopped => f.since < sent,
+                _ => false,
+            })
+            .filter(|(task, f)| !shown(task, f.run))
+            .map(|(task, f)| (*task, f.run, f.stage))
+            .collect();
+        for (task, run, stage) in missing {
+            info!("event=run-absent task={task} run={run} worker={life} stage={stage:?} at={now}");
+            if let Some(worker) = self.workers.get_mut(life) {
+                worker.flights.remove(&task);
+            }
+            self.forget_run(task, run);
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/src/place.rs
@@ -0,0 +1,131 @@
+//! Places the tasks of a step on workers, one by one or as a gang.
+
+use std::sync::Arc;
+
+use log::debug;
+
+use myrtle_job::{JobId, Run, TaskId};
+
+use crate::{Cell, Flight, Stage};
+
+impl Cell {
+    /// Places the tasks of a step one by one; true if some still wait.
+    pub(crate) fn place_step(&mut self, id: JobId, round: u32, step: u16, now: u64) -> bool {
+        let job = &self.jobs[&id];
+        let tasks = &job.progress.rounds[&round].steps[usize::from(step)].tasks;
+        let waiting: Vec<TaskId> = tasks
+            .iter()
+            .enumerate()
+            .map(|(index, t)| (TaskId { job: id, round, step, index: index as u16 }, t))
+            .filter(|(task, t)| t.waits() || self.wants_copy(*task, t, now))
+            .map(|(task, _)| task)
+            .collect();
+        let mut left = false;
+        let mut placed = 0;
+        let wanted = waiting.len();
+        for task in waiting {
+            let job = &self.jobs[&id];
+            if job.retry.get(&task).is_some_and(|&at| at > now) {
+                left = true;
+                continue;
+            }
+            let spec = &job.submission.spec.steps[usize::from(step)];
+            let copy = job.progress.task(task).is_some_and(|t| !t.waits());
+            let fit = self.fit(job, spec, task, now);
+            if copy && fit.is_none() {
+                // The run that is there may still end.
+                continue;
+            }
+            let Some(life) = fit else {
+                // The others of the step want the same.
+                self.ask(task, now);
+                self.tell_placed(task, placed, wanted, now);
+                self.stuck(task, now);
+                return true;
+            };
+            self.assign(task, &life, None, now);
+            placed += 1;
+        }
+        let first = TaskId { job: id, round, step, index: 0 };
+        self.tell_placed(first, placed, wanted, now);
+        if let Some(job) = self.jobs.get_mut(&id).filter(|_| !left) {
+            job.stuck = None;
+        }
+        left
+    }
+
+    /// Places all tasks of a gang or none; true if it still waits.
+    pub(crate) fn place_gang(&mut self, id: JobId, round: u32, step: u16, now: u64) -> bool {
+        let job = &self.jobs[&id];
+        let tasks = &job.progress.rounds[&round].steps[usize::from(step)].tasks;
+        if tasks.iter().any(|t| !t.waits()) {
+            return true;
+        }
+        let number = tasks.iter().map(|t| t.last).max().unwrap_or(0) + 1;
+        let saved = tasks.iter().map(|t| &t.saved).max().cloned().unwrap_or_default();
+        let members: Vec<TaskId> = (0..tasks.len())
+            .map(|index| TaskId { job: id, round, step, index: index as u16 })
+            .collect();
+        if members.iter().any(|t| job.retry.get(t).is_some_and(|&at| at > now)) {
+            return true;
+        }
+        for (at, &task) in members.iter().enumerate() {
+            let job = &self.jobs[&id];
+            let spec = &job.submission.spec.steps[usize::from(step)];
+            let Some(life) = self.fit(job, spec, task, now) else {
+                for &placed in &members[..at] {
+                    self.unassign(placed, number);
+                }
+                self.ask(task, now);
+                self.stuck(task, now);
+                return true;
+            };
+            self.assign(task, &life, Some(number), now);
+        }
+        for &task in &members {
+            if let Some(t) = self.jobs.get_mut(&id).and_then(|j| j.progress.task_mut(task)) {
+                t.saved.clone_from(&saved);
+            }
+        }
+        false
+    }
+
+    /// Reserves room for the next run of a task; it starts once that is in the log.
+    fn assign(&mut self, task: TaskId, life: &Arc<str>, number: Option<u32>, now: u64) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let spec = job.submission.spec.steps[usize::from(task.step)].clone();
+        let Some(record) = job.progress.task_mut(task) else {
+            return;
+        };
+        let run = number.unwrap_or(record.last + 1);
+        record.last = run;
+        record.live.push(Run { number: run, worker: life.clone() });
+        job.retry.remove(&task);
+        if !spec.lasting {
+            job.stuck = None;
+        }
+        self.dirty.insert(task.job);
+        if let Some(worker) = self.workers.get_mut(life) {
+            worker.flights.insert(task, Flight::new(run, &spec, Stage::Written, now));
+        }
+        debug!("event=placed task={task} run={run} worker={life} fence={}", self.fence);
+    }
+
+    /// Takes back what was reserved for a run.
+    fn unassign(&mut self, task: TaskId, number: u32) {
+        let Some(record) = self.jobs.get_mut(&task.job).and_then(|j| j.progress.task_mut(task))
+        else {
+            return;
+        };
+        let runs: Vec<_> = record.live.iter().filter(|r| r.number == number).cloned().collect();
+        record.drop_run(number);
+        record.last = number - 1;
+        for run in runs {
+            if let Some(worker) = self.workers.get_mut(&run.worker) {
+                worker.flights.remove(&task);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/src/waits.rs
@@ -0,0 +1,60 @@
+//! Tells operators what was placed and why tasks wait.
+
+use log::info;
+
+use myrtle_job::TaskId;
+
+use crate::{Cell, Job};
+
+impl Cell {
+    /// Notes that a task has found no worker; the first time with the reason.
+    pub(crate) fn stuck(&mut self, task: TaskId, now: u64) {
+        let Some(job) = self.jobs.get(&task.job).filter(|j| j.stuck.is_none()) else {
+            return;
+        };
+        let why = self.why_not(job, task, now);
+        info!("event=waits task={task} reason=\"{why}\" age_ms={}", now.saturating_sub(job.came));
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.stuck = Some(now);
+        }
+    }
+
+    /// Why no worker takes a task now.
+    fn why_not(&self, job: &Job, task: TaskId, now: u64) -> &'static str {
+        let spec = &job.submission.spec.steps[usize::from(task.step)];
+        let open = || self.workers.values().filter(|w| w.open(now));
+        if open().next().is_none() {
+            return "no worker is open to new work";
+        }
+        if !open().any(|w| self.allowed(w, job, spec, task)) {
+            return "no worker with its labels has room";
+        }
+        if job.submission.policy.advice.is_some() {
+            return "no worker with room has a ticket";
+        }
+        if spec.filler {
+            "it would disturb serving tasks wherever there is room"
+        } else {
+            "room is kept"
+        }
+    }
+
+    /// Tells how many tasks of a step were placed in a pass.
+    pub(crate) fn tell_placed(&self, task: TaskId, placed: usize, wanted: usize, now: u64) {
+        if placed == 0 {
+            return;
+        }
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        info!(
+            "event=placed step={}.{}.{} tasks={placed} of={wanted} fence={} waited_ms={} age_ms={}",
+            task.job,
+            task.round,
+            task.step,
+            self.fence,
+            job.waited(now),
+            now.saturating_sub(job.came)
+        );
+    }
+}
--- a/crates/owner/src/worker.rs
+++ b/crates/owner/src/worker.rs
@@ -92,6 +92,16 @@
         }
     }
 
+    /// Takes a run off that has ended, if it is the one there.
+    pub(crate) fn drop_flight(&mut self, task: TaskId, run: u32, now: u64) -> Option<Flight> {
+        self.flights.get(&task).filter(|f| f.run == run)?;
+        let flight = self.flights.remove(&task)?;
+        if let Some(image) = flight.image.clone().filter(|_| flight.filler) {
+            self.faded.push((image, flight.figure, now));
+        }
+        Some(flight)
+    }
+
     /// What it has.
     pub fn room(&self) -> Room {
         self.listing.as_ref().map_or(Room::default(), |l| l.room)
