Split how a wave goes on; moving runs off a worker stands with draining

wave.rs: advance is split into advance, end_turn and begin_turns; a machine's part of the time is Wave::part; tell_over was warn_late, which also tells of waves in time. empty moved to drain.rs and shares same_step. Behaviour is unchanged.

--- a/crates/owner/src/drain.rs
+++ b/crates/owner/src/drain.rs
@@ -41,6 +41,34 @@
         }
     }
 
+    /// Moves runs off a worker; true once nothing is left there.
+    pub(crate) fn empty(&mut self, life: &Arc<str>, urgent: bool, now: u64) -> bool {
+        let Some(worker) = self.workers.get(life) else {
+            return true;
+        };
+        if worker.flights.is_empty() {
+            return true;
+        }
+        let mut moves: Vec<(TaskId, u32)> = Vec::new();
+        for (&task, flight) in worker.flights.iter().filter(|(_, f)| f.stage == Stage::Up) {
+            let free = match flight.lasting {
+                true => !moves.iter().any(|(t, _)| same_step(t, &task)) && self.may_move(task),
+                false => flight.saves || urgent,
+            };
+            if free {
+                moves.push((task, flight.run));
+            }
+        }
+        for (task, run) in moves {
+            info!(
+                "event=move task={task} run={run} worker={life} reason=\"upkeep of its machine\""
+            );
+            self.counts.moved += 1;
+            self.halt(life, task, run, now);
+        }
+        false
+    }
+
     /// Whether one more task of a lasting step may be away.
     pub(crate) fn may_move(&self, task: TaskId) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
--- a/crates/owner/src/wave.rs
+++ b/crates/owner/src/wave.rs
@@ -5,9 +5,7 @@
 
 use log::{info, warn};
 
-use myrtle_job::TaskId;
-
-use crate::{Cell, Life, Stage};
+use crate::{Cell, Life};
 
 /// The pause before an upkeep that was refused or got no answer is ordered again, in milliseconds.
 const AGAIN: u64 = 400;
@@ -33,6 +31,13 @@
     pub limit: usize,
 }
 
+impl Wave {
+    /// The part of its time that each machine has, in milliseconds.
+    fn part(&self) -> f64 {
+        self.duration as f64 * self.limit.max(1) as f64 / self.machines.len().max(1) as f64
+    }
+}
+
 /// How far a machine has come.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Turn {
@@ -135,38 +140,54 @@
         }
     }
 
+    /// Takes the machines of a wave as far as they go now.
     fn advance(&mut self, state: &mut WaveState, now: u64, orders: &mut Vec<(String, u64)>) {
         let turns: Vec<_> = state.turns.iter().map(|(m, t)| (m.clone(), t.clone())).collect();
         for (machine, turn) in turns {
-            match turn {
+            let life = match turn {
                 Turn::Emptying { life, since } => {
-                    let part = state.wave.duration as f64 * state.wave.limit.max(1) as f64
-                        / state.wave.machines.len().max(1) as f64;
-                    let urgent = now.saturating_sub(since) as f64 > EMPTYING * part;
-                    if self.empty(&life, urgent, now) {
-                        let again = now + AGAIN;
-                        state.turns.insert(machine.clone(), Turn::Ordered { life, again });
-                        orders.push((machine, state.wave.number));
-                    }
+                    let urgent = now.saturating_sub(since) as f64 > EMPTYING * state.wave.part();
+                    self.empty(&life, urgent, now).then_some(life)
                 }
-                Turn::Ordered { life, again } if now >= again => {
-                    let again = now + AGAIN;
-                    state.turns.insert(machine.clone(), Turn::Ordered { life, again });
-                    orders.push((machine, state.wave.number));
-                }
-                Turn::Ordered { .. } => {}
+                Turn::Ordered { life, again } => (now >= again).then_some(life),
                 Turn::Down { life, since } => {
-                    // The same life is there if the upkeep had been done before.
-                    let spared = now.saturating_sub(since) > SPARED_AFTER;
-                    if self.life_on(&machine).is_some_and(|l| l != life || spared) {
-                        state.finish(&machine);
-                        if let Some(worker) = self.workers.get_mut(&life) {
-                            worker.closing = false;
-                        }
-                    }
+                    self.end_turn(state, &machine, &life, since, now);
+                    None
                 }
+            };
+            if let Some(life) = life {
+                let again = now + AGAIN;
+                state.turns.insert(machine.clone(), Turn::Ordered { life, again });
+                orders.push((machine, state.wave.number));
+            }
+        }
+        self.begin_turns(state, now);
+        if state.complete() && state.since > 0 {
+            tell_over(state, now);
+        }
+    }
+
+    /// Ends the turn of a machine once it is up again.
+    fn end_turn(
+        &mut self,
+        state: &mut WaveState,
+        machine: &str,
+        life: &Arc<str>,
+        since: u64,
+        now: u64,
+    ) {
+        // The same life is there if the upkeep had been done before.
+        let spared = now.saturating_sub(since) > SPARED_AFTER;
+        if self.life_on(machine).is_some_and(|l| l != *life || spared) {
+            state.finish(machine);
+            if let Some(worker) = self.workers.get_mut(life) {
+                worker.closing = false;
             }
         }
+    }
+
+    /// Begins with as many machines as may be down beside those that have begun.
+    fn begin_turns(&mut self, state: &mut WaveState, now: u64) {
         while state.turns.len() < state.wave.limit {
             let next = state.wave.machines.iter().find(|m| {
                 !state.done.contains(*m)
@@ -182,9 +203,6 @@
             }
             state.turns.insert(machine, Turn::Emptying { life, since: now });
         }
-        if state.complete() && state.since > 0 {
-            warn_late(state, now);
-        }
     }
 
     /// The life of a worker that answers on a machine.
@@ -193,39 +211,6 @@
         let mut lives = self.workers.iter().filter(|(_, w)| w.listed && w.life == Life::Well);
         lives.find(|(_, w)| w.listing.as_ref().is_some_and(on)).map(|(id, _)| id.clone())
     }
-
-    /// Moves runs off a worker; true once nothing is left there.
-    fn empty(&mut self, life: &Arc<str>, urgent: bool, now: u64) -> bool {
-        let Some(worker) = self.workers.get(life) else {
-            return true;
-        };
-        if worker.flights.is_empty() {
-            return true;
-        }
-        let mut moves: Vec<(TaskId, u32)> = Vec::new();
-        for (&task, flight) in worker.flights.iter().filter(|(_, f)| f.stage == Stage::Up) {
-            let free = match flight.lasting {
-                true => {
-                    let twin = moves.iter().any(|(t, _)| {
-                        (t.job, t.round, t.step) == (task.job, task.round, task.step)
-                    });
-                    !twin && self.may_move(task)
-                }
-                false => flight.saves || urgent,
-            };
-            if free {
-                moves.push((task, flight.run));
-            }
-        }
-        for (task, run) in moves {
-            info!(
-                "event=move task={task} run={run} worker={life} reason=\"upkeep of its machine\""
-            );
-            self.counts.moved += 1;
-            self.halt(life, task, run, now);
-        }
-        false
-    }
 }
 
 impl WaveState {
@@ -240,7 +225,8 @@
     }
 }
 
-fn warn_late(state: &mut WaveState, now: u64) {
+/// Tells that a wave is over, and whether it was in time.
+fn tell_over(state: &mut WaveState, now: u64) {
     let took = now.saturating_sub(state.since);
     // Told once.
     state.since = 0;
