--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the operator's configuration.
+//! Follows what the operator writes: the configuration and waves of upkeep.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +9,7 @@
 use myrtle_adapter::{StoreError, read_configuration, read_wave, topics, unframe_keyed};
 
 use crate::host::Host;
+use crate::newest::newest;
 
 /// How long a read waits for news; a cut that swallows the answer is noticed soon after.
 const WAIT: Duration = Duration::from_millis(1_500);
@@ -27,7 +28,7 @@
     let mut from = None;
     loop {
         let step = match from {
-            None => newest(&host).await,
+            None => whole(&host).await,
             Some(at) => tail(&host, at).await,
         };
         match step {
@@ -47,22 +48,12 @@
     }
 }
 
-async fn newest(host: &Host) -> Result<u64, StoreError> {
-    let mut after = String::new();
-    let mut end = None;
-    loop {
-        let page = host.store.newest(topics::OPERATOR, 0, &after, NEWEST).await?;
-        end = end.or(Some(page.end));
-        for item in &page.items {
-            take(host, &item.key, &item.value);
-        }
-        match page.items.last() {
-            Some(last) if page.more => after.clone_from(&last.key),
-            _ => return Ok(end.unwrap_or_default()),
-        }
-    }
+/// Reads the newest configuration and waves.
+async fn whole(host: &Host) -> Result<u64, StoreError> {
+    newest(host, topics::OPERATOR, 0, NEWEST, |item| take(host, &item.key, &item.value)).await
 }
 
+/// Reads what the operator has written since; waits for it if there is nothing.
 async fn tail(host: &Host, from: u64) -> Result<u64, StoreError> {
     let page = host.store.read(topics::OPERATOR, 0, from, WAIT, WAIT + BEYOND).await?;
     let next = from + page.records.len() as u64;
@@ -75,6 +66,7 @@
     Ok(next)
 }
 
+/// Takes in a record of the operator's.
 fn take(host: &Host, key: &str, value: &[u8]) {
     if value.is_empty() {
         return;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod logs;
 mod member;
 mod names;
+mod newest;
+mod notices;
 mod orders;
 mod owned;
 mod owners;
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -6,18 +6,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use log::{info, warn};
 use tokio::time::{sleep, timeout};
 
-use myrtle_adapter::{StoreError, frame};
+use myrtle_adapter::StoreError;
 
 use crate::clock::now;
 use crate::hold::ttl;
 use crate::host::Host;
-use crate::names::{NOTICES, PROGRESS, group};
+use crate::names::{PROGRESS, group};
 use crate::owned::Owned;
-use crate::takeover;
+use crate::{notices, takeover};
 
 /// How long the store keeps a silent member, in milliseconds, unless the platform's least is more:
 /// a killed owner is replaced about as soon.
@@ -34,16 +33,10 @@
 const JITTER: u64 = 500;
 
 /// How long a join, a leave or a look may take.
-const LIMIT: Duration = Duration::from_millis(600);
-
-/// How long a read waits for the notice that a cell is free.
-const NOTICE_WAIT: Duration = Duration::from_secs(10);
-
-/// What an answer may take beyond that.
-const NOTICE_BEYOND: Duration = Duration::from_millis(500);
+pub const LIMIT: Duration = Duration::from_millis(600);
 
 /// The pause after a read that failed.
-const PAUSE: Duration = Duration::from_millis(300);
+pub const PAUSE: Duration = Duration::from_millis(300);
 
 /// How long an owner that stops may take to write what it has.
 const HAND_OVER: Duration = Duration::from_millis(1_500);
@@ -174,41 +167,7 @@
     finish(&owned).await;
     host.disown(cell);
     give_up(host, cell).await;
-    let mut notice = BytesMut::new();
-    frame(&mut notice, host.settings.name.as_bytes());
-    if let Err(e) = host.store.append(NOTICES, cell, None, notice.freeze(), LIMIT).await {
-        warn!("event=notice-failed cell={cell} reason=\"{e}\"");
-    }
-}
-
-/// Ends the pause before the next look whenever a cell is given up.
-pub async fn hear(host: Arc<Host>, cell: u32) {
-    let mut from = None;
-    while !host.stopping() {
-        if from.is_none() {
-            // An append of nothing tells where the partition ends.
-            let end = host.store.append(NOTICES, cell, None, Bytes::new(), LIMIT).await;
-            from = end.inspect_err(|e| host.store_missed(e)).ok();
-        }
-        let Some(at) = from else {
-            sleep(PAUSE).await;
-            continue;
-        };
-        let limit = NOTICE_WAIT + NOTICE_BEYOND;
-        match host.store.read(NOTICES, cell, at, NOTICE_WAIT, limit).await {
-            Ok(page) => {
-                from = Some(at + page.records.len() as u64);
-                if !page.records.is_empty() {
-                    host.wake(cell);
-                }
-            }
-            Err(StoreError::Gone { .. }) => from = None,
-            Err(e) => {
-                host.store_missed(&e);
-                sleep(PAUSE).await;
-            }
-        }
-    }
+    notices::tell(host, cell).await;
 }
 
 /// Waits until the owner has written what it knew.
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -11,6 +11,7 @@
 
 use crate::clock::now;
 use crate::host::Host;
+use crate::newest::newest;
 use crate::owned::Owned;
 
 /// The time between two looks; workers write every second or so, and a wait would wake each time.
@@ -24,7 +25,7 @@
     let mut from = None;
     while !owned.closed() {
         let step = match from {
-            None => newest(&host, &owned).await,
+            None => whole(&host, &owned).await,
             Some(at) => tail(&host, &owned, at).await,
         };
         match step {
@@ -41,32 +42,25 @@
     }
 }
 
-async fn newest(host: &Host, owned: &Owned) -> Result<u64, StoreError> {
+/// Reads the whole list; lives that it does not show are unlisted.
+async fn whole(host: &Host, owned: &Owned) -> Result<u64, StoreError> {
     let mut listed = BTreeSet::new();
-    let mut after = String::new();
-    let mut end = None;
-    loop {
-        let page = host.store.newest(topics::WORKERS, 0, &after, LIMIT).await?;
-        end = end.or(Some(page.end));
-        for item in &page.items {
-            if take(host, owned, &item.key, &item.value) {
-                listed.insert(item.key.clone());
-            }
-        }
-        match page.items.last() {
-            Some(last) if page.more => after.clone_from(&last.key),
-            _ => break,
+    let end = newest(host, topics::WORKERS, 0, LIMIT, |item| {
+        if take(host, owned, &item.key, &item.value) {
+            listed.insert(item.key);
         }
-    }
+    });
+    let end = end.await?;
     let mut cell = owned.state();
     let missing: Vec<_> =
         cell.workers.keys().filter(|id| !listed.contains(&***id)).cloned().collect();
     for id in missing {
         cell.unlist(&id);
     }
-    Ok(end.unwrap_or_default())
+    Ok(end)
 }
 
+/// Reads what has changed since the last look.
 async fn tail(host: &Host, owned: &Owned, from: u64) -> Result<u64, StoreError> {
     let page = host.store.read(topics::WORKERS, 0, from, Duration::ZERO, LIMIT).await?;
     let next = from + page.records.len() as u64;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -16,7 +16,7 @@
 use crate::host::Host;
 use crate::peers::Server;
 use crate::settings::Settings;
-use crate::{follow, intake, listen, member, watch};
+use crate::{follow, intake, listen, member, notices, watch};
 
 /// How long new connections still come after a host says that it is not ready: two checks of a
 /// second each, and some.
@@ -53,22 +53,28 @@
         tokio::spawn(listen::checks(host.clone(), listener));
     }
     tokio::spawn(answer_peers(host.clone(), peers));
+    serve_cells(&host);
+    tokio::spawn(reload(path));
+    signal(SignalKind::terminate())?.recv().await;
+    stop(&host, &closing, &tracker).await;
+    Ok(())
+}
+
+/// Takes jobs for every cell, and takes part in owning those that it may.
+fn serve_cells(host: &Arc<Host>) {
     let home = host.settings.cell_of(&host.settings.data_centre);
     for cell in 0..host.settings.cell_count() {
         tokio::spawn(intake::run(host.clone(), cell));
         if Some(cell) == home {
             tokio::spawn(member::take_part(host.clone(), cell));
-            tokio::spawn(member::hear(host.clone(), cell));
+            tokio::spawn(notices::hear(host.clone(), cell));
         } else {
             tokio::spawn(watch::watch(host.clone(), cell));
         }
     }
-    tokio::spawn(reload(path));
-    signal(SignalKind::terminate())?.recv().await;
-    stop(&host, &closing, &tracker).await;
-    Ok(())
 }
 
+/// Answers the calls of other front hosts.
 async fn answer_peers(host: Arc<Host>, listener: TcpListener) {
     let run = |channel: Wired<FrontPeerRequest, FrontPeerResponse>| {
         myrtle_peer::run!(channel, Server(host.clone()).serve());
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -16,6 +16,7 @@
 use crate::clock::{now, wall};
 use crate::host::Host;
 use crate::names::{JOBS, OWNER, PROGRESS};
+use crate::newest::newest;
 use crate::owned::Owned;
 use crate::{flush, roster, tick, upkeep};
 
@@ -41,6 +42,7 @@
     owned
 }
 
+/// Takes the cell over and acts for it until it is closed.
 async fn take(host: Arc<Host>, owned: Arc<Owned>) {
     let began = now();
     if !bar(&host, &owned).await {
@@ -89,6 +91,7 @@
     false
 }
 
+/// Reads the jobs of the cell and how far they have come.
 async fn load(host: &Host, owned: &Owned) -> Result<(), StoreError> {
     let (progress, _) = pages(host, PROGRESS, owned.cell).await?;
     let (jobs, end) = pages(host, JOBS, owned.cell).await?;
@@ -119,25 +122,12 @@
     cell: u32,
 ) -> Result<(Vec<(JobId, Vec<u8>)>, u64), StoreError> {
     let mut found = Vec::new();
-    let mut after = String::new();
-    let mut end = None;
-    loop {
-        let page = host.store.newest(topic, cell, &after, LIMIT).await?;
-        // Later pages may hold later records; those are read twice, which does no harm.
-        end = end.or(Some(page.end));
-        let more = page.more;
-        let last = page.items.last().map(|i| i.key.clone());
-        for item in page.items {
-            match item.key.parse() {
-                Ok(id) => found.push((id, item.value)),
-                Err(e) => warn!("event=record-unread topic={topic} reason=\"{e}\""),
-            }
-        }
-        match last {
-            Some(last) if more => after = last,
-            _ => return Ok((found, end.unwrap_or_default())),
-        }
-    }
+    let end = newest(host, topic, cell, LIMIT, |item| match item.key.parse() {
+        Ok(id) => found.push((id, item.value)),
+        Err(e) => warn!("event=record-unread topic={topic} reason=\"{e}\""),
+    });
+    let end = end.await?;
+    Ok((found, end))
 }
 
 /// Reads accepted jobs as they come, until the cell is another host's.
@@ -185,6 +175,7 @@
     Ok(())
 }
 
+/// Takes in an accepted job.
 fn admit(owned: &Owned, id: JobId, value: &[u8]) {
     if value.is_empty() {
         return;
