Split how clients are answered; flush, hold and intake by step

Out of entry.rs: answers to answer.rs, asking owners to ask.rs; reading a body is read_body. flush: planning is plan; the largest append stands once, for intake too. hold: what the next hold has to say is next. Events, figures and behaviour are unchanged.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -6,21 +6,20 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HOST, RETRY_AFTER};
+use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use log::{info, warn};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 
 use myrtle_adapter::{Configuration, Queue, headers, pending_body, read_job, state_body};
 use myrtle_job::{JobId, Submission, encode};
 use myrtle_peer::{Passed, Seen};
 
+use crate::answer::{Answer, json, plain, refuse};
+use crate::ask::{ask, counts, home, left};
 use crate::clock::wall;
 use crate::host::Host;
-use crate::{intake, peers};
-
-/// When a client that was refused should come back, in seconds.
-const COME_BACK: &str = "1";
+use crate::intake;
 
 /// What is kept of a client's time for the way back.
 const WAY_BACK: Duration = Duration::from_millis(60);
@@ -28,15 +27,6 @@
 /// How long a client waits if neither it nor the queue says so.
 const USUAL: Duration = Duration::from_secs(3);
 
-/// How long one question to an owner may take.
-const ASK: Duration = Duration::from_millis(700);
-
-/// The pause before the owner is looked for again.
-const PAUSE: Duration = Duration::from_millis(100);
-
-/// An answer to a client.
-pub type Answer = Response<Full<Bytes>>;
-
 /// What a client asked for.
 struct Asked<'a> {
     queue: &'a Queue,
@@ -86,6 +76,7 @@
     configuration.queues.iter().filter(fits).max_by_key(|q| q.prefix.len())
 }
 
+/// Takes a job.
 async fn submit(
     host: &Host,
     configuration: &Configuration,
@@ -95,17 +86,9 @@
     let Ok(job) = asked.rest.parse::<JobId>() else {
         return plain(StatusCode::BAD_REQUEST, "the path must end with 16 hexadecimal digits");
     };
-    let limited = Limited::new(request.into_body(), configuration.limits.body);
-    let body = match timeout(left(asked.end), limited.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over the limit");
-        }
-        Ok(Err(e)) => {
-            info!("event=body-broken job={job} reason=\"{e}\"");
-            return plain(StatusCode::BAD_REQUEST, "the body broke off");
-        }
-        Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
+    let body = match read_body(request, configuration, asked.end, job).await {
+        Ok(body) => body,
+        Err(answer) => return answer,
     };
     let spec = match read_job(&body) {
         Ok(spec) => spec,
@@ -135,11 +118,33 @@
     }
 }
 
+/// Reads the body of a job; an answer to the client if that fails.
+async fn read_body(
+    request: Request<Incoming>,
+    configuration: &Configuration,
+    end: Instant,
+    job: JobId,
+) -> Result<Bytes, Answer> {
+    let limited = Limited::new(request.into_body(), configuration.limits.body);
+    match timeout(left(end), limited.collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over the limit"))
+        }
+        Ok(Err(e)) => {
+            info!("event=body-broken job={job} reason=\"{e}\"");
+            Err(plain(StatusCode::BAD_REQUEST, "the body broke off"))
+        }
+        Err(_) => Err(plain(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")),
+    }
+}
+
+/// Tells the state of a job.
 async fn look(host: &Host, asked: &Asked<'_>) -> Answer {
     let Ok(job) = asked.rest.parse::<JobId>() else {
         return plain(StatusCode::GONE, "no such job");
     };
-    match ask(host, asked, job, false).await {
+    match ask(host, job, false, asked.end).await {
         Some(Seen::Job(state)) => json(state_body(state)),
         Some(_) => plain(StatusCode::GONE, "no such job"),
         None => {
@@ -149,11 +154,12 @@
     }
 }
 
+/// Takes a job back.
 async fn cancel(host: &Host, asked: &Asked<'_>) -> Answer {
     let Ok(job) = asked.rest.parse::<JobId>() else {
         return plain(StatusCode::GONE, "no such job");
     };
-    let seen = ask(host, asked, job, true).await;
+    let seen = ask(host, job, true, asked.end).await;
     info!("event=cancel-asked job={job} outcome={seen:?}");
     match seen {
         Some(Seen::Job(_)) => Response::new(Full::default()),
@@ -162,6 +168,7 @@
     }
 }
 
+/// Counts the jobs of a queue that have not begun, over all cells.
 async fn count(host: &Host, asked: &Asked<'_>) -> Answer {
     let mut sum = 0;
     for cell in 0..host.settings.cell_count() {
@@ -172,88 +179,3 @@
     }
     json(pending_body(sum))
 }
-
-async fn counts(
-    host: &Host,
-    cell: u32,
-    end: Instant,
-) -> Option<std::collections::BTreeMap<String, u64>> {
-    while Instant::now() < end {
-        if let Some(counts) = peers::pending(host, cell) {
-            return Some(counts);
-        }
-        if let Some(at) = host.owners.find(host, cell).await.filter(|at| *at != host.peer()) {
-            let limit = ASK.min(left(end));
-            let call = host
-                .owners
-                .call(at, limit, |c, context| async move { c.pending(context, cell).await });
-            if let Some(Some(counts)) = call.await {
-                return Some(counts);
-            }
-        }
-        host.owners.forget(cell);
-        sleep(PAUSE.min(left(end))).await;
-    }
-    None
-}
-
-/// Asks the owner of a job's cell until it answers or the client's time is over.
-async fn ask(host: &Host, asked: &Asked<'_>, job: JobId, take_back: bool) -> Option<Seen> {
-    let cell = home(host, job);
-    while Instant::now() < asked.end {
-        let own = match take_back {
-            true => peers::cancel(host, cell, job).await,
-            false => peers::state(host, cell, job).await,
-        };
-        if own != Seen::Elsewhere {
-            return Some(own);
-        }
-        if let Some(at) = host.owners.find(host, cell).await.filter(|at| *at != host.peer()) {
-            let most = if take_back { 4 * ASK } else { ASK };
-            let limit = most.min(left(asked.end));
-            let call = host.owners.call(at, limit, |c, context| async move {
-                match take_back {
-                    true => c.cancel(context, cell, job).await,
-                    false => c.state(context, cell, job).await,
-                }
-            });
-            match call.await {
-                Some(Seen::Elsewhere) | None => {}
-                seen => return seen,
-            }
-        }
-        host.owners.forget(cell);
-        sleep(PAUSE.min(left(asked.end))).await;
-    }
-    None
-}
-
-/// The cell of a job: the same on every host, so that a repeat meets the first.
-fn home(host: &Host, job: JobId) -> u32 {
-    (job.spread() % u64::from(host.settings.cell_count())) as u32
-}
-
-fn left(end: Instant) -> Duration {
-    end.saturating_duration_since(Instant::now())
-}
-
-fn json(body: String) -> Answer {
-    let mut answer = Response::new(Full::from(body));
-    let kind = hyper::header::HeaderValue::from_static("application/json");
-    answer.headers_mut().insert(CONTENT_TYPE, kind);
-    answer
-}
-
-fn plain(status: StatusCode, why: &str) -> Answer {
-    let mut answer = Response::new(Full::from(format!("{why}\n")));
-    *answer.status_mut() = status;
-    answer
-}
-
-/// A refusal of something that was not done, with when to come back.
-fn refuse(status: StatusCode, why: &str) -> Answer {
-    let mut answer = plain(status, why);
-    let when = hyper::header::HeaderValue::from_static(COME_BACK);
-    answer.headers_mut().insert(RETRY_AFTER, when);
-    answer
-}
--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -9,6 +9,7 @@
 
 use myrtle_adapter::{StoreError, Writer, frame_keyed};
 use myrtle_job::JobId;
+use myrtle_owner::{Batch, Order, Question};
 
 use crate::clock::now;
 use crate::host::Host;
@@ -24,7 +25,7 @@
 const IDLE: Duration = Duration::from_millis(100);
 
 /// The largest append, in bytes; below the platform's bound of 2 MB a call.
-const LARGEST: usize = 1 << 20;
+pub const LARGEST: usize = 1 << 20;
 
 /// How long the store may take to drop forgotten jobs; a failure does no harm.
 const DROP: Duration = Duration::from_millis(1_000);
@@ -43,15 +44,7 @@
         if timeout(IDLE, owned.work.notified()).await.is_ok() {
             sleep(GATHER).await;
         }
-        let (orders, questions, batch) = {
-            let mut cell = owned.state();
-            if !owned.closed() {
-                cell.plan(now());
-            }
-            let batch = cell.batch();
-            owned.write(!batch.is_empty());
-            (cell.orders(), cell.questions(), batch)
-        };
+        let (orders, questions, batch) = plan(&owned);
         owned.dispatch(orders);
         permits::ask_all(&host, &owned, questions);
         if batch.is_empty() {
@@ -76,6 +69,18 @@
     }
 }
 
+/// Plans, and gathers what has to go out.
+fn plan(owned: &Owned) -> (Vec<Order>, Vec<Question>, Batch) {
+    let mut cell = owned.state();
+    if !owned.closed() {
+        cell.plan(now());
+    }
+    let batch = cell.batch();
+    owned.write(!batch.is_empty());
+    (cell.orders(), cell.questions(), batch)
+}
+
+/// Records framed for appends, each below the bound.
 fn bodies(records: &[(JobId, Vec<u8>)]) -> Vec<Bytes> {
     let mut bodies = Vec::new();
     let mut body = BytesMut::new();
--- a/crates/front/src/hold.rs
+++ b/crates/front/src/hold.rs
@@ -7,6 +7,7 @@
 use tokio::time::{sleep, timeout};
 
 use myrtle_adapter::WorkerError;
+use myrtle_owner::HoldArgs;
 
 use crate::clock::{now, wall};
 use crate::host::Host;
@@ -32,22 +33,9 @@
     let mut pause = FIRST_PAUSE;
     while !owned.closed() {
         let renew = owned.unconfirmed() < ttl(&host);
-        let Some(mut args) = owned.state().hold_args(&life, now()) else {
+        let Some((args, wait)) = next(&owned, &life).await else {
             break;
         };
-        let mut wait = if args.until.is_some() { WAIT } else { Duration::ZERO };
-        if args.behind {
-            // Ends that are not noted would be told again at once.
-            let mut commits = owned.committed.subscribe();
-            let _ = timeout(BEHIND, commits.changed()).await;
-            let Some(newer) = owned.state().hold_args(&life, now()) else {
-                break;
-            };
-            args = newer;
-            if args.behind {
-                wait = Duration::ZERO;
-            }
-        }
         let Some(line) = owned.line(&life) else {
             break;
         };
@@ -82,6 +70,20 @@
     owned.hang_up(&life);
 }
 
+/// What the next hold has to say and how long it waits for an end.
+async fn next(owned: &Owned, life: &str) -> Option<(HoldArgs, Duration)> {
+    let args = owned.state().hold_args(life, now())?;
+    let wait = if args.until.is_some() { WAIT } else { Duration::ZERO };
+    if !args.behind {
+        return Some((args, wait));
+    }
+    // Ends that are not noted would be told again at once.
+    let mut commits = owned.committed.subscribe();
+    let _ = timeout(BEHIND, commits.changed()).await;
+    let args = owned.state().hold_args(life, now())?;
+    Some((args, if args.behind { Duration::ZERO } else { wait }))
+}
+
 /// How long the store keeps a silent member, in milliseconds.
 pub fn ttl(host: &Host) -> u64 {
     host.settings.member_ttl.max(crate::member::TTL)
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -15,6 +15,7 @@
 use myrtle_job::JobId;
 use myrtle_peer::Passed;
 
+use crate::flush::LARGEST;
 use crate::host::Host;
 use crate::names::JOBS;
 use crate::patience::Patience;
@@ -32,9 +33,6 @@
 /// How long a job that this host can't write is passed on to a peer.
 const PASS: Duration = Duration::from_millis(1_000);
 
-/// The largest append, in bytes; below the platform's bound of 2 MB a call.
-const LARGEST: usize = 1 << 20;
-
 /// A job that waits to be written.
 #[derive(Debug)]
 struct Waiting {
@@ -67,6 +65,7 @@
         }
     }
 
+    /// Takes as many jobs off the queue as one append holds.
     fn take(&self) -> Vec<Waiting> {
         let mut queue = self.queue.lock().expect("no holder panics");
         let mut size = 0;
@@ -114,6 +113,7 @@
     }
 }
 
+/// Tells those who wait what came of their jobs.
 fn settle(batch: Vec<Waiting>, passed: Passed) {
     for waiting in batch {
         // Its client may have gone.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,5 +1,7 @@
 //! A front host: takes jobs, owns cells, and keeps what must last in the platform's store.
 
+mod answer;
+mod ask;
 mod clock;
 mod entry;
 mod flush;
--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -16,7 +16,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::entry::{Answer, serve};
+use crate::answer::Answer;
+use crate::entry::serve;
 use crate::host::Host;
 
 /// How long a client may take to send the head of a request.
