--- /dev/null
+++ b/crates/front/tests/common/mod.rs
@@ -0,0 +1,164 @@
+//! A site over loopback: front hosts as processes, the stand-in of the store, workers.
+
+mod call;
+mod text;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+
+use myrtle_platform::serve;
+use myrtle_standin::{Book, Runner, Store};
+
+pub use call::call;
+pub use text::{configuration, settings};
+
+use call::status;
+
+/// The longest that a test waits for something; far above what it takes.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// A site of one data centre.
+pub struct Site {
+    pub store: Arc<Store>,
+    store_at: SocketAddr,
+    pub book: Arc<Book>,
+    pub hosts: BTreeMap<String, Host>,
+    pub runners: Vec<Arc<Runner>>,
+    /// The longest lease of a worker, in milliseconds.
+    hold: u64,
+}
+
+/// A front host, which is a process of its own.
+pub struct Host {
+    clients: SocketAddr,
+    pub process: Child,
+    settings: PathBuf,
+}
+
+impl Host {
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.process.id() as i32), signal).unwrap();
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// A port of loopback that is free now.
+async fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap().port()
+}
+
+impl Site {
+    /// A site of two hosts and four workers that work so long on each task.
+    pub async fn start(work: Duration) -> Self {
+        Self::with(work, 10_000).await
+    }
+
+    /// A site whose workers hold leases of up to `hold` milliseconds.
+    pub async fn with(work: Duration, hold: u64) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let store_at = listener.local_addr().unwrap();
+        let store = Arc::new(Store::default());
+        let served = store.clone();
+        tokio::spawn(serve(listener, move |ask| {
+            let store = served.clone();
+            async move { store.handle(ask).await }
+        }));
+        let book = Arc::new(Book::default());
+        let mut runners = Vec::new();
+        for n in 0..4 {
+            let runner = Runner::start(&format!("i-{n}"), work, book.clone()).await.unwrap();
+            store.put("keyed.servers", &runner.name, runner.listing().as_bytes());
+            runners.push(runner);
+        }
+        store.put("keyed.op", "config", configuration(1).to_string().as_bytes());
+        let mut site = Self { store, store_at, book, hosts: BTreeMap::new(), runners, hold };
+        site.host("h1").await;
+        site.host("h2").await;
+        site
+    }
+
+    /// Starts a host and waits until it is ready.
+    pub async fn host(&mut self, name: &str) {
+        let ports = [free_port().await, free_port().await, free_port().await];
+        let file = format!("myrtle-{}-{}.yaml", std::process::id(), ports[0]);
+        let path = std::env::temp_dir().join(file);
+        std::fs::write(&path, settings(name, self.store_at, ports, self.hold)).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_myrtle-front"))
+            .arg(&path)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let (clients, checks) = (at(ports[0]), at(ports[1]));
+        self.hosts.insert(name.into(), Host { clients, process, settings: path });
+        until(|| async { status(checks, "/api/readiness").await == 200 }).await;
+    }
+
+    /// Where a host answers clients.
+    pub fn clients(&self, name: &str) -> SocketAddr {
+        self.hosts[name].clients
+    }
+
+    /// Hands in a job of some tasks and one after them; returns the status.
+    pub async fn submit(&self, host: &str, id: &str, tasks: u32) -> u16 {
+        let body = json!({ "spec": "t", "steps": [
+            { "count": tasks, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60 },
+            { "count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60, "after": [0] },
+        ] });
+        call(self.clients(host), "POST", &format!("/p/{id}"), &body.to_string()).await.0
+    }
+
+    /// The state of a job as a host tells it.
+    pub async fn state(&self, host: &str, id: &str) -> Option<String> {
+        let (status, body) = call(self.clients(host), "GET", &format!("/p/{id}"), "").await;
+        let value: Value = serde_json::from_str(&body).ok()?;
+        (status == 200).then(|| value["state"].as_str().unwrap_or_default().to_string())
+    }
+
+    /// Waits until a host tells that a job is completed.
+    pub async fn completed(&self, host: &str, id: &str) {
+        until(|| async { self.state(host, id).await.as_deref() == Some("completed") }).await;
+    }
+}
+
+/// Waits until a check holds.
+pub async fn until<F, R>(check: F)
+where
+    F: Fn() -> R,
+    R: Future<Output = bool>,
+{
+    let wait = async {
+        while !check().await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LIMIT, wait).await.expect("it never came to pass");
+}
+
+/// Which host owns the only cell, once one does.
+pub async fn owner(site: &Site) -> String {
+    let held = |(part, _): &(u32, String)| *part == 0;
+    until(|| async { site.store.owners("cell-0").iter().any(held) }).await;
+    let member = site.store.owners("cell-0").into_iter().find(held).map(|(_, member)| member);
+    member.and_then(|m| Some(m.split('-').next()?.to_string())).unwrap_or_default()
+}
--- a/crates/front/tests/whole.rs
+++ b/crates/front/tests/whole.rs
@@ -1,61 +1,18 @@
 //! The whole path over loopback: front hosts, the stand-in of the platform's store, workers.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+mod common;
+
+use std::process::Command;
 use std::time::Duration;
 
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
+use nix::sys::signal::Signal;
 use rstest::rstest;
-use serde_json::{Value, json};
-use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
-
-use myrtle_platform::serve;
-use myrtle_standin::{Book, Runner, Store, StoreMode};
-
-/// The longest that a test waits for something; far above what it takes.
-const LIMIT: Duration = Duration::from_secs(30);
-
-/// The host name of the queue.
-const QUEUE: &str = "q.example";
-
-/// A site of one data centre.
-struct Site {
-    store: Arc<Store>,
-    store_at: SocketAddr,
-    book: Arc<Book>,
-    hosts: BTreeMap<String, Host>,
-    runners: Vec<Arc<Runner>>,
-    /// The longest lease of a worker, in milliseconds.
-    hold: u64,
-}
+use serde_json::json;
+use tokio::time::sleep;
 
-/// A front host, which is a process of its own.
-struct Host {
-    clients: SocketAddr,
-    process: Child,
-    settings: PathBuf,
-}
-
-impl Host {
-    /// Sends a signal.
-    fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(self.process.id() as i32), signal).unwrap();
-    }
-}
+use myrtle_standin::StoreMode;
 
-impl Drop for Host {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
+use common::{Site, call, configuration, owner, settings, until};
 
 /// Names a case and gives it a site with two hosts and four workers.
 macro_rules! case {
@@ -71,135 +28,6 @@
     };
 }
 
-async fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap().port()
-}
-
-impl Site {
-    async fn start(work: Duration) -> Self {
-        Self::with(work, 10_000).await
-    }
-
-    async fn with(work: Duration, hold: u64) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let store_at = listener.local_addr().unwrap();
-        let store = Arc::new(Store::default());
-        let served = store.clone();
-        tokio::spawn(serve(listener, move |ask| {
-            let store = served.clone();
-            async move { store.handle(ask).await }
-        }));
-        let book = Arc::new(Book::default());
-        let mut runners = Vec::new();
-        for n in 0..4 {
-            let runner = Runner::start(&format!("i-{n}"), work, book.clone()).await.unwrap();
-            store.put("keyed.servers", &runner.name, runner.listing().as_bytes());
-            runners.push(runner);
-        }
-        store.put("keyed.op", "config", configuration(1).to_string().as_bytes());
-        let mut site = Self { store, store_at, book, hosts: BTreeMap::new(), runners, hold };
-        site.host("h1").await;
-        site.host("h2").await;
-        site
-    }
-
-    async fn host(&mut self, name: &str) {
-        let ports = [free_port().await, free_port().await, free_port().await];
-        let file = format!("myrtle-{}-{}.yaml", std::process::id(), ports[0]);
-        let path = std::env::temp_dir().join(file);
-        std::fs::write(&path, settings(name, self.store_at, ports, self.hold)).unwrap();
-        let process = Command::new(env!("CARGO_BIN_EXE_myrtle-front"))
-            .arg(&path)
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
-        let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
-        let (clients, checks) = (at(ports[0]), at(ports[1]));
-        self.hosts.insert(name.into(), Host { clients, process, settings: path });
-        until(|| async { status(checks, "/api/readiness").await == 200 }).await;
-    }
-
-    fn clients(&self, name: &str) -> SocketAddr {
-        self.hosts[name].clients
-    }
-
-    async fn submit(&self, host: &str, id: &str, tasks: u32) -> u16 {
-        let body = json!({ "spec": "t", "steps": [
-            { "count": tasks, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60 },
-            { "count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60, "after": [0] },
-        ] });
-        call(self.clients(host), "POST", &format!("/p/{id}"), &body.to_string()).await.0
-    }
-
-    async fn state(&self, host: &str, id: &str) -> Option<String> {
-        let (status, body) = call(self.clients(host), "GET", &format!("/p/{id}"), "").await;
-        let value: Value = serde_json::from_str(&body).ok()?;
-        (status == 200).then(|| value["state"].as_str().unwrap_or_default().to_string())
-    }
-
-    async fn completed(&self, host: &str, id: &str) {
-        until(|| async { self.state(host, id).await.as_deref() == Some("completed") }).await;
-    }
-}
-
-fn configuration(version: u64) -> Value {
-    json!({ "version": version, "routes": [{ "name": "r", "host": QUEUE, "path_prefix": "/p/",
-        "timeout_ms": 3000, "target_latency_ms": 1000, "priority": 0, "service": "s",
-        "max_attempts": 3, "stretch": 2.0 }], "services": [{ "name": "s" }],
-        "limits": { "max_body_bytes": 4096 } })
-}
-
-fn settings(name: &str, store: SocketAddr, [clients, checks, peer]: [u16; 3], hold: u64) -> String {
-    format!(
-        "name: {name}\ndata_centre: d\ndata_centres: [d]\nclients: 127.0.0.1:{clients}\n\
-         checks: 127.0.0.1:{checks}\nip: 127.0.0.1\npeer_port: {peer}\nstore: {store}\n\
-         member_ttl: 1000\nbounds: {{hold: {hold}, stop: 900, gang: 3000, harm: 4000, far: 1.5, \
-         status: 120, notice: 4500, save: 0.5, grace: 6, contact: 3000}}\n"
-    )
-}
-
-async fn until<F, R>(check: F)
-where
-    F: Fn() -> R,
-    R: Future<Output = bool>,
-{
-    let wait = async {
-        while !check().await {
-            sleep(Duration::from_millis(20)).await;
-        }
-    };
-    timeout(LIMIT, wait).await.expect("it never came to pass");
-}
-
-async fn status(at: SocketAddr, path: &str) -> u16 {
-    call(at, "GET", path, "").await.0
-}
-
-async fn call(at: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    let Ok(mut stream) = tokio::net::TcpStream::connect(at).await else {
-        return (0, String::new());
-    };
-    let head = format!(
-        "{method} {path} HTTP/1.1\r\nhost: {QUEUE}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
-        body.len()
-    );
-    let mut answer = Vec::new();
-    let exchange = async {
-        stream.write_all(head.as_bytes()).await?;
-        stream.write_all(body.as_bytes()).await?;
-        stream.read_to_end(&mut answer).await
-    };
-    if exchange.await.is_err() {
-        return (0, String::new());
-    }
-    let text = String::from_utf8_lossy(&answer);
-    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
-    let body = text.split_once("\r\n\r\n").map_or("", |(_, b)| b);
-    (status, body.to_string())
-}
-
 case!(a_job_is_taken_run_and_shown_as_completed_by_every_host, site, {
     assert_eq!(site.submit("h1", "00000000000000a1", 5).await, 200);
     site.completed("h1", "00000000000000a1").await;
@@ -296,14 +124,6 @@
     site.completed("h2", "00000000000000a7").await;
 });
 
-/// Which host owns the only cell, once one does.
-async fn owner(site: &Site) -> String {
-    let held = |(part, _): &(u32, String)| *part == 0;
-    until(|| async { site.store.owners("cell-0").iter().any(held) }).await;
-    let member = site.store.owners("cell-0").into_iter().find(held).map(|(_, member)| member);
-    member.and_then(|m| Some(m.split('-').next()?.to_string())).unwrap_or_default()
-}
-
 case!(a_killed_owner_is_followed_and_nothing_runs_twice, site, {
     let mut slow = Site::start(Duration::from_millis(1500)).await;
     assert_eq!(slow.submit("h1", "00000000000000a8", 6).await, 200);
--- /dev/null
+++ b/crates/owner/tests/common/jobs.rs
@@ -0,0 +1,36 @@
+//! Jobs and policies as most tests need them.
+
+use myrtle_base::Room;
+use myrtle_job::{Ended, How, JobSpec, Policy, StepSpec, TaskId};
+
+/// A queue's policy as most tests need it.
+pub fn policy() -> Policy {
+    Policy {
+        queue: "q".into(),
+        service: "s".into(),
+        attempts: 3,
+        stretch: 2.0,
+        slack: 1_000,
+        ..Policy::default()
+    }
+}
+
+/// A step of `count` tasks of two cores and a second each.
+pub fn step(count: u16) -> StepSpec {
+    StepSpec {
+        count,
+        room: Room { cpu: 2_000, mem: 1_000, accel: 0 },
+        estimate: 1_000,
+        ..StepSpec::default()
+    }
+}
+
+/// A job of some steps.
+pub fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec { body: "b".into(), steps, repeat: None }
+}
+
+/// The end of a run, for tests that make their own reports.
+pub fn ended(number: u64, task: TaskId, run: u32, how: How) -> Ended {
+    Ended { number, task, run, how, saved: String::new() }
+}
--- a/crates/owner/tests/promises.rs
+++ b/crates/owner/tests/promises.rs
@@ -8,7 +8,8 @@
 use myrtle_job::{How, JobId, Repeat, State, TaskId, Told};
 use myrtle_owner::{Order, Outcome};
 
-use common::{Faults, World, ended, job, policy, step};
+use common::jobs::ended;
+use common::{Faults, World, job, policy, step};
 
 /// Names a case and gives it a world of four workers.
 macro_rules! case {
