--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -3,24 +3,33 @@
 //! No I/O and no clock of its own: times are handed in as milliseconds of the host's steady clock
 //! (`now`) and, where clients name times of day, since 1970 (`wall`).
 
+mod admit;
 mod bounds;
 mod cell;
 mod commit;
 mod copy;
 mod drain;
 mod ends;
+mod explain;
 mod fit;
 mod flight;
 mod gist;
 mod guard;
 mod harm;
 mod health;
+mod held;
 mod job;
 mod lease;
+mod list;
 mod order;
+mod over;
+mod pace;
 mod permit;
+mod place;
 mod plan;
+mod pressure;
 mod told;
+mod waits;
 mod wave;
 mod worker;
 
