Cells by the first list of workers, kept in the log

Change: up to 100 workers form one cell, else each data centre has one for each 120; the first host to write it decides, by a writer's first call that the store takes once.

--- a/crates/ctl/tests/job.rs
+++ b/crates/ctl/tests/job.rs
@@ -34,7 +34,7 @@
     let ports = [free_port().await, free_port().await, free_port().await];
     let text = format!(
         "name: h\ndata_centre: d\ndata_centres: [d]\nclients: 127.0.0.1:{}\n\
-         checks: 127.0.0.1:{}\nip: 127.0.0.1\npeer_port: {}\nstore: {at}\nmember_ttl: 1000\n\
+         checks: 127.0.0.1:{}\nip: 127.0.0.1\npeer_port: {}\nstore: {at}\nmember_ttl: 1000\ncells: one\n\
          bounds: {{hold: 10000, stop: 900, gang: 3000, harm: 4000, far: 1.5, status: 120, \
          notice: 4500, save: 0.5, grace: 6, contact: 3000}}\n",
         ports[0], ports[1], ports[2]
--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -69,9 +69,9 @@
     None
 }
 
-/// The cell of a job: the same on every host, so that a repeat meets the first.
+/// The cell of a job.
 pub fn home(host: &Host, job: JobId) -> u32 {
-    (job.spread() % u64::from(host.settings.cell_count())) as u32
+    host.layout().map_or(0, |l| l.home(job))
 }
 
 /// The time that is left until a moment.
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -20,6 +20,7 @@
 use crate::clock::wall;
 use crate::host::Host;
 use crate::intake;
+use crate::layout::Layout;
 
 /// What is kept of a client's time for the way back.
 const WAY_BACK: Duration = Duration::from_millis(60);
@@ -40,6 +41,9 @@
     let Some(configuration) = host.configuration() else {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet");
     };
+    if host.layout().is_none() {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "the cells are not known yet");
+    }
     let path = request.uri().path().to_string();
     let name = request.headers().get(HOST).and_then(|h| h.to_str().ok()).unwrap_or("");
     let Some(queue) = find(&configuration, name, &path) else {
@@ -171,7 +175,7 @@
 /// Counts the jobs of a queue that have not begun, over all cells.
 async fn count(host: &Host, asked: &Asked<'_>) -> Answer {
     let mut sum = 0;
-    for cell in 0..host.settings.cell_count() {
+    for cell in 0..host.layout().map_or(1, Layout::count) {
         let Some(counts) = counts(host, cell, asked.end).await else {
             return refuse(StatusCode::SERVICE_UNAVAILABLE, "an owner can't be reached");
         };
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 
 use log::{info, warn};
 use tokio::sync::Notify;
@@ -13,6 +13,7 @@
 
 use crate::clock::now;
 use crate::intake::Intake;
+use crate::layout::Layout;
 use crate::owned::Owned;
 use crate::owners::Owners;
 use crate::settings::Settings;
@@ -48,6 +49,7 @@
     intakes: Mutex<HashMap<u32, Arc<Intake>>>,
     wakes: Mutex<HashMap<u32, Arc<Notify>>>,
     stopping: AtomicBool,
+    layout: OnceLock<Layout>,
 }
 
 impl Host {
@@ -69,6 +71,7 @@
             intakes: Mutex::default(),
             wakes: Mutex::default(),
             stopping: AtomicBool::new(false),
+            layout: OnceLock::new(),
         }
     }
 
@@ -104,6 +107,11 @@
         self.owned.lock().expect("no holder panics").get(&cell).cloned()
     }
 
+    /// How many cells this host owns.
+    pub fn owned_count(&self) -> usize {
+        self.owned.lock().expect("no holder panics").len()
+    }
+
     /// Notes that this host owns a cell.
     pub fn own(&self, cell: u32, owned: Arc<Owned>) {
         self.owned.lock().expect("no holder panics").insert(cell, owned);
@@ -142,7 +150,10 @@
 
     /// Whether new connections should come here.
     pub fn ready(&self) -> bool {
-        !self.stopping() && self.configuration().is_some() && self.store_age() <= READY_WITHIN
+        !self.stopping()
+            && self.configuration().is_some()
+            && self.layout().is_some()
+            && self.store_age() <= READY_WITHIN
     }
 
     /// Whether the store has given no good answer for a while; other parts go on asking it.
@@ -150,6 +161,16 @@
         self.lost.load(Ordering::Relaxed)
     }
 
+    /// Which cells there are, once that is known.
+    pub fn layout(&self) -> Option<&Layout> {
+        self.layout.get()
+    }
+
+    /// Notes which cells there are, for good.
+    pub fn lay_out(&self, layout: Layout) -> &Layout {
+        self.layout.get_or_init(|| layout)
+    }
+
     /// Whether the host has been told to stop.
     pub fn stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,6 +9,7 @@
 mod hold;
 mod host;
 mod intake;
+mod layout;
 mod listen;
 pub mod logs;
 mod member;
@@ -29,7 +30,8 @@
 mod upkeep;
 mod watch;
 
+pub use layout::Layout;
 pub use names::group as cell_group;
 pub use owners::address as member_address;
 pub use run::run;
-pub use settings::Settings;
+pub use settings::{Cells, Settings};
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -46,7 +46,9 @@
     let waker = host.waker(cell);
     while !host.stopping() {
         if vacant(&host, cell).await {
-            let jitter = Duration::from_millis(rand::random_range(0..JITTER));
+            // Hosts that own a cell already leave the next one to others.
+            let wait = rand::random_range(0..JITTER) + JITTER * host.owned_count() as u64;
+            let jitter = Duration::from_millis(wait);
             sleep(jitter).await;
             if !host.stopping() && vacant(&host, cell).await {
                 stay(&host, cell).await;
--- a/crates/front/src/names.rs
+++ b/crates/front/src/names.rs
@@ -9,6 +9,9 @@
 /// The machines that waves of upkeep have seen through, by the waves' numbers.
 pub const WAVES: &str = "keyed.waves";
 
+/// Which cells there are, under one key.
+pub const LAYOUT: &str = "keyed.layout";
+
 /// Notices that a cell is free, one partition a cell.
 pub const NOTICES: &str = "notices";
 
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -1,6 +1,7 @@
 //! Follows the list of workers for the owner of a cell.
 
 use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -83,7 +84,8 @@
             return false;
         }
     };
-    if host.settings.cell_of(&listing.data_centre) != Some(owned.cell) {
+    let cell = host.layout().map(|l| l.cell_of(&listing.data_centre, number(listing.address)));
+    if cell != Some(owned.cell) {
         return false;
     }
     owned.state().list(id, listing, now());
@@ -103,3 +105,12 @@
         }
     }
 }
+
+/// A worker's address as a number; it stays the same over its lives.
+fn number(address: SocketAddr) -> u64 {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => u64::from(ip.to_bits()),
+        IpAddr::V6(ip) => ip.to_bits() as u64,
+    };
+    ip << 16 | u64::from(address.port())
+}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -14,9 +14,10 @@
 use myrtle_peer::{FrontPeer, FrontPeerRequest, FrontPeerResponse, Wired};
 
 use crate::host::Host;
+use crate::layout::Layout;
 use crate::peers::Server;
 use crate::settings::Settings;
-use crate::{follow, intake, listen, member, notices, watch};
+use crate::{follow, intake, layout, listen, member, notices, watch};
 
 /// How long new connections still come after a host says that it is not ready: two checks of a
 /// second each, and some.
@@ -32,10 +33,9 @@
     let checks = TcpListener::bind(settings.checks).await?;
     let peers = TcpListener::bind(settings.peer()).await?;
     info!(
-        "event=start version={} data_centre={} cells={} clients={} peer={}",
+        "event=start version={} data_centre={} clients={} peer={}",
         env!("CARGO_PKG_VERSION"),
         settings.data_centre,
-        settings.cell_count(),
         settings.clients,
         settings.peer()
     );
@@ -53,7 +53,7 @@
         tokio::spawn(listen::checks(host.clone(), listener));
     }
     tokio::spawn(answer_peers(host.clone(), peers));
-    serve_cells(&host);
+    tokio::spawn(serve_cells(host.clone()));
     tokio::spawn(reload(path));
     signal(SignalKind::terminate())?.recv().await;
     stop(&host, &closing, &tracker).await;
@@ -61,11 +61,11 @@
 }
 
 /// Takes jobs for every cell, and takes part in owning those that it may.
-fn serve_cells(host: &Arc<Host>) {
-    let home = host.settings.cell_of(&host.settings.data_centre);
-    for cell in 0..host.settings.cell_count() {
+async fn serve_cells(host: Arc<Host>) {
+    let layout = host.lay_out(layout::find(&host).await);
+    for cell in 0..layout.count() {
         tokio::spawn(intake::run(host.clone(), cell));
-        if Some(cell) == home {
+        if layout.at_home(cell, &host.settings.data_centre) {
             tokio::spawn(member::take_part(host.clone(), cell));
             tokio::spawn(notices::hear(host.clone(), cell));
         } else {
@@ -104,7 +104,7 @@
     host.stop();
     let grace = host.settings.grace().saturating_sub(SPARE);
     let end = tokio::time::Instant::now() + grace;
-    for cell in 0..host.settings.cell_count() {
+    for cell in 0..host.layout().map_or(0, Layout::count) {
         member::hand_over(host, cell).await;
     }
     sleep(NOTICED).await;
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -1,6 +1,5 @@
 //! The settings of a front host, in YAML.
 
-use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
@@ -51,10 +50,12 @@
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Cells {
+    /// As many as the workers listed at the first start call for.
+    #[default]
+    Auto,
     /// One of all workers.
     One,
-    /// One of each data centre.
-    #[default]
+    /// One or more of each data centre.
     DataCentre,
 }
 
@@ -105,25 +106,6 @@
         SocketAddr::new(self.ip, self.peer_port)
     }
 
-    /// How many cells there are.
-    pub fn cell_count(&self) -> u32 {
-        match self.cells {
-            Cells::One => 1,
-            Cells::DataCentre => self.data_centres.len() as u32,
-        }
-    }
-
-    /// The cell whose workers stand in a data centre; nothing if the data centre is not known.
-    pub fn cell_of(&self, data_centre: &str) -> Option<u32> {
-        match self.cells {
-            Cells::One => Some(0),
-            Cells::DataCentre => {
-                let at = self.sorted().iter().position(|d| *d == data_centre)?;
-                Some(at as u32)
-            }
-        }
-    }
-
     /// What binds an owner.
     pub fn owner_bounds(&self) -> Bounds {
         let f = &self.bounds;
@@ -143,10 +125,4 @@
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.grace.max(0.0))
     }
-
-    // Every host has to number the cells alike, whatever the order in its file.
-    fn sorted(&self) -> Vec<&str> {
-        let names: BTreeMap<&str, ()> = self.data_centres.iter().map(|d| (&**d, ())).collect();
-        names.into_keys().collect()
-    }
 }
