--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -1,4 +1,8 @@
-//! Which worker suits a task best.
+//! Which worker suits a task best: the one with the least cost.
+//!
+//! Costs are weighed against the share of a worker's processors that is left: 1 is a whole worker.
+//! Where a comment names no trial, none is recorded for the figure; trials are of quiet-1, without
+//! the price of processor time.
 
 use std::sync::Arc;
 
@@ -6,7 +10,7 @@
 
 use crate::{Cell, Job, Life, Stage, Worker};
 
-/// The share of its processors that a filler must find free.
+/// The share of the processors it asks for that a filler must find free.
 const LEAST_SHARE: f64 = 0.5;
 
 /// The share of all processors on workers without lasting tasks that lasting tasks leave to short
@@ -14,20 +18,21 @@
 const KEPT: f64 = 0.08;
 
 /// The share of each worker's processors that lasting tasks leave: too little for one of them, so
-/// that it stays for short ones.
+/// that it stays for short ones. Tried: 0 and 0.06; with 0 short tasks lacked room.
 const SCRAP: f64 = 0.06;
 
-/// How long a lasting task waits for room elsewhere before it takes of that share, in milliseconds.
+/// How long a lasting task waits for room elsewhere before it takes of these shares, in
+/// milliseconds.
 const KEPT_FOR: u64 = 1_500;
 
-/// What a worker of that share costs.
+/// What it costs a lasting task to take of these shares.
 const FULL: f64 = 2.0;
 
 /// What a worker without lasting tasks costs a lasting one.
 const OPENED: f64 = 1.5;
 
 /// How long a filler waits for a worker where it disturbs nobody, in milliseconds; after that it
-/// goes where it disturbs least, and is slowed there as needed.
+/// goes where it disturbs least, and is slowed there as needed. Tried: 2 s, which was worse.
 const BEARABLE_FOR: u64 = 10_000;
 
 /// What a rack other than that of the data costs, beyond any other consideration.
--- a/crates/owner/src/pressure.rs
+++ b/crates/owner/src/pressure.rs
@@ -6,11 +6,13 @@
 /// How far below its limit pressure has to come, and has to stay when work is added.
 pub(crate) const MARGIN: f64 = 0.08;
 
-/// The share of its processors that a serving task uses at its highest.
+/// The share of its processors that a serving task uses at its highest. Tried: 0.72 to 0.80, on
+/// quiet-1 of two sites.
 pub(crate) const HIGHEST_LOAD: f64 = 0.80;
 
 /// How far below its limit a task has to be to bear more than it could at its highest load: what
-/// its load may rise while a usual filler runs.
+/// its load may rise while a usual filler runs. Tried: 0.15 to 0.28, together with the highest
+/// load.
 const SWING: f64 = 0.2;
 
 /// The pressure below which a filler is not worth slowing.
--- a/crates/owner/src/worker.rs
+++ b/crates/owner/src/worker.rs
@@ -141,11 +141,6 @@
         self.flights.values().any(|f| f.lasting)
     }
 
-    /// The rack, which is the last of its labels.
-    pub fn rack(&self) -> Option<&str> {
-        self.listing.as_ref()?.labels.last().map(String::as_str)
-    }
-
     /// Whether it has a label.
     pub fn labelled(&self, label: &str) -> bool {
         self.listing.as_ref().is_some_and(|l| l.labels.iter().any(|x| x == label))
--- a/crates/standin/src/store/group.rs
+++ b/crates/standin/src/store/group.rs
@@ -22,7 +22,6 @@
         self.lapse(parts);
         let until = Instant::now() + ttl;
         let fresh = !self.members.contains_key(name);
-
         self.members.insert(name.into(), Member { until });
         if fresh {
             self.deal(parts);
