Job::step; the operator's follower has its own name

The listing of a step's waiting tasks is waiting. crates/front/src/follow.rs is operator.rs now. Behaviour is unchanged.

--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -16,7 +16,7 @@
 use crate::host::Host;
 use crate::peers::Server;
 use crate::settings::Settings;
-use crate::{follow, intake, listen, member, notices, watch};
+use crate::{intake, listen, member, notices, operator, watch};
 
 /// How long new connections still come after a host says that it is not ready: two checks of a
 /// second each, and some.
@@ -46,7 +46,7 @@
     let host = Arc::new(Host::new(settings));
     let closing = CancellationToken::new();
     let tracker = TaskTracker::new();
-    tokio::spawn(follow::follow(host.clone()));
+    tokio::spawn(operator::follow(host.clone()));
     tokio::spawn(listen::clients(host.clone(), clients, closing.clone(), tracker.clone()));
     tokio::spawn(listen::checks(host.clone(), checks));
     if let Some(listener) = metrics {
--- a/crates/owner/src/admit.rs
+++ b/crates/owner/src/admit.rs
@@ -75,7 +75,7 @@
             self.open.remove(&id);
         }
         for (task, run) in job.runs(id) {
-            let spec = &self.jobs[&id].submission.spec.steps[usize::from(task.step)];
+            let spec = self.jobs[&id].step(task.step);
             let flight = Flight::new(run.number, spec, Stage::Inherited, now);
             let worker = self.workers.entry(run.worker).or_insert_with(|| Worker::new(now));
             worker.flights.insert(task, flight);
--- a/crates/owner/src/job.rs
+++ b/crates/owner/src/job.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use myrtle_job::{JobId, Progress, Run, State, Submission, TaskId};
+use myrtle_job::{JobId, Progress, Run, State, StepSpec, Submission, TaskId};
 
 /// An accepted job.
 #[derive(Debug, Clone)]
@@ -55,6 +55,11 @@
         }
     }
 
+    /// What was asked for of a step.
+    pub fn step(&self, step: u16) -> &StepSpec {
+        &self.submission.spec.steps[usize::from(step)]
+    }
+
     /// The latency objective, in milliseconds.
     pub fn objective(&self) -> u64 {
         let policy = &self.submission.policy;
--- a/crates/owner/src/permit.rs
+++ b/crates/owner/src/permit.rs
@@ -88,7 +88,7 @@
         let Some(advice) = job.submission.policy.advice else {
             return;
         };
-        let spec = &job.submission.spec.steps[usize::from(task.step)];
+        let spec = job.step(task.step);
         let empty = Permits::default();
         let known = job.tickets.get(&(task.round, task.step)).unwrap_or(&empty);
         if known.asking || known.pause > now {
--- a/crates/owner/src/place.rs
+++ b/crates/owner/src/place.rs
@@ -11,15 +11,7 @@
 impl Cell {
     /// Places the tasks of a step one by one; true if some still wait.
     pub(crate) fn place_step(&mut self, id: JobId, round: u32, step: u16, now: u64) -> bool {
-        let job = &self.jobs[&id];
-        let tasks = &job.progress.rounds[&round].steps[usize::from(step)].tasks;
-        let waiting: Vec<TaskId> = tasks
-            .iter()
-            .enumerate()
-            .map(|(index, t)| (TaskId { job: id, round, step, index: index as u16 }, t))
-            .filter(|(task, t)| t.waits() || self.wants_copy(*task, t, now))
-            .map(|(task, _)| task)
-            .collect();
+        let waiting = self.waiting(id, round, step, now);
         let mut left = false;
         let mut placed = 0;
         let wanted = waiting.len();
@@ -29,7 +21,7 @@
                 left = true;
                 continue;
             }
-            let spec = &job.submission.spec.steps[usize::from(step)];
+            let spec = job.step(step);
             let copy = job.progress.task(task).is_some_and(|t| !t.waits());
             let fit = self.fit(job, spec, task, now);
             if copy && fit.is_none() {
@@ -54,6 +46,19 @@
         left
     }
 
+    /// The tasks of a step that wait, or want a copy.
+    fn waiting(&self, id: JobId, round: u32, step: u16, now: u64) -> Vec<TaskId> {
+        let job = &self.jobs[&id];
+        let tasks = &job.progress.rounds[&round].steps[usize::from(step)].tasks;
+        tasks
+            .iter()
+            .enumerate()
+            .map(|(index, t)| (TaskId { job: id, round, step, index: index as u16 }, t))
+            .filter(|(task, t)| t.waits() || self.wants_copy(*task, t, now))
+            .map(|(task, _)| task)
+            .collect()
+    }
+
     /// Places all tasks of a gang or none; true if it still waits.
     pub(crate) fn place_gang(&mut self, id: JobId, round: u32, step: u16, now: u64) -> bool {
         let job = &self.jobs[&id];
@@ -71,7 +76,7 @@
         }
         for (at, &task) in members.iter().enumerate() {
             let job = &self.jobs[&id];
-            let spec = &job.submission.spec.steps[usize::from(step)];
+            let spec = job.step(step);
             let Some(life) = self.fit(job, spec, task, now) else {
                 for &placed in &members[..at] {
                     self.unassign(placed, number);
@@ -95,7 +100,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let spec = job.submission.spec.steps[usize::from(task.step)].clone();
+        let spec = job.step(task.step).clone();
         let Some(record) = job.progress.task_mut(task) else {
             return;
         };
--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -77,7 +77,7 @@
         }
         let mut waiting = false;
         for (round, step) in ready {
-            let gang = self.jobs[&id].submission.spec.steps[usize::from(step)].gang;
+            let gang = self.jobs[&id].step(step).gang;
             let rest = if gang {
                 self.place_gang(id, round, step, now)
             } else {
--- a/crates/owner/src/waits.rs
+++ b/crates/owner/src/waits.rs
@@ -21,7 +21,7 @@
 
     /// Why no worker takes a task now.
     fn why_not(&self, job: &Job, task: TaskId, now: u64) -> &'static str {
-        let spec = &job.submission.spec.steps[usize::from(task.step)];
+        let spec = job.step(task.step);
         let open = || self.workers.values().filter(|w| w.open(now));
         if open().next().is_none() {
             return "no worker is open to new work";
