--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -17,11 +17,13 @@
 use tokio_util::task::TaskTracker;
 
 use crate::answer::Answer;
+use myrtle_adapter::Limits;
+
 use crate::entry::serve;
 use crate::host::Host;
 
-/// How long a client may take to send the head of a request.
-const HEAD: Duration = Duration::from_secs(3);
+/// The smallest buffer of a connection; hyper takes no smaller one.
+const SMALLEST: usize = 8 << 10;
 
 /// The pause after the system could not give a connection.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -43,6 +45,9 @@
             }
         };
         let _ = stream.set_nodelay(true);
+        let limits = host.configuration().map_or_else(Limits::default, |c| c.limits);
+        let head = Duration::from_millis(limits.header_wait);
+        let size = limits.header.max(SMALLEST);
         let (host, closing) = (host.clone(), closing.clone());
         tracker.spawn(async move {
             let service = service_fn(move |request: Request<Incoming>| {
@@ -51,7 +56,8 @@
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(HEAD)
+                .header_read_timeout(head)
+                .max_buf_size(size)
                 .serve_connection(TokioIo::new(stream), service);
             tokio::pin!(connection);
             let result = tokio::select! {
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -66,18 +66,10 @@
     pub hold: u64,
     /// The longest stop of a run, in milliseconds.
     pub stop: u64,
-    /// How long a gang's first tasks wait, in milliseconds.
-    pub gang: u64,
     /// How long a serving task may be over its target, in milliseconds.
     pub harm: u64,
-    /// How much longer work takes away from its data, as a factor.
-    pub far: f64,
     /// How long a job's state is kept, in seconds.
     pub status: f64,
-    /// How long a lasting task may take to be at work, in milliseconds.
-    pub notice: u64,
-    /// How often work is saved, in seconds.
-    pub save: f64,
     /// The time between the order to stop and the end by force, in seconds.
     pub grace: f64,
     /// The time after which a host that lost the store counts as out of touch, in milliseconds.
@@ -109,20 +101,11 @@
     /// What binds an owner.
     pub fn owner_bounds(&self) -> Bounds {
         let f = &self.bounds;
-        Bounds {
-            hold: f.hold,
-            stop: f.stop,
-            gang: f.gang,
-            harm: f.harm,
-            far: f.far,
-            status: (f.status * 1000.0) as u64,
-            notice: f.notice,
-            save: (f.save * 1000.0) as u64,
-        }
+        Bounds { hold: f.hold, stop: f.stop, harm: f.harm, status: (f.status * 1000.0) as u64 }
     }
 
     /// The time between the order to stop and the end by force.
     pub fn grace(&self) -> Duration {
-        Duration::from_secs_f64(self.bounds.grace.max(0.0))
+        Duration::try_from_secs_f64(self.bounds.grace).unwrap_or_default()
     }
 }
--- a/crates/front/src/upkeep.rs
+++ b/crates/front/src/upkeep.rs
@@ -8,13 +8,16 @@
 use log::{info, warn};
 use tokio::time::sleep;
 
-use myrtle_adapter::{StoreError, UpkeepReply, WaveOrder, frame_keyed, topics, wave_status};
+use myrtle_adapter::{
+    StoreError, UpkeepReply, WaveOrder, Writer, frame_keyed, topics, wave_status,
+};
 use myrtle_job::{decode, encode};
 use myrtle_owner::{Upkeep, Wave};
 
 use crate::clock::now;
 use crate::host::Host;
-use crate::names::WAVES;
+use crate::names::{OWNER, WAVES};
+use crate::newest::newest;
 use crate::owned::Owned;
 
 /// The cell whose owner sees waves through; one host has to count the machines that are down.
@@ -31,6 +34,7 @@
     if owned.cell != CELL {
         return;
     }
+    let mut writes = 0;
     let mut done: Option<BTreeMap<u64, BTreeSet<String>>> = None;
     while !owned.closed() {
         sleep(EVERY).await;
@@ -58,7 +62,8 @@
             tokio::spawn(async move { order(&host, &owned, &machine, wave).await });
         }
         for (number, machines, complete) in news {
-            write(&host, number, &machines, complete).await;
+            writes += 1;
+            write(&host, &owned, writes, number, &machines, complete).await;
         }
         owned.work.notify_one();
     }
@@ -93,19 +98,24 @@
 }
 
 async fn read(host: &Host) -> Result<BTreeMap<u64, BTreeSet<String>>, StoreError> {
-    let page = host.store.newest(WAVES, 0, "", LIMIT).await?;
     let mut done = BTreeMap::new();
-    for item in page.items {
-        let (Ok(number), Ok(machines)) = (item.key.parse(), decode(&item.value)) else {
-            warn!("event=wave-record-unread key={}", item.key);
-            continue;
-        };
-        done.insert(number, machines);
-    }
+    newest(host, WAVES, 0, LIMIT, |item| match (item.key.parse(), decode(&item.value)) {
+        (Ok(number), Ok(machines)) => drop(done.insert(number, machines)),
+        _ => warn!("event=wave-record-unread key={}", item.key),
+    })
+    .await?;
     Ok(done)
 }
 
-async fn write(host: &Host, number: u64, machines: &BTreeSet<String>, complete: bool) {
+/// Writes how far a wave is, under the owner's fencing token.
+async fn write(
+    host: &Host,
+    owned: &Owned,
+    call: u64,
+    number: u64,
+    machines: &BTreeSet<String>,
+    complete: bool,
+) {
     let mut record = BytesMut::new();
     frame_keyed(&mut record, &number.to_string(), &encode(machines));
     let mut status = BytesMut::new();
@@ -113,8 +123,15 @@
     frame_keyed(&mut status, &key, wave_status(complete).as_bytes());
     for (topic, body) in [(WAVES, record), (topics::STATUS, status)] {
         let body = body.freeze();
-        while let Err(e) = host.store.append(topic, 0, None, body.clone(), LIMIT).await {
+        let writer = Writer { name: OWNER, epoch: owned.fence, number: call };
+        while let Err(e) = host.store.append(topic, 0, Some(writer), body.clone(), LIMIT).await {
+            if matches!(e, StoreError::Fenced) {
+                return owned.depose("the log of waves");
+            }
             host.store_missed(&e);
+            if owned.closed() {
+                return;
+            }
             sleep(EVERY).await;
         }
     }
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -19,11 +19,9 @@
 use myrtle_platform::serve;
 use myrtle_standin::{Book, Runner, Store};
 
-pub use call::call;
+pub use call::{call, status};
 pub use text::{configuration, settings};
 
-use call::status;
-
 /// The longest that a test waits for something; far above what it takes.
 const LIMIT: Duration = Duration::from_secs(30);
 
@@ -41,6 +39,8 @@
 /// A front host, which is a process of its own.
 pub struct Host {
     clients: SocketAddr,
+    /// Where readiness is asked for.
+    pub checks: SocketAddr,
     pub process: Child,
     settings: PathBuf,
 }
@@ -110,7 +110,7 @@
             .unwrap();
         let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
         let (clients, checks) = (at(ports[0]), at(ports[1]));
-        self.hosts.insert(name.into(), Host { clients, process, settings: path });
+        self.hosts.insert(name.into(), Host { clients, checks, process, settings: path });
         until(|| async { status(checks, "/api/readiness").await == 200 }).await;
     }
 
--- a/crates/front/tests/whole.rs
+++ b/crates/front/tests/whole.rs
@@ -12,7 +12,10 @@
 
 use myrtle_standin::StoreMode;
 
-use common::{Site, call, configuration, owner, settings, until};
+use common::{Site, call, configuration, owner, settings, status, until};
+
+/// The smallest job.
+const TINY: &str = r#"{"spec":"t","steps":[{"count":1,"estimate_ms":60}]}"#;
 
 /// Names a case and gives it a site with two hosts and four workers.
 macro_rules! case {
@@ -56,6 +59,7 @@
     assert_eq!(call(slow.clients("h2"), "DELETE", &format!("/p/{id}"), "").await.0, 200);
     assert_eq!(slow.state("h1", id).await.as_deref(), Some("cancelled"));
     until(|| async { slow.book.runs().iter().all(|r| r.over.is_some()) }).await;
+    assert_eq!(slow.book.doubled(), vec![]);
     assert!(site.book.runs().is_empty());
 });
 
@@ -97,6 +101,18 @@
     assert!(site.book.runs().is_empty());
 });
 
+case!(a_host_that_lost_the_store_is_not_ready_and_sends_nothing, site, {
+    site.store.set(StoreMode::Away);
+    let checks = site.hosts["h1"].checks;
+    until(|| async { status(checks, "/api/readiness").await == 503 }).await;
+    let before = site.store.calls().get("/api/log-append").copied();
+    let (got, why) = call(site.clients("h1"), "POST", "/p/00000000000000a4", TINY).await;
+    assert_eq!(got, 503, "{why}");
+    assert_eq!(site.store.calls().get("/api/log-append").copied(), before);
+    site.store.set(StoreMode::Ok);
+    until(|| async { status(checks, "/api/readiness").await == 200 }).await;
+});
+
 case!(a_job_whose_appends_answer_is_lost_is_not_refused, site, {
     site.store.set(StoreMode::Lose);
     assert_eq!(site.submit("h1", "00000000000000a5", 2).await, 504);
@@ -186,6 +202,7 @@
     }
     assert_eq!(cut.submit("h2", "00000000000000ae", 4).await, 200);
     cut.completed("h2", "00000000000000ae").await;
+    assert_eq!(cut.book.doubled(), vec![]);
 });
 
 #[test]
--- a/crates/owner/src/bounds.rs
+++ b/crates/owner/src/bounds.rs
@@ -7,32 +7,15 @@
     pub hold: u64,
     /// How long a stop may take.
     pub stop: u64,
-    /// How long the first tasks of a gang wait for the others.
-    pub gang: u64,
     /// The shortest time that a serving task may be over its target before fillers must give way.
     pub harm: u64,
-    /// How much longer work takes away from its data, as a factor.
-    pub far: f64,
     /// How long the state of a job that is over is kept.
     pub status: u64,
-    /// How long a lasting task may take to be at work before it counts as away.
-    pub notice: u64,
-    /// How often work is saved.
-    pub save: u64,
 }
 
 impl Default for Bounds {
     /// The figures of the first deployments.
     fn default() -> Self {
-        Self {
-            hold: 10_000,
-            stop: 900,
-            gang: 3_000,
-            harm: 4_000,
-            far: 1.5,
-            status: 120_000,
-            notice: 4_500,
-            save: 500,
-        }
+        Self { hold: 10_000, stop: 900, harm: 4_000, status: 120_000 }
     }
 }
--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -110,6 +110,9 @@
         {
             cost += AWAY;
         }
+        if spec.same_rack && self.elsewhere(worker, task) {
+            cost += AWAY;
+        }
         if spec.filler {
             return Some(cost + self.filler_cost(worker, spec, waited)?);
         }
@@ -133,6 +136,12 @@
         Some(cost - (worker.spare() - worker.filled()) / room)
     }
 
+    /// Whether tasks of the step are on another rack than the worker's, and none on its own.
+    fn elsewhere(&self, worker: &Worker, task: TaskId) -> bool {
+        let mut with_peers = self.workers.values().filter(|w| peers(w, task) > 0).peekable();
+        with_peers.peek().is_some() && !with_peers.any(|w| w.rack() == worker.rack())
+    }
+
     /// The processors of all workers that answer, in thousandths of a core.
     fn size(&self) -> f64 {
         self.workers.values().filter(|w| w.life == Life::Well).map(Worker::size).sum()
--- a/crates/owner/src/held.rs
+++ b/crates/owner/src/held.rs
@@ -14,16 +14,16 @@
 impl Cell {
     /// Takes in a hold's answer; the hold was sent at `sent`.
     pub fn held(&mut self, life: &Arc<str>, held: Held, sent: u64, now: u64, wall: u64) {
+        let silent = self.workers.get(life).map_or(0, |w| now.saturating_sub(w.heard));
         self.tick_of(life, held.clock, now);
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
         if worker.life != Life::Well {
-            let since = now.saturating_sub(worker.heard);
             // At a takeover every worker is met; one line tells of them all.
             let level = if worker.life == Life::Unmet { Level::Debug } else { Level::Info };
             let running = held.running.len();
-            log!(level, "event=worker-met worker={life} running={running} silent_ms={since}");
+            log!(level, "event=worker-met worker={life} running={running} silent_ms={silent}");
             worker.life = Life::Well;
         }
         let whole = held.ended.len() < ENDS_AT_ONCE;
--- a/crates/owner/src/place.rs
+++ b/crates/owner/src/place.rs
@@ -87,6 +87,10 @@
             };
             self.assign(task, &life, Some(number), now);
         }
+        self.tell_placed(members[0], members.len(), members.len(), now);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.stuck = None;
+        }
         for &task in &members {
             if let Some(t) = self.jobs.get_mut(&id).and_then(|j| j.progress.task_mut(task)) {
                 t.saved.clone_from(&saved);
--- a/crates/owner/src/worker.rs
+++ b/crates/owner/src/worker.rs
@@ -136,6 +136,11 @@
             && self.aside <= now
     }
 
+    /// The rack, which is the last of its labels.
+    pub fn rack(&self) -> Option<&str> {
+        self.listing.as_ref()?.labels.last().map(String::as_str)
+    }
+
     /// Whether a lasting task is there.
     pub fn lasts(&self) -> bool {
         self.flights.values().any(|f| f.lasting)
--- a/crates/owner/tests/promises.rs
+++ b/crates/owner/tests/promises.rs
@@ -271,6 +271,19 @@
     assert_eq!(world.owner().cell.state(id), Some(State::Queued));
 });
 
+#[test]
+fn tasks_that_slow_each_other_down_across_racks_stay_on_one() {
+    let mut world = World::new(7, 8);
+    let mut tight = step(4);
+    tight.same_rack = true;
+    tight.room.cpu = 16_000;
+    world.submit(job(vec![tight]));
+    world.run(300);
+    let used = world.owner().cell.workers.values().filter(|w| !w.flights.is_empty());
+    let racks: std::collections::BTreeSet<_> = used.filter_map(|w| w.rack()).collect();
+    assert_eq!(racks.len(), 1, "{racks:?}");
+}
+
 case!(a_worker_that_leaves_gets_nothing_new, world, {
     let first = world.workers.keys().next().unwrap().clone();
     world.workers.get_mut(&first).unwrap().listing.draining = true;
