--- a/crates/load/src/placing/sim.rs
+++ b/crates/load/src/placing/sim.rs
@@ -4,8 +4,8 @@
 
 use myrtle_base::Millis;
 use myrtle_place::{
-    Act, BestFit, FirstFit, Fleet, Learned, LeastLoaded, Machine, Placer, Relief, Sample, Tenant,
-    Want,
+    Act, BestFit, FirstFit, Fleet, Learned, LeastLoaded, Machine, Neighbour, Placer, Relief,
+    Sample, Want,
 };
 
 use super::world::{Coming, EVERY, KINDS, LAG, SERVICES, Site, Truth, WORKER};
@@ -239,9 +239,9 @@
         }
         let service = late.sample.service;
         let machine = &self.fleet.machines[late.worker];
-        let tenants: Vec<Tenant> = self.running[late.worker]
+        let neighbours: Vec<Neighbour> = self.running[late.worker]
             .iter()
-            .map(|t| Tenant {
+            .map(|t| Neighbour {
                 id: t.id,
                 price: t.coming.price,
                 harm: self.learned.costs().of(service, t.coming.kind)
@@ -250,7 +250,7 @@
                 watcher: t.coming.work.is_none(),
             })
             .collect();
-        if let Some(act) = self.relief[late.worker].seen(late.sample.tail, &tenants) {
+        if let Some(act) = self.relief[late.worker].seen(late.sample.tail, &neighbours) {
             self.act(late.worker, act);
         }
     }
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -23,6 +23,24 @@
 pub use judge::Judge;
 pub use worker::FakeWorker;
 
+/// Names a case and gives it a world of four workers.
+#[allow(unused_macros, reason = "each test file uses a part of the module")]
+macro_rules! case {
+    ($(#[$doc:meta])* $name:ident, $world:ident, $body:block) => {
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            #[allow(unused_mut)]
+            let mut $world = $crate::common::World::new(7, 4);
+            $body
+            assert_eq!($world.judge.broken, Vec::<String>::new());
+        }
+    };
+}
+
+#[allow(unused_imports, reason = "each test file uses a part of the module")]
+pub(crate) use case;
+
 /// The length of one step of the world, in milliseconds.
 pub const STEP: u64 = 10;
 
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -12,4 +12,4 @@
 pub use fleet::{Fleet, Machine, Placer, Want};
 pub use headroom::Headroom;
 pub use learned::Learned;
-pub use relief::{Act, Relief, Tenant};
+pub use relief::{Act, Neighbour, Relief};
--- a/crates/place/src/relief.rs
+++ b/crates/place/src/relief.rs
@@ -22,7 +22,7 @@
 
 /// A task on the machine.
 #[derive(Debug, Clone, Copy)]
-pub struct Tenant {
+pub struct Neighbour {
     /// The caller's number for it.
     pub id: u64,
     /// What its class costs.
@@ -56,12 +56,12 @@
 
 impl Relief {
     /// Takes in a measurement of the tail against the target.
-    pub fn seen(&mut self, tail: f64, tenants: &[Tenant]) -> Option<Act> {
-        self.throttled.retain(|id| tenants.iter().any(|t| t.id == *id));
+    pub fn seen(&mut self, tail: f64, neighbours: &[Neighbour]) -> Option<Act> {
+        self.throttled.retain(|id| neighbours.iter().any(|t| t.id == *id));
         self.over = if tail > 1.0 { self.over + 1 } else { 0 };
         self.calm = if tail < WELL { self.calm + 1 } else { 0 };
         if self.over >= PATIENCE {
-            return self.relieve(tenants);
+            return self.relieve(neighbours);
         }
         if self.calm >= CALM {
             self.calm = 0;
@@ -75,8 +75,8 @@
         &self.throttled
     }
 
-    fn relieve(&mut self, tenants: &[Tenant]) -> Option<Act> {
-        let running = tenants.iter().filter(|t| !self.throttled.contains(&t.id) && t.harm > 0.0);
+    fn relieve(&mut self, neighbours: &[Neighbour]) -> Option<Act> {
+        let running = neighbours.iter().filter(|t| !self.throttled.contains(&t.id) && t.harm > 0.0);
         let worst = running.max_by(|a, b| worth(a).total_cmp(&worth(b)));
         if let Some(worst) = worst {
             self.throttled.push(worst.id);
@@ -86,18 +86,18 @@
             return None;
         }
         self.over = 0;
-        let cheapest = tenants.iter().min_by(|a, b| loss(a).total_cmp(&loss(b)))?;
+        let cheapest = neighbours.iter().min_by(|a, b| loss(a).total_cmp(&loss(b)))?;
         Some(Act::Evict(cheapest.id))
     }
 }
 
 /// How much a throttle brings against what it costs.
-fn worth(tenant: &Tenant) -> f64 {
+fn worth(tenant: &Neighbour) -> f64 {
     tenant.harm / f64::from(1 + tenant.price)
 }
 
 /// What an eviction loses, for each part of the harm that goes.
-fn loss(tenant: &Tenant) -> f64 {
+fn loss(tenant: &Neighbour) -> f64 {
     let watcher = if tenant.watcher { WATCHER } else { 0.0 };
     let work = tenant.lost.0 as f64 / 1000.0;
     f64::from(1 + tenant.price) * (1.0 + work + watcher) / (0.01 + tenant.harm)
--- a/crates/sched/src/balance.rs
+++ b/crates/sched/src/balance.rs
@@ -6,7 +6,7 @@
 
 use myrtle_base::{Millis, Room};
 use myrtle_cell::{Cell, Job, Op, State, Task, TaskId, Why};
-use myrtle_place::{Act, Learned, Relief, Sample, Tenant};
+use myrtle_place::{Act, Learned, Neighbour, Relief, Sample};
 use myrtle_platform::{Throttle, UsageReport};
 
 use crate::claims::Kinds;
@@ -60,13 +60,13 @@
         sample.parts.push((policy.kinds.number(&job.spec.kind), part(task)));
     }
     policy.placer.learn(&sample);
-    let mut tenants = Vec::new();
+    let mut neighbours = Vec::new();
     for (id, task, job) in running(cell, no) {
         let kind = policy.kinds.number(&job.spec.kind);
         let harm = policy.placer.costs().of(SERVICE, kind) * part(task);
-        tenants.push(tenant(cell, id, task, job, harm));
+        neighbours.push(tenant(cell, id, task, job, harm));
     }
-    match relief.seen(tail, &tenants) {
+    match relief.seen(tail, &neighbours) {
         Some(Act::Throttle(id, percent)) => measures.throttle = throttle(cell, centre, id, percent),
         Some(Act::Free(id)) => measures.throttle = throttle(cell, centre, id, 100),
         Some(Act::Evict(id)) => measures.ops.extend(evict(cell, unpack(id), Why::Interference)),
@@ -111,8 +111,8 @@
     cell.tasks_on(no).filter(|(_, t, _)| matches!(t.state, State::Running(_)))
 }
 
-fn tenant(cell: &Cell, id: TaskId, task: &Task, job: &Job, harm: f64) -> Tenant {
-    Tenant {
+fn tenant(cell: &Cell, id: TaskId, task: &Task, job: &Job, harm: f64) -> Neighbour {
+    Neighbour {
         id: pack(id),
         price: job.spec.price,
         harm,
