--- a/crates/place/src/relief.rs
+++ b/crates/place/src/relief.rs
@@ -92,13 +92,13 @@
 }
 
 /// How much a throttle brings against what it costs.
-fn worth(tenant: &Neighbour) -> f64 {
-    tenant.harm / f64::from(1 + tenant.price)
+fn worth(neighbour: &Neighbour) -> f64 {
+    neighbour.harm / f64::from(1 + neighbour.price)
 }
 
 /// What an eviction loses, for each part of the harm that goes.
-fn loss(tenant: &Neighbour) -> f64 {
-    let watcher = if tenant.watcher { WATCHER } else { 0.0 };
-    let work = tenant.lost.0 as f64 / 1000.0;
-    f64::from(1 + tenant.price) * (1.0 + work + watcher) / (0.01 + tenant.harm)
+fn loss(neighbour: &Neighbour) -> f64 {
+    let watcher = if neighbour.watcher { WATCHER } else { 0.0 };
+    let work = neighbour.lost.0 as f64 / 1000.0;
+    f64::from(1 + neighbour.price) * (1.0 + work + watcher) / (0.01 + neighbour.harm)
 }
--- a/crates/sched/src/balance.rs
+++ b/crates/sched/src/balance.rs
@@ -64,7 +64,7 @@
     for (id, task, job) in running(cell, no) {
         let kind = policy.kinds.number(&job.spec.kind);
         let harm = policy.placer.costs().of(SERVICE, kind) * part(task);
-        neighbours.push(tenant(cell, id, task, job, harm));
+        neighbours.push(neighbour(cell, id, task, job, harm));
     }
     match relief.seen(tail, &neighbours) {
         Some(Act::Throttle(id, percent)) => measures.throttle = throttle(cell, centre, id, percent),
@@ -111,7 +111,7 @@
     cell.tasks_on(no).filter(|(_, t, _)| matches!(t.state, State::Running(_)))
 }
 
-fn tenant(cell: &Cell, id: TaskId, task: &Task, job: &Job, harm: f64) -> Neighbour {
+fn neighbour(cell: &Cell, id: TaskId, task: &Task, job: &Job, harm: f64) -> Neighbour {
     Neighbour {
         id: pack(id),
         price: job.spec.price,
