Test hosts choose other ports when one was taken between choice and use

A free port was chosen, given back and then taken by another test before the host bound it. Ruled out: the host, which ended with code 3 as it should. Change: the fixture starts the host anew on code 3 only and asserts on any other end; no assertion of a test changes.

--- a/crates/ctl/tests/job.rs
+++ b/crates/ctl/tests/job.rs
@@ -22,28 +22,35 @@
     listener.local_addr().unwrap().port()
 }
 
-/// A store, a host that owns its only cell, and one accepted job that no worker can run.
-async fn site() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let at = listener.local_addr().unwrap();
-    let store = Arc::new(Store::default());
-    tokio::spawn(serve(listener, move |ask| {
-        let store = store.clone();
-        async move { store.handle(ask).await }
-    }));
+/// Starts a host on ports that were free; false if one of them has been taken since.
+async fn host(store: SocketAddr) -> bool {
     let ports = [free_port().await, free_port().await, free_port().await];
     let text = format!(
         "name: h\ndata_centre: d\ndata_centres: [d]\nclients: 127.0.0.1:{}\n\
-         checks: 127.0.0.1:{}\nip: 127.0.0.1\npeer_port: {}\nstore: {at}\nmember_ttl: 1000\ncells: one\n\
-         bounds: {{hold: 10000, stop: 900, gang: 3000, harm: 4000, far: 1.5, status: 120, \
-         notice: 4500, save: 0.5, grace: 6, contact: 3000}}\n",
+         checks: 127.0.0.1:{}\nip: 127.0.0.1\npeer_port: {}\nstore: {store}\nmember_ttl: 1000\ncells: one\n\
+         bounds: {{hold: 10000, stop: 900, harm: 4000, status: 120, grace: 6, contact: 3000}}\n",
         ports[0], ports[1], ports[2]
     );
     let path = std::env::temp_dir().join(format!("myrtle-ctl-{}.yaml", ports[0]));
     std::fs::write(&path, text).unwrap();
     let settings = Settings::load(&path).unwrap();
     std::fs::remove_file(&path).unwrap();
-    tokio::spawn(async move { myrtle_front::run(settings, path).await.unwrap() });
+    let running = tokio::spawn(myrtle_front::run(settings, path));
+    // It binds its ports first of all, and ends if it can't.
+    sleep(Duration::from_millis(200)).await;
+    !running.is_finished()
+}
+
+/// A store, a host that owns its only cell, and one accepted job that no worker can run.
+async fn site() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap();
+    let store = Arc::new(Store::default());
+    tokio::spawn(serve(listener, move |ask| {
+        let store = store.clone();
+        async move { store.handle(ask).await }
+    }));
+    while !host(at).await {}
     let steps = vec![StepSpec { count: 2, estimate: 100, ..StepSpec::default() }];
     let spec = JobSpec { body: "b".into(), steps, repeat: None };
     let mut body = BytesMut::new();
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -22,6 +22,9 @@
 pub use call::{call, status};
 pub use text::{configuration, settings};
 
+/// The exit code of a host that can't listen; docs/OPERATIONS.md.
+const NO_PORT: i32 = 3;
+
 /// The longest that a test waits for something; far above what it takes.
 const LIMIT: Duration = Duration::from_secs(30);
 
@@ -99,6 +102,15 @@
 
     /// Starts a host and waits until it is ready.
     pub async fn host(&mut self, name: &str) {
+        let started = async {
+            // Another test may take a port between its choice and its use; the host says so.
+            while !self.try_host(name).await {}
+        };
+        timeout(LIMIT, started).await.expect("the host never was ready");
+    }
+
+    /// Starts a host on ports that were free; false if one of them has been taken since.
+    async fn try_host(&mut self, name: &str) -> bool {
         let ports = [free_port().await, free_port().await, free_port().await];
         let file = format!("myrtle-{}-{}.yaml", std::process::id(), ports[0]);
         let path = std::env::temp_dir().join(file);
@@ -110,8 +122,18 @@
             .unwrap();
         let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
         let (clients, checks) = (at(ports[0]), at(ports[1]));
-        self.hosts.insert(name.into(), Host { clients, checks, process, settings: path });
-        until(|| async { status(checks, "/api/readiness").await == 200 }).await;
+        let mut host = Host { clients, checks, process, settings: path };
+        loop {
+            if let Some(ended) = host.process.try_wait().unwrap() {
+                assert_eq!(ended.code(), Some(NO_PORT), "the host ended at its start");
+                return false;
+            }
+            if status(checks, "/api/readiness").await == 200 {
+                self.hosts.insert(name.into(), host);
+                return true;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
     }
 
     /// Where a host answers clients.
