Loads of serving steps are forecast; fillers share the pressure that is left

So room was there; the owner did not use it: it reckoned with the highest load at all times and halted light fillers as if they were heavy.

Change: swing.rs fits each step's load as a mean and a wave, with the period that foretells best; harm.rs learns coefficients from what is left beyond that forecast; pressure.rs looks 2.7 s ahead when it places; pace.rs shares the pressure that is left among fillers ten times a second; light ones only slow down at the crest. Serving tasks of a step, then of an image, stay together.

Tests: tests/swing.rs; tests/pace.rs (the old code leaves a task over its target for 1,700 of 40,000 ms, the new one for none).

--- a/crates/front/src/tick.rs
+++ b/crates/front/src/tick.rs
@@ -28,6 +28,7 @@
             let mut cell = owned.state();
             cell.lapse(now());
             cell.evacuate(now());
+            cell.guard_all(now());
             cell.look_for_copies(now());
             cell.begin_rounds(wall());
             if looks.is_multiple_of(FORGET_EVERY) {
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -6,7 +6,7 @@
 use myrtle_job::{JobId, State};
 
 use crate::wave::WaveState;
-use crate::{Bounds, Harm, Job, Order, Question, Worker};
+use crate::{Bounds, Harm, Job, Order, Question, Swings, Worker};
 
 /// How often something happened since this owner began.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -44,8 +44,12 @@
     pub workers: BTreeMap<Arc<str>, Worker>,
     /// What is known of images that disturb each other.
     pub harm: Harm,
+    /// What is known of the loads of serving steps.
+    pub swings: Swings,
     /// How often something happened.
     pub counts: Counts,
+    /// When loads were last forecast.
+    pub(crate) foreseen: u64,
     /// Jobs with tasks that may have to be placed.
     pub(crate) open: BTreeSet<JobId>,
     /// Jobs that changed since the last batch.
@@ -73,6 +77,8 @@
             jobs: HashMap::new(),
             workers: BTreeMap::new(),
             harm: Harm::default(),
+            swings: Swings::default(),
+            foreseen: 0,
             counts: Counts::default(),
             open: BTreeSet::new(),
             dirty: BTreeSet::new(),
--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -35,17 +35,27 @@
 /// goes where it disturbs least, and is slowed there as needed. Tried: 2 s, which was worse.
 const BEARABLE_FOR: u64 = 10_000;
 
+/// The share of its speed that a filler must be able to keep on a worker.
+const BEARABLE: f64 = 0.85;
+
+/// The same for one that has waited for long.
+const ENDURABLE: f64 = 0.5;
+
 /// What a rack other than that of the data costs, beyond any other consideration.
 const AWAY: f64 = 100.0;
 
 /// What a worker costs that holds a task of the step already; spreads a step over workers.
 const SAME_STEP: f64 = 0.3;
 
+/// What a worker gains for a serving task that holds another one of its step: their loads swing
+/// together, which leaves fillers longer spells beside them.
+const TOGETHER: f64 = 3.0;
+
 /// What a worker costs that holds serving tasks of other images.
-const MIXED: f64 = 1.0;
+const MIXED: f64 = 3.0;
 
 /// The weight of the pressure that a filler adds, against the share of a worker that is left.
-const HARMFUL: f64 = 4.0;
+const HARMFUL: f64 = 8.0;
 
 impl Cell {
     /// The best worker for a task now, if there is any.
@@ -104,7 +114,12 @@
 
     /// What a task costs on a worker; nothing if it should rather wait.
     fn cost(&self, worker: &Worker, spec: &StepSpec, task: TaskId, waited: u64) -> Option<f64> {
-        let mut cost = SAME_STEP * peers(worker, task) as f64;
+        let peers = peers(worker, task);
+        let mut cost = match spec.serves() {
+            true if peers > 0 => -TOGETHER,
+            true => 0.0,
+            false => SAME_STEP * peers as f64,
+        };
         if let Some(rack) = spec.rack.as_deref()
             && !worker.labelled(rack)
         {
@@ -161,14 +176,15 @@
             return None;
         }
         let filler = spec.image.as_deref().unwrap_or("");
-        if !self.bearable(worker, filler, spec.room.cpu) && waited < BEARABLE_FOR {
+        let bearing = self.bearing(worker, filler, spec.room.cpu, spec.estimate);
+        if bearing < (if waited < BEARABLE_FOR { BEARABLE } else { ENDURABLE }) {
             return None;
         }
         let share = cpu / worker.size();
         let serving = worker.flights.values().filter(|f| f.target.is_some());
         let images = serving.filter_map(|f| f.image.as_deref());
         let harm: f64 = images.map(|image| self.harm.rise(image, filler, share)).sum();
-        Some(HARMFUL * harm - left / worker.size())
+        Some(HARMFUL * harm + 1.0 - bearing - left / worker.size())
     }
 
     /// Serving tasks go where tasks like them are, and fill one worker before the next.
--- a/crates/owner/src/flight.rs
+++ b/crates/owner/src/flight.rs
@@ -65,8 +65,10 @@
     pub pace: u32,
     /// Since when it has been over its target.
     pub over: Option<u64>,
-    /// How hard its own load and what fills beside it pressed on its tail, 0 to 1, window by window.
-    pub pressures: Vec<f64>,
+    /// How hard its own load and what fills beside it pressed on its tail in the last window, 0 to 1.
+    pub pressure: Option<f64>,
+    /// The highest figure of a filler at full speed.
+    pub most: f64,
 }
 
 impl Flight {
@@ -92,7 +94,8 @@
             figure: 0.0,
             pace: 100,
             over: None,
-            pressures: Vec::new(),
+            pressure: None,
+            most: 0.0,
         }
     }
 
@@ -118,12 +121,15 @@
         let changed = figure != self.figure;
         if changed {
             self.figure = figure;
+            if self.pace == 100 {
+                self.most = self.most.max(figure);
+            }
         }
         changed
     }
 
-    /// How hard its own load and what fills beside it press on its tail, if that is known.
-    pub fn pressure(&self) -> Option<f64> {
-        self.pressures.last().copied()
+    /// The processors that a filler draws at full speed, in thousandths of a core.
+    pub(crate) fn draw(&self) -> f64 {
+        if self.most > 0.0 { self.most } else { f64::from(self.cpu) }
     }
 }
--- a/crates/owner/src/harm.rs
+++ b/crates/owner/src/harm.rs
@@ -1,15 +1,27 @@
 //! Which filling images disturb which serving ones, learned from what workers report.
 //!
-//! A serving task's tail grows as `base / (1 - pressure)`, where its pressure is its own load plus
+//! A serving task's tail grows as `rest / (1 - pressure)`, where its pressure is its own load plus
 //! what fillers beside it add: a coefficient of the pair of images times the share of the worker's
-//! processors that they use. A task's own load moves slowly, so the coefficients are fitted to the
-//! differences between two windows, where it all but cancels. Each serving image has its own
-//! model, fitted by recursive least squares. docs/report/DISRUPTION.md holds the measurements.
+//! processors that they use. Each serving image has its own coefficients, fitted by recursive least
+//! squares to what is left of the pressure beyond the forecast load.
+//! docs/report/DISRUPTION.md holds the measurements.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// How much of its past a model keeps at each sample; about two thousand count, which is some
+use crate::swing::Guess;
+
+/// The tail over its target that a task without any load is taken to have. It only sets the scale
+/// of pressures: another figure scales the pressures and their limit alike.
+const REST: f64 = 1.0 / 6.0;
+
+/// The pressure at which a tail is at its target.
+pub(crate) const LIMIT: f64 = 1.0 - REST;
+
+/// Pressures above this are not told apart by tails.
+const FULL: f64 = 0.97;
+
+/// How much of its past a model keeps at each report; about two thousand count, which is some
 /// twenty seconds of one image on 48 workers.
 const KEEP: f64 = 0.9995;
 
@@ -20,26 +32,15 @@
 /// The variance of a coefficient before anything is known.
 const PRIOR: f64 = 0.5;
 
-/// The variance of a difference of pressures around the model: measured as 0.09 squared, more
-/// where tails are told in few milliseconds.
-const NOISE: f64 = 0.012;
+/// The variance of a pressure around the model, where nothing changed within the window.
+pub(crate) const NOISE: f64 = 0.0016;
+
+/// Errors beyond so many standard deviations count as this many.
+const OUTLIER: f64 = 3.0;
 
 /// The largest variance that forgetting may bring back.
 const LOOSEST: f64 = 0.5;
 
-/// The lowest share of its processors that a serving task uses, by which the base of its tail is
-/// told from the lowest tail seen.
-const LOWEST_LOAD: f64 = 0.24;
-
-/// The lowest tail over its target that is taken before any was seen.
-const FIRST_FLOOR: f64 = 0.22;
-
-/// How fast the lowest tail is forgotten, as a share of the distance for each sample.
-const FLOOR_RISE: f64 = 0.0002;
-
-/// Pressures above this are not told apart by tails.
-const FULL: f64 = 0.97;
-
 /// How many standard deviations are counted against a filler.
 const CAUTION: f64 = 0.5;
 
@@ -57,44 +58,39 @@
 }
 
 /// What is known of one serving image.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 struct Model {
-    floor: f64,
     theta: Vec<f64>,
     cover: Vec<Vec<f64>>,
 }
 
-impl Harm {
-    /// The pressure that a tail shows; `ratio` is the tail over its target.
-    pub fn pressure(&mut self, image: &Arc<str>, ratio: f64) -> f64 {
-        let model = self.models.entry(image.clone()).or_default();
-        model.floor = model.floor.min(ratio);
-        model.floor += FLOOR_RISE * (ratio.min(1.0) - model.floor);
-        (1.0 - model.base() / ratio.max(1e-3)).clamp(0.0, FULL)
-    }
+/// The pressure that a tail shows; `ratio` is the tail over its target.
+pub fn pressure(ratio: f64) -> f64 {
+    (1.0 - REST / ratio.max(1e-3)).clamp(0.0, FULL)
+}
 
-    /// The pressure at which an image's tail is at its target.
-    pub fn limit(&self, image: &str) -> f64 {
-        self.models.get(image).map_or(1.0 - FIRST_FLOOR, |m| 1.0 - m.base())
+impl Harm {
+    /// What uses beside a serving image add to its pressure.
+    pub fn pressed(&self, image: &str, uses: &Uses) -> Guess {
+        let mean = uses.iter().map(|(name, used)| self.coefficient(image, name) * used).sum();
+        let variance = match self.models.get(image) {
+            Some(model) => model.variance(&self.row(uses, model.theta.len())),
+            None => uses.values().map(|used| PRIOR * used * used).sum(),
+        };
+        Guess { mean, variance }
     }
 
-    /// Takes in how a serving task's pressure changed while uses beside it changed.
-    pub fn learn(&mut self, image: &Arc<str>, from: f64, to: f64, before: &Uses, after: &Uses) {
-        if from.min(to) > SATURATED {
+    /// Takes in the pressure that a tail showed beyond its task's own load, and how sure that is.
+    pub fn learn(&mut self, image: &Arc<str>, beyond: f64, variance: f64, uses: &Uses) {
+        if uses.is_empty() || beyond > SATURATED {
             return;
         }
-        for name in before.keys().chain(after.keys()) {
+        for name in uses.keys() {
             let next = self.names.len();
             self.names.entry(name.clone()).or_insert(next);
         }
-        let mut x = vec![0.0; self.names.len()];
-        for (name, used) in after {
-            x[self.names[name]] += used;
-        }
-        for (name, used) in before {
-            x[self.names[name]] -= used;
-        }
-        self.models.entry(image.clone()).or_default().update(&x, to - from);
+        let x = self.row(uses, self.names.len());
+        self.models.entry(image.clone()).or_default().update(&x, beyond, variance);
     }
 
     /// The pressure that a filling image adds to a serving one when it uses `share` of a worker.
@@ -123,6 +119,17 @@
         if sum < 2.0 * USUAL * self.names.len().max(1) as f64 { 1.0 } else { apart / sum }
     }
 
+    /// Uses by the numbers of their images.
+    fn row(&self, uses: &Uses, size: usize) -> Vec<f64> {
+        let mut x = vec![0.0; size];
+        for (name, used) in uses {
+            if let Some(cell) = self.names.get(name).and_then(|&at| x.get_mut(at)) {
+                *cell += used;
+            }
+        }
+        x
+    }
+
     fn deviation(&self, image: &str, filler: &str) -> f64 {
         let at = self.names.get(filler).copied();
         let known = at.and_then(|at| self.models.get(image)?.cover.get(at)?.get(at).copied());
@@ -136,34 +143,28 @@
     }
 }
 
-impl Default for Model {
-    fn default() -> Self {
-        Self { floor: FIRST_FLOOR, theta: Vec::new(), cover: Vec::new() }
-    }
-}
-
 impl Model {
-    fn base(&self) -> f64 {
-        self.floor * (1.0 - LOWEST_LOAD)
+    fn variance(&self, x: &[f64]) -> f64 {
+        let rows = self.cover.iter().zip(x);
+        rows.map(|(row, xi)| xi * dot(row, x)).sum::<f64>().max(0.0)
     }
 
-    fn update(&mut self, x: &[f64], y: f64) {
+    fn update(&mut self, x: &[f64], y: f64, noise: f64) {
         self.grow(x.len());
-        let px: Vec<f64> =
-            self.cover.iter().map(|row| row.iter().zip(x).map(|(p, x)| p * x).sum()).collect();
-        let spread: f64 = px.iter().zip(x).map(|(p, x)| p * x).sum();
+        let px: Vec<f64> = self.cover.iter().map(|row| dot(row, x)).collect();
+        let spread = dot(&px, x);
         if spread <= f64::EPSILON {
             return;
         }
-        let denominator = NOISE * KEEP + spread;
-        let guess: f64 = self.theta.iter().zip(x).map(|(t, x)| t * x).sum();
-        let error = y - guess;
+        let variance = noise * KEEP + spread;
+        let most = OUTLIER * variance.sqrt();
+        let error = (y - dot(&self.theta, x)).clamp(-most, most);
         for (theta, p) in self.theta.iter_mut().zip(&px) {
-            *theta += p / denominator * error;
+            *theta += p / variance * error;
         }
         for (row, pi) in self.cover.iter_mut().zip(&px) {
             for (cell, pj) in row.iter_mut().zip(&px) {
-                *cell = (*cell - pi * pj / denominator) / KEEP;
+                *cell = (*cell - pi * pj / variance) / KEEP;
             }
         }
         self.bound();
@@ -197,3 +198,7 @@
         }
     }
 }
+
+fn dot(a: &[f64], b: &[f64]) -> f64 {
+    a.iter().zip(b).map(|(a, b)| a * b).sum()
+}
--- a/crates/owner/src/held.rs
+++ b/crates/owner/src/held.rs
@@ -37,6 +37,7 @@
             self.miss(life, &held.running, sent, now);
         }
         self.learn(life, now);
+        self.foresee(now);
         self.guard(life, now);
         self.notice(life, now);
     }
--- a/crates/owner/src/over.rs
+++ b/crates/owner/src/over.rs
@@ -30,6 +30,7 @@
         job.progress.ended = wall.max(1);
         self.open.remove(&id);
         self.timed.remove(&id);
+        self.swings.forget(id);
         self.dirty.insert(id);
         for (task, run) in job.runs(id) {
             self.halt(&run.worker, task, run.number, now);
--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -48,6 +48,7 @@
         if !self.loaded {
             return;
         }
+        self.foresee(now);
         let mut ranks: Vec<Rank> =
             self.open.iter().filter_map(|id| Some(rank(*id, self.jobs.get(id)?, now))).collect();
         ranks.sort_unstable();
--- a/crates/owner/src/worker.rs
+++ b/crates/owner/src/worker.rs
@@ -8,6 +8,7 @@
 
 use crate::Flight;
 use crate::harm::Uses;
+use crate::pressure::Outlook;
 
 /// The share of its processors that a serving task uses in the mean, by what fillers were seen to
 /// get beside them.
@@ -55,9 +56,11 @@
     pub strikes: u32,
     /// When its figures last changed.
     pub figured: u64,
-    /// What fillers used in the last windows, and when that was told.
-    pub uses: Vec<(Uses, u64)>,
-    /// When fillers were last moved or slowed here.
+    /// What fillers used in the last window.
+    pub uses: Uses,
+    /// The loads that are forecast for its serving tasks.
+    pub(crate) outlooks: Vec<Outlook>,
+    /// When fillers were last slowed here.
     pub eased: u64,
     /// Fillers that ended lately: image, thousandths of a core in use, when.
     pub faded: Vec<(Arc<str>, f64, u64)>,
@@ -84,7 +87,8 @@
             fails: 0,
             strikes: 0,
             figured: 0,
-            uses: Vec::new(),
+            uses: Uses::new(),
+            outlooks: Vec::new(),
             eased: 0,
             faded: Vec::new(),
             closing: false,
--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -28,6 +28,7 @@
             let cell = &mut self.owners[at].cell;
             cell.lapse(now);
             cell.evacuate(now);
+            cell.guard_all(now);
             cell.look_for_copies(now);
             cell.begin_rounds(now);
             let again = cell.repeat(now);
--- a/crates/owner/tests/common/worker.rs
+++ b/crates/owner/tests/common/worker.rs
@@ -147,7 +147,10 @@
             run: r.number,
             saved: String::new(),
             percent: if r.lasting { 100.0 } else { (r.worked * 100 / r.work.max(1)) as f64 },
-            figure: Some(if r.lasting { self.tail.unwrap_or(r.figure) } else { r.figure }),
+            figure: Some(match r.lasting {
+                true => self.tail.unwrap_or(r.figure),
+                false => r.figure * f64::from(r.pace) / 100.0,
+            }),
         });
         Ok(Held { clock, running: running.collect(), ended: self.ends.clone() })
     }
--- a/crates/owner/tests/harm.rs
+++ b/crates/owner/tests/harm.rs
@@ -9,8 +9,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use myrtle_base::Room;
-use myrtle_job::{StepSpec, TaskId};
-use myrtle_owner::Harm;
+use myrtle_job::{JobId, StepSpec, TaskId};
+use myrtle_owner::{Harm, Swings, pressure};
 
 use common::{World, job, step};
 
@@ -21,18 +21,18 @@
     25.0 / (1.0 - pressure.min(0.99))
 }
 
-/// Feeds a learner what two serving images show while three filling ones come and go.
+/// Feeds learners what two serving steps show while three filling images come and go.
 fn learned(seed: u64, windows: usize) -> Harm {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut harm = Harm::default();
+    let (mut harm, mut swings) = (Harm::default(), Swings::default());
     let truth: BTreeMap<(&str, &str), f64> =
         [(("s1", "f1"), 1.5), (("s2", "f2"), 1.2), (("s1", "f3"), 0.1), (("s2", "f3"), 0.1)].into();
     let names: Vec<Arc<str>> = ["f1", "f2", "f3"].map(Arc::from).to_vec();
-    for image in ["s1", "s2"] {
+    for (job, image) in [(1, "s1"), (2, "s2")] {
         let image: Arc<str> = image.into();
-        let mut last: Option<(f64, BTreeMap<Arc<str>, f64>)> = None;
+        let task = TaskId { job: JobId(job), round: 0, step: 0, index: 0 };
         let mut load: f64 = 0.4;
-        for _ in 0..windows {
+        for window in 0..windows as u64 {
             load = (load + rng.random_range(-0.04..0.04)).clamp(0.24, 0.7);
             let mut uses: BTreeMap<Arc<str>, f64> = BTreeMap::new();
             for name in &names {
@@ -43,11 +43,11 @@
             let pressed: f64 =
                 uses.iter().map(|(n, u)| truth.get(&(&*image, &**n)).unwrap_or(&0.0) * u).sum();
             let noise = rng.random_range(0.9..1.1);
-            let pressure = harm.pressure(&image, tail(load + pressed) * noise / TARGET);
-            if let Some((from, before)) = &last {
-                harm.learn(&image, *from, pressure, before, &uses);
-            }
-            last = Some((pressure, uses));
+            let shown = pressure(tail(load + pressed) * noise / TARGET);
+            let at = window * 500;
+            let (own, beside) = (swings.guess(task, at), harm.pressed(&image, &uses));
+            harm.learn(&image, shown - own.mean, own.variance + 0.002, &uses);
+            swings.see(task, at, shown - beside.mean, beside.variance + 0.002);
         }
     }
     harm
