--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -23,7 +23,7 @@
     let Ok(_permit) = line.permits.acquire().await else {
         return;
     };
-    if owned.closed() {
+    if owned.closed() || !owned.state().stands(&order) {
         return;
     }
     let outcome = call(&owned, &line, &order).await;
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -5,6 +5,7 @@
 
 use myrtle_job::{JobId, State};
 
+use crate::refused::Refused;
 use crate::wave::WaveState;
 use crate::{Bounds, Harm, Job, Order, Question, Swings, Worker};
 
@@ -48,6 +49,8 @@
     pub swings: Swings,
     /// How often something happened.
     pub counts: Counts,
+    /// What found no worker in this pass.
+    pub(crate) refused: Vec<Refused>,
     /// When loads were last forecast.
     pub(crate) foreseen: u64,
     /// Jobs with tasks that may have to be placed.
@@ -78,6 +81,7 @@
             workers: BTreeMap::new(),
             harm: Harm::default(),
             swings: Swings::default(),
+            refused: Vec::new(),
             foreseen: 0,
             counts: Counts::default(),
             open: BTreeSet::new(),
--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -138,7 +138,7 @@
             let left = f64::from(worker.free().less(&spec.claim()).cpu);
             let last = !worker.lasts() && self.unopened() - worker.size() < KEPT * self.size();
             if last || left < SCRAP * worker.size() {
-                if waited < KEPT_FOR {
+                if !patient(spec, waited) {
                     return None;
                 }
                 cost += FULL;
@@ -177,13 +177,13 @@
         }
         let filler = spec.image.as_deref().unwrap_or("");
         let bearing = self.bearing(worker, filler, spec.room.cpu, spec.estimate);
-        if bearing < (if waited < BEARABLE_FOR { BEARABLE } else { ENDURABLE }) {
+        if bearing < if patient(spec, waited) { ENDURABLE } else { BEARABLE } {
             return None;
         }
         let share = cpu / worker.size();
-        let serving = worker.flights.values().filter(|f| f.target.is_some());
-        let images = serving.filter_map(|f| f.image.as_deref());
-        let harm: f64 = images.map(|image| self.harm.rise(image, filler, share)).sum();
+        let rises = worker.outlooks.iter();
+        let rises = rises.map(|o| f64::from(o.tasks) * self.harm.rise(&o.image, filler, share));
+        let harm: f64 = rises.sum();
         Some(HARMFUL * harm + 1.0 - bearing - left / worker.size())
     }
 
@@ -201,6 +201,11 @@
     }
 }
 
+/// Whether a task has waited for so long that it takes what it would not take at first.
+pub(crate) fn patient(spec: &StepSpec, waited: u64) -> bool {
+    waited >= if spec.filler { BEARABLE_FOR } else { KEPT_FOR }
+}
+
 /// How many tasks of the same step the worker holds.
 fn peers(worker: &Worker, task: TaskId) -> usize {
     let from = TaskId { index: 0, ..task };
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -28,6 +28,7 @@
 mod place;
 mod plan;
 mod pressure;
+mod refused;
 mod swing;
 mod told;
 mod waits;
--- a/crates/owner/src/place.rs
+++ b/crates/owner/src/place.rs
@@ -6,6 +6,7 @@
 
 use myrtle_job::{JobId, Run, TaskId};
 
+use crate::refused::Refused;
 use crate::{Cell, Flight, Stage};
 
 impl Cell {
@@ -23,12 +24,16 @@
             }
             let spec = job.step(step);
             let copy = job.progress.task(task).is_some_and(|t| !t.waits());
-            let fit = self.fit(job, spec, task, now);
+            let hopeless = self.refused.iter().any(|r| r.covers(job, spec, now));
+            let fit = if hopeless { None } else { self.fit(job, spec, task, now) };
             if copy && fit.is_none() {
                 // The run that is there may still end.
                 continue;
             }
             let Some(life) = fit else {
+                if !hopeless {
+                    self.refused.extend(Refused::of(job, spec, now));
+                }
                 // The others of the step want the same.
                 self.ask(task, now);
                 self.tell_placed(task, placed, wanted, now);
@@ -118,6 +123,10 @@
         self.dirty.insert(task.job);
         if let Some(worker) = self.workers.get_mut(life) {
             worker.flights.insert(task, Flight::new(run, &spec, Stage::Written, now));
+            if spec.filler {
+                let filler = spec.image.as_deref().unwrap_or("");
+                worker.expect(&self.harm, filler, spec.room.cpu);
+            }
         }
         debug!("event=placed task={task} run={run} worker={life} fence={}", self.fence);
     }
--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -49,6 +49,7 @@
             return;
         }
         self.foresee(now);
+        self.refused.clear();
         let mut ranks: Vec<Rank> =
             self.open.iter().filter_map(|id| Some(rank(*id, self.jobs.get(id)?, now))).collect();
         ranks.sort_unstable();
--- a/crates/owner/src/pressure.rs
+++ b/crates/owner/src/pressure.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use myrtle_job::TaskId;
+
 use crate::harm::LIMIT;
 use crate::swing::{StepKey, step_of};
-use crate::{Cell, Flight, Stage, Worker};
+use crate::{Cell, Flight, Harm, Stage, Worker};
 
 /// The moments that are looked at, in milliseconds from now; most fillers run about as long as
 /// the last one.
@@ -27,19 +29,79 @@
 /// The least share of its speed that a light filler keeps.
 const LEAST_LIGHT: f64 = 0.5;
 
-/// The highest loads that are forecast for the tasks of one serving image on one worker.
+/// What is foreseen for the tasks of one serving image on one worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Outlook {
+    /// The serving image.
     pub(crate) image: Arc<str>,
+    /// How many tasks of it there are.
+    pub(crate) tasks: u32,
+    /// The highest load among them at each moment.
     loads: [f64; AHEAD.len()],
+    /// The pressure of all fillers beside them at full speed.
+    beside: f64,
+    /// The part of it that is due to light fillers.
+    light: f64,
 }
 
 impl Outlook {
+    fn new(image: Arc<str>) -> Self {
+        Self { image, tasks: 0, loads: [0.0; AHEAD.len()], beside: 0.0, light: 0.0 }
+    }
+
     /// The highest load until `time` from now, in milliseconds.
     pub(crate) fn highest(&self, time: u64) -> f64 {
         let near = self.loads.iter().zip(AHEAD).filter(|(_, at)| *at <= time);
         near.map(|(load, _)| *load).fold(0.0, f64::max)
     }
+
+    /// Counts a filler that uses a share of the worker.
+    fn count(&mut self, harm: &Harm, filler: &str, share: f64) {
+        let rise = harm.rise(&self.image, filler, share);
+        self.beside += rise;
+        if is_light(harm, &self.image, filler) {
+            self.light += rise;
+        }
+    }
+
+    /// The shares of its speed that one more filler could keep at each moment.
+    fn paces(&self, harm: &Harm, filler: &str, share: f64) -> [f64; AHEAD.len()] {
+        let rise = harm.risk(&self.image, filler, share);
+        // Slowed ones are to go on before others come, so all count at full speed.
+        if harm.risk(&self.image, filler, 1.0) < LIGHT {
+            return self.loads.map(|load| common(load, self.light + rise));
+        }
+        self.loads.map(|load| ((LIMIT - MARGIN - load - self.beside) / rise).clamp(0.0, 1.0))
+    }
+}
+
+impl Worker {
+    /// Counts a filler that is about to start here.
+    pub(crate) fn expect(&mut self, harm: &Harm, filler: &str, cpu: u32) {
+        let share = f64::from(cpu) / self.size();
+        self.outlooks.iter_mut().for_each(|o| o.count(harm, filler, share));
+    }
+
+    fn foresee(&mut self, harm: &Harm, loads: &mut impl FnMut(TaskId) -> [f64; AHEAD.len()]) {
+        let mut outlooks: Vec<Outlook> = Vec::new();
+        for (&task, flight) in self.flights.iter().filter(|(_, f)| f.target.is_some()) {
+            let image = flight.image.clone().unwrap_or_default();
+            let at = outlooks.iter().position(|o| o.image == image).unwrap_or_else(|| {
+                outlooks.push(Outlook::new(image));
+                outlooks.len() - 1
+            });
+            let outlook = &mut outlooks[at];
+            outlook.tasks += 1;
+            let pairs = outlook.loads.iter_mut().zip(loads(task));
+            pairs.for_each(|(highest, load)| *highest = highest.max(load));
+        }
+        let size = self.size();
+        for flight in beside(self) {
+            let filler = flight.image.as_deref().unwrap_or("");
+            outlooks.iter_mut().for_each(|o| o.count(harm, filler, flight.draw() / size));
+        }
+        self.outlooks = outlooks;
+    }
 }
 
 impl Cell {
@@ -49,21 +111,14 @@
             return;
         }
         self.foreseen = now;
+        let Self { harm, swings, workers, .. } = self;
         let mut known: BTreeMap<StepKey, [f64; AHEAD.len()]> = BTreeMap::new();
-        for worker in self.workers.values_mut() {
-            worker.outlooks.clear();
-            for (&task, flight) in worker.flights.iter().filter(|(_, f)| f.target.is_some()) {
-                let image = flight.image.clone().unwrap_or_default();
-                let loads = *known.entry(step_of(task)).or_insert_with(|| {
-                    AHEAD.map(|ahead| self.swings.guess(task, now + ahead).mean)
-                });
-                match worker.outlooks.iter_mut().find(|o| o.image == image) {
-                    Some(outlook) => {
-                        outlook.loads.iter_mut().zip(loads).for_each(|(a, b)| *a = a.max(b));
-                    }
-                    None => worker.outlooks.push(Outlook { image, loads }),
-                }
-            }
+        let mut loads = |task: TaskId| {
+            let key = known.entry(step_of(task));
+            *key.or_insert_with(|| AHEAD.map(|ahead| swings.guess(task, now + ahead).mean))
+        };
+        for worker in workers.values_mut() {
+            worker.foresee(harm, &mut loads);
         }
     }
 
@@ -72,21 +127,8 @@
         let share = f64::from(cpu) / worker.size();
         let mut paces = [1.0f64; AHEAD.len()];
         for outlook in &worker.outlooks {
-            let image = &outlook.image;
-            let light = self.harm.risk(image, filler, 1.0) < LIGHT;
-            let rise = self.harm.risk(image, filler, share);
-            // Slowed ones are to go on before others come.
-            let pressed = |f: &Flight| self.press(worker, image, f);
-            for (pace, load) in paces.iter_mut().zip(outlook.loads) {
-                let could = if light {
-                    let beside = beside(worker).filter(|f| self.light(image, f)).map(pressed);
-                    common(load, beside.sum::<f64>() + rise)
-                } else {
-                    let beside: f64 = beside(worker).map(pressed).sum();
-                    ((LIMIT - MARGIN - load - beside) / rise).clamp(0.0, 1.0)
-                };
-                *pace = pace.min(could);
-            }
+            let could = outlook.paces(&self.harm, filler, share);
+            paces.iter_mut().zip(could).for_each(|(pace, could)| *pace = pace.min(could));
         }
         let within = AHEAD.iter().filter(|at| **at <= time).count().max(2);
         paces[..within].iter().sum::<f64>() / within as f64
@@ -94,7 +136,7 @@
 
     /// Whether a filler is light beside a serving image.
     pub(crate) fn light(&self, image: &str, flight: &Flight) -> bool {
-        self.harm.rise(image, flight.image.as_deref().unwrap_or(""), 1.0) < LIGHT
+        is_light(&self.harm, image, flight.image.as_deref().unwrap_or(""))
     }
 
     /// The pressure that a filler puts on a serving image on its worker at full speed.
@@ -104,13 +146,17 @@
     }
 }
 
+fn is_light(harm: &Harm, image: &str, filler: &str) -> bool {
+    harm.rise(image, filler, 1.0) < LIGHT
+}
+
 /// The share of their speed that light fillers keep which press with `rise` beside a load.
 pub(crate) fn common(load: f64, rise: f64) -> f64 {
     ((LIMIT - LIGHT_MARGIN - load) / rise.max(f64::EPSILON)).clamp(LEAST_LIGHT, 1.0)
 }
 
 /// The fillers that press on others, or will.
-pub(crate) fn beside(worker: &Worker) -> impl Iterator<Item = &Flight> {
+fn beside(worker: &Worker) -> impl Iterator<Item = &Flight> {
     let gone = |f: &&Flight| matches!(f.stage, Stage::Stopping | Stage::Stopped);
     worker.flights.values().filter(move |f| f.filler && !gone(f))
 }
--- a/crates/owner/src/told.rs
+++ b/crates/owner/src/told.rs
@@ -81,6 +81,16 @@
         false
     }
 
+    /// Whether an order is still to be sent; it may have waited for others while its run became
+    /// needless.
+    pub fn stands(&self, order: &Order) -> bool {
+        let Order::Start { worker, task, run, .. } = order else {
+            return true;
+        };
+        let flight = self.workers.get(worker).and_then(|w| w.flights.get(task));
+        flight.is_some_and(|f| f.run == *run && f.stage == Stage::Sent)
+    }
+
     /// Tells again what got no answer.
     pub fn repeat(&mut self, now: u64) -> Vec<Order> {
         let mut again = Vec::new();
--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -96,7 +96,26 @@
 
     fn send_all(&mut self, at: usize, orders: Vec<Order>) {
         for order in orders {
-            self.send(at, order);
+            if self.rng.random_bool(self.faults.queued) {
+                let due = self.now + self.rng.random_range(0..6_000);
+                self.queued.push((due, at, order));
+            } else {
+                self.send(at, order);
+            }
+        }
+    }
+
+    /// Sends orders that a busy host has kept for a while, if they still stand.
+    pub(super) fn queued_orders(&mut self) {
+        let now = self.now;
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.queued).into_iter().partition(|(due, ..)| *due <= now);
+        self.queued = rest;
+        for (_, at, order) in due {
+            let owner = &self.owners[at];
+            if !owner.deposed && owner.cell.stands(&order) {
+                self.send(at, order);
+            }
         }
     }
 
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -51,6 +51,8 @@
     pub unanswered: f64,
     /// Carried out 2 to 12 s later, without an answer.
     pub late: f64,
+    /// Kept 0 to 6 s at the owner's host before they are sent.
+    pub queued: f64,
 }
 
 /// One owner and what it has under way.
@@ -78,6 +80,7 @@
     progress: BTreeMap<JobId, Vec<u8>>,
     fence: u64,
     late: Vec<(u64, u64, u64, Order)>,
+    queued: Vec<(u64, usize, Order)>,
     /// Which owner reaches which worker; everybody unless named here.
     cuts: HashMap<(usize, Arc<str>), bool>,
     next: u64,
@@ -98,6 +101,7 @@
             progress: BTreeMap::new(),
             fence: 0,
             late: Vec::new(),
+            queued: Vec::new(),
             cuts: HashMap::new(),
             next: 1,
         };
@@ -203,6 +207,7 @@
             worker.work(self.now, &mut self.judge);
         }
         self.late_orders();
+        self.queued_orders();
         for at in 0..self.owners.len() {
             if self.owners[at].awake && !self.owners[at].deposed {
                 self.act(at);
