What an owner has learned goes on to the next one

Ruled out: the takeover itself (36 to 124 ms until the log was read).

Change: every 5 s an owner writes its coefficients and waves (a few KB) under one key of its cell's partition in keyed.lessons; the next one reads them after the jobs. Waves are told in the time of day, since steady clocks differ between hosts, and are doubted a little, since the time of day may jump. Without them, or with others, it learns anew and says so.

Tests: a_new_owner_knows_what_disturbs_from_the_first_moment (a new owner foretells loads and disruption as the old one did), what_is_no_lesson_is_refused_and_changes_nothing.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,6 +9,7 @@
 mod host;
 mod intake;
 mod layout;
+mod lessons;
 mod listen;
 pub mod logs;
 mod member;
--- a/crates/front/src/names.rs
+++ b/crates/front/src/names.rs
@@ -12,6 +12,9 @@
 /// Which cells there are, under one key.
 pub const LAYOUT: &str = "keyed.layout";
 
+/// What owners have learned of images and loads, one key a partition.
+pub const LESSONS: &str = "keyed.lessons";
+
 /// Notices that a cell is free, one partition a cell.
 pub const NOTICES: &str = "notices";
 
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -18,7 +18,7 @@
 use crate::names::{JOBS, OWNER, PROGRESS};
 use crate::newest::newest;
 use crate::owned::Owned;
-use crate::{flush, roster, tick, upkeep};
+use crate::{flush, lessons, roster, tick, upkeep};
 
 /// How long the store may take for an append or a page during a takeover.
 const LIMIT: Duration = Duration::from_millis(2_000);
@@ -60,6 +60,7 @@
     if owned.closed() {
         return;
     }
+    lessons::recall(&host, &owned).await;
     let jobs = {
         let mut cell = owned.state();
         cell.loaded = true;
@@ -70,6 +71,7 @@
     tokio::spawn(roster::follow(host.clone(), owned.clone()));
     tokio::spawn(flush::run(host.clone(), owned.clone()));
     tokio::spawn(tick::run(owned.clone()));
+    tokio::spawn(lessons::run(host.clone(), owned.clone()));
     tokio::spawn(upkeep::run(host.clone(), owned.clone()));
     tail(host, owned).await;
 }
--- a/crates/owner/src/harm.rs
+++ b/crates/owner/src/harm.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::lessons::Known;
 use crate::swing::Guess;
 
 /// The tail over its target that a task without any load is taken to have. It only sets the scale
@@ -104,6 +105,28 @@
         (self.coefficient(image, filler) + doubt).max(0.0) * share
     }
 
+    /// The filling images, and what each of them does to each serving image.
+    pub(crate) fn known(&self) -> (Vec<Arc<str>>, Vec<(Arc<str>, Vec<Known>)>) {
+        let mut fillers: Vec<_> = self.names.iter().collect();
+        fillers.sort_by_key(|(_, at)| **at);
+        let known = |model: &Model| {
+            let pairs = model.theta.iter().zip(&model.cover).enumerate();
+            let known = pairs.map(|(at, (theta, row))| Known {
+                coefficient: *theta as f32,
+                variance: row[at] as f32,
+            });
+            known.collect()
+        };
+        let images = self.models.iter().map(|(image, model)| (image.clone(), known(model)));
+        (fillers.into_iter().map(|(name, _)| name.clone()).collect(), images.collect())
+    }
+
+    /// Goes on with what was known.
+    pub(crate) fn recall(&mut self, fillers: Vec<Arc<str>>, images: Vec<(Arc<str>, Vec<Known>)>) {
+        self.names = fillers.into_iter().enumerate().map(|(at, name)| (name, at)).collect();
+        self.models = images.into_iter().map(|(image, known)| (image, Model::of(&known))).collect();
+    }
+
     /// How unlike two serving images are: 0 if the same fillers disturb both, 1 if others do or
     /// too little is known.
     pub fn unlike(&self, a: &str, b: &str) -> f64 {
@@ -144,6 +167,17 @@
 }
 
 impl Model {
+    /// A model of what is known of each coefficient by itself.
+    fn of(known: &[Known]) -> Self {
+        let mut model = Self::default();
+        model.grow(known.len());
+        for (at, known) in known.iter().enumerate() {
+            model.theta[at] = f64::from(known.coefficient);
+            model.cover[at][at] = f64::from(known.variance).clamp(0.0, LOOSEST);
+        }
+        model
+    }
+
     fn variance(&self, x: &[f64]) -> f64 {
         let rows = self.cover.iter().zip(x);
         rows.map(|(row, xi)| xi * dot(row, x)).sum::<f64>().max(0.0)
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -20,6 +20,7 @@
 mod held;
 mod job;
 mod lease;
+mod lessons;
 mod list;
 mod order;
 mod over;
--- a/crates/owner/src/swing.rs
+++ b/crates/owner/src/swing.rs
@@ -9,6 +9,8 @@
 
 use myrtle_job::{JobId, TaskId};
 
+use crate::lessons::Loads;
+
 /// The shortest period that is tried, in seconds: shorter ones pass within a filler's run.
 const SHORTEST: f64 = 4.0;
 
@@ -27,6 +29,9 @@
 /// The variance of each half of the wave before any load was seen; measured: 0.24 at its crest.
 const WAVE_PRIOR: f64 = 0.03;
 
+/// The variance of each coefficient of a fit that an earlier owner left.
+const RECALLED: f64 = 0.004;
+
 /// How much the variance of each coefficient grows in a second, since services change.
 const DRIFT: f64 = 0.000_05;
 
@@ -59,6 +64,8 @@
 pub struct Swings {
     /// How badly each period has foretold, as a sum of logarithms of likelihoods.
     errors: [f64; PERIODS],
+    /// What the waves' time is ahead of the host's steady clock, in milliseconds.
+    origin: i64,
     steps: BTreeMap<StepKey, Track>,
 }
 
@@ -78,7 +85,7 @@
 
 impl Default for Swings {
     fn default() -> Self {
-        Self { errors: [0.0; PERIODS], steps: BTreeMap::new() }
+        Self { errors: [0.0; PERIODS], origin: 0, steps: BTreeMap::new() }
     }
 }
 
@@ -87,7 +94,7 @@
     pub fn guess(&self, task: TaskId, at: u64) -> Guess {
         let best = self.best();
         let fit = self.steps.get(&step_of(task)).map_or_else(Fit::new, |t| t.fits[best]);
-        fit.guess(basis(best, at))
+        fit.guess(basis(best, self.origin + at as i64))
     }
 
     /// Takes in a load that a task of the step showed, with the variance of that figure.
@@ -97,7 +104,7 @@
         track.seen = track.seen.max(at);
         for (n, fit) in track.fits.iter_mut().enumerate() {
             fit.grow(DRIFT * passed);
-            let badness = fit.update(basis(n, at), load, variance);
+            let badness = fit.update(basis(n, self.origin + at as i64), load, variance);
             self.errors[n] = self.errors[n] * KEEP + badness;
         }
     }
@@ -107,6 +114,30 @@
         self.steps.retain(|(j, ..), _| *j != job);
     }
 
+    /// What is known, for an owner on another host; steady clocks differ, the time of day hardly.
+    pub(crate) fn known(&self, now: u64, wall: u64) -> Loads {
+        let best = self.best();
+        let steps = self.steps.iter().map(|(key, t)| (*key, t.fits[best].theta.map(|x| x as f32)));
+        Loads {
+            errors: self.errors.iter().map(|error| *error as f32).collect(),
+            ahead: self.origin + now as i64 - wall as i64,
+            steps: steps.collect(),
+        }
+    }
+
+    /// Goes on with what was known.
+    pub(crate) fn recall(&mut self, loads: Loads, now: u64, wall: u64) {
+        let errors = self.errors.iter_mut().zip(&loads.errors);
+        errors.for_each(|(own, error)| *own = f64::from(*error));
+        self.origin = loads.ahead + wall as i64 - now as i64;
+        let best = self.best();
+        for (key, theta) in loads.steps {
+            let mut track = Track::new(now);
+            track.fits[best] = Fit::recalled(theta);
+            self.steps.insert(key, track);
+        }
+    }
+
     /// The period that has foretold best.
     fn best(&self) -> usize {
         let errors = self.errors.iter().enumerate();
@@ -129,6 +160,13 @@
         Self { theta: [USUAL, 0.0, 0.0], cover }
     }
 
+    /// A fit of an earlier owner; the hosts' clocks may differ, so it is doubted a little.
+    fn recalled(theta: [f32; 3]) -> Self {
+        let mut cover = [[0.0; 3]; 3];
+        (0..3).for_each(|i| cover[i][i] = RECALLED);
+        Self { theta: theta.map(f64::from), cover }
+    }
+
     fn guess(&self, x: [f64; 3]) -> Guess {
         let px = self.spread(x);
         Guess { mean: dot(self.theta, x), variance: dot(px, x).max(0.0) }
@@ -161,7 +199,7 @@
 }
 
 /// A wave's mean, sine and cosine at a moment.
-fn basis(period: usize, at: u64) -> [f64; 3] {
+fn basis(period: usize, at: i64) -> [f64; 3] {
     let seconds = SHORTEST * RATIO.powi(period as i32);
     let (sin, cos) = (TAU * at as f64 / 1000.0 / seconds).sin_cos();
     [1.0, sin, cos]
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -139,6 +139,10 @@
             let progress: Progress = decode(bytes).unwrap();
             cell.inherit(id, progress, self.now);
         }
+        let (now, wall) = (self.now, self.now);
+        if let Some(lessons) = self.owners.last().and_then(|o| o.cell.lessons(now, wall)) {
+            cell.recall(&lessons, now, wall).unwrap();
+        }
         cell.loaded = true;
         self.owners.push(Owner { cell, deposed: false, logged: true, awake: true, batch: None });
         self.owners.len() - 1
--- a/crates/owner/tests/pace.rs
+++ b/crates/owner/tests/pace.rs
@@ -83,6 +83,38 @@
     assert!(beside.world.owner().cell.state(beside.serving).is_some());
 }
 
+#[test]
+fn a_new_owner_knows_what_disturbs_from_the_first_moment() {
+    let mut beside = Beside::new(1.5, 3);
+    beside.run(20_000);
+    let task = TaskId { job: beside.serving, round: 0, step: 0, index: 0 };
+    let soon = beside.world.now + 500;
+    let known = |beside: &mut Beside| {
+        let cell = &beside.world.owner().cell;
+        (cell.swings.guess(task, soon).mean, cell.harm.rise("serving", "filler", 1.0))
+    };
+    let before = known(&mut beside);
+    beside.world.owner().awake = false;
+    beside.world.take_over();
+    let after = known(&mut beside);
+    assert!((before.0 - after.0).abs() < 0.01, "the load: {before:?} {after:?}");
+    assert!((before.1 - after.1).abs() < 0.01, "the disruption: {before:?} {after:?}");
+    let (over, _) = beside.run(10_000);
+    assert!(over <= 500, "over for {over} of 10,000 ms");
+    assert!(beside.world.judge.broken.is_empty());
+}
+
+#[test]
+fn what_is_no_lesson_is_refused_and_changes_nothing() {
+    let mut beside = Beside::new(1.5, 3);
+    beside.run(5_000);
+    let cell = &mut beside.world.owner().cell;
+    let lessons = cell.lessons(0, 0);
+    assert!(lessons.is_some());
+    assert!(cell.recall(b"no lessons", 0, 0).is_err());
+    assert_eq!(cell.lessons(0, 0), lessons);
+}
+
 #[test]
 fn light_fillers_go_on_at_the_crest() {
     let mut beside = Beside::new(0.15, 4);
