--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -12,6 +12,7 @@
 use myrtle_owner::{Batch, Order, Question};
 
 use crate::clock::now;
+use crate::hedge::{Outcome, hedged};
 use crate::host::Host;
 use crate::names::{JOBS, OWNER, PROGRESS};
 use crate::owned::Owned;
@@ -30,6 +31,10 @@
 /// How long the store may take to drop forgotten jobs; a failure does no harm.
 const DROP: Duration = Duration::from_millis(1_000);
 
+/// How long an append and its repeats are waited for before new ones are made: longer than the
+/// platform's store keeps a call waiting.
+const ROUND: Duration = Duration::from_millis(2_500);
+
 /// The pause after an append that was refused.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -104,39 +109,35 @@
     body: Bytes,
     patience: &mut Patience,
 ) -> bool {
-    loop {
-        let (began, limit) = (Instant::now(), patience.limit());
-        let writer = Writer { name: OWNER, epoch: owned.fence, number };
-        match host.store.append(PROGRESS, owned.cell, Some(writer), body.clone(), limit).await {
-            Ok(_) => {
-                patience.answered(began.elapsed());
-                host.store_reached();
-                return true;
-            }
-            Err(StoreError::Fenced) => {
-                owned.depose("the log");
-                return false;
-            }
-            Err(StoreError::Sequence { wanted }) => {
+    let writer = Writer { name: OWNER, epoch: owned.fence, number };
+    let append = |left| host.store.append(PROGRESS, owned.cell, Some(writer), body.clone(), left);
+    let last = |e: &StoreError| matches!(e, StoreError::Fenced | StoreError::Sequence { .. });
+    while !owned.deposed() {
+        let end = Instant::now() + ROUND;
+        match hedged(patience, end, append, last, |seen| host.note(seen)).await {
+            Outcome::Done(_) => return true,
+            Outcome::Refused(StoreError::Fenced) => owned.depose("the log"),
+            Outcome::Refused(StoreError::Sequence { wanted }) => {
                 // Another process with this token has written: the token was given out twice.
                 warn!(
                     "event=append-out-of-order cell={} number={number} wanted={wanted}",
                     owned.cell
                 );
                 owned.depose("the log's numbering");
-                return false;
             }
-            Err(e) => {
-                host.store_missed(&e);
+            Outcome::Refused(e) => {
                 info!("event=append-again cell={} number={number} reason=\"{e}\"", owned.cell);
-                patience.missed();
                 sleep(PAUSE).await;
             }
-        }
-        if owned.deposed() {
-            return false;
+            Outcome::Unknown => {
+                info!(
+                    "event=append-again cell={} number={number} reason=\"no answer\"",
+                    owned.cell
+                );
+            }
         }
     }
+    false
 }
 
 /// Drops what was handed in for jobs that are forgotten; a failure leaves some records more.
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -12,6 +12,7 @@
 use myrtle_meter::Meter;
 
 use crate::clock::now;
+use crate::hedge::Seen;
 use crate::intake::Intake;
 use crate::layout::Layout;
 use crate::owned::Owned;
@@ -138,6 +139,15 @@
         }
     }
 
+    /// Notes what a try of a call to the store came to.
+    pub fn note(&self, seen: Seen<'_>) {
+        match seen {
+            Seen::Answer => self.store_reached(),
+            Seen::Failure(e) => self.store_missed(e),
+            Seen::Silence => self.store_missed(&"no answer in time"),
+        }
+    }
+
     /// Milliseconds since the store last answered.
     pub fn store_age(&self) -> u64 {
         now().saturating_sub(self.reached.load(Ordering::Relaxed))
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -9,13 +9,14 @@
 use bytes::{Bytes, BytesMut};
 use log::{info, warn};
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, interval, sleep, timeout};
+use tokio::time::{Instant, interval, timeout};
 
-use myrtle_adapter::{StoreError, frame_keyed};
+use myrtle_adapter::frame_keyed;
 use myrtle_job::JobId;
 use myrtle_peer::Passed;
 
 use crate::flush::LARGEST;
+use crate::hedge::{Outcome, hedged};
 use crate::host::Host;
 use crate::names::JOBS;
 use crate::patience::Patience;
@@ -27,9 +28,6 @@
 /// The time between two looks for jobs that have waited too long.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// The pause before an append is tried again.
-const PAUSE: Duration = Duration::from_millis(10);
-
 /// How long a job that this host can't write is passed on to a peer.
 const PASS: Duration = Duration::from_millis(400);
 
@@ -129,33 +127,12 @@
     }
     let body: Bytes = body.freeze();
     let end = batch.iter().map(|w| w.end).max().unwrap_or_else(Instant::now);
-    let mut doubt = false;
-    loop {
-        let began = Instant::now();
-        let left = end.saturating_duration_since(began);
-        if left.is_zero() {
-            return if doubt { Passed::Unknown } else { Passed::Refused };
-        }
-        // A repeat writes the same records under the same keys, so it does no harm.
-        let limit = patience.limit().min(left);
-        match host.store.append(JOBS, cell, None, body.clone(), limit).await {
-            Ok(_) => {
-                patience.answered(began.elapsed());
-                host.store_reached();
-                return Passed::Kept;
-            }
-            Err(e) => {
-                host.store_missed(&e);
-                doubt |= e.unknown();
-                if !doubt {
-                    return Passed::Refused;
-                }
-                if matches!(e, StoreError::Failure(_)) {
-                    patience.missed();
-                }
-                sleep(PAUSE).await;
-            }
-        }
+    // A repeat writes the same records under the same keys, so it does no harm.
+    let append = |left| host.store.append(JOBS, cell, None, body.clone(), left);
+    match hedged(patience, end, append, |_| false, |seen| host.note(seen)).await {
+        Outcome::Done(_) => Passed::Kept,
+        Outcome::Refused(_) => Passed::Refused,
+        Outcome::Unknown => Passed::Unknown,
     }
 }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod entry;
 mod flush;
+mod hedge;
 mod hold;
 mod host;
 mod intake;
@@ -31,8 +32,10 @@
 mod upkeep;
 mod watch;
 
+pub use hedge::{Outcome, Seen, hedged};
 pub use layout::Layout;
 pub use names::group as cell_group;
 pub use owners::address as member_address;
+pub use patience::Patience;
 pub use run::run;
 pub use settings::{Cells, Settings};
