Owner: learning, headroom and the fits get files and names of their own

Changed: guard.rs is learn.rs, its loop over tasks is split (Flight::show_tail); headroom.rs says how much pressure fillers may put on others, pace.rs what follows (Change, Headroom instead of tuples); model.rs holds the fit of one serving image, sine.rs that of one load, squares.rs what both share; step.rs names the step of a task; Worker::fillers and Faded replace a free function and a tuple. Harm::known is split in two (fillers, images), which also clears clippy's complaint about its type.

Behaviour is the same: no constant, formula, order of sums, log event or record changed.

--- a/crates/owner/src/drain.rs
+++ b/crates/owner/src/drain.rs
@@ -6,6 +6,7 @@
 
 use myrtle_job::TaskId;
 
+use crate::step::step_of;
 use crate::{Cell, Life, Stage};
 
 /// The time that a move needs beside the stop itself, in milliseconds.
@@ -22,7 +23,8 @@
             let left = worker.leaves.map(|l| l.saturating_sub(now));
             for (&task, flight) in worker.flights.iter().filter(|(_, f)| f.stage == Stage::Up) {
                 if flight.lasting {
-                    if self.may_move(task) && !moves.iter().any(|(_, t, _)| same_step(t, &task)) {
+                    let moving = moves.iter().any(|(_, t, _)| step_of(*t) == step_of(task));
+                    if self.may_move(task) && !moving {
                         moves.push((life.clone(), task, flight.run));
                     }
                     continue;
@@ -52,7 +54,10 @@
         let mut moves: Vec<(TaskId, u32)> = Vec::new();
         for (&task, flight) in worker.flights.iter().filter(|(_, f)| f.stage == Stage::Up) {
             let free = match flight.lasting {
-                true => !moves.iter().any(|(t, _)| same_step(t, &task)) && self.may_move(task),
+                true => {
+                    let moving = moves.iter().any(|(t, _)| step_of(*t) == step_of(task));
+                    !moving && self.may_move(task)
+                }
                 false => flight.saves || urgent,
             };
             if free {
@@ -94,7 +99,3 @@
         away.count() < usize::from(most)
     }
 }
-
-fn same_step(a: &TaskId, b: &TaskId) -> bool {
-    (a.job, a.round, a.step) == (b.job, b.round, b.step)
-}
--- a/crates/owner/src/harm.rs
+++ b/crates/owner/src/harm.rs
@@ -10,7 +10,8 @@
 use std::sync::Arc;
 
 use crate::lessons::Known;
-use crate::swing::Guess;
+use crate::model::{Model, PRIOR, USUAL};
+use crate::sine::Guess;
 
 /// The tail over its target that a task without any load is taken to have. It only sets the scale
 /// of pressures: another figure scales the pressures and their limit alike.
@@ -22,26 +23,9 @@
 /// Pressures above this are not told apart by tails.
 const FULL: f64 = 0.97;
 
-/// How much of its past a model keeps at each report; about two thousand count, which is some
-/// twenty seconds of one image on 48 workers.
-const KEEP: f64 = 0.9995;
-
-/// The coefficient that is taken for a pair before anything is known: images that do no harm were
-/// measured between 0 and 0.25.
-const USUAL: f64 = 0.15;
-
-/// The variance of a coefficient before anything is known.
-const PRIOR: f64 = 0.5;
-
 /// The variance of a pressure around the model, where nothing changed within the window.
 pub(crate) const NOISE: f64 = 0.0016;
 
-/// Errors beyond so many standard deviations count as this many.
-const OUTLIER: f64 = 3.0;
-
-/// The largest variance that forgetting may bring back.
-const LOOSEST: f64 = 0.5;
-
 /// How many standard deviations are counted against a filler.
 const CAUTION: f64 = 0.5;
 
@@ -54,17 +38,12 @@
 /// What is known of images that disturb each other.
 #[derive(Debug, Default, Clone)]
 pub struct Harm {
+    /// The numbers of the filling images.
     names: BTreeMap<Arc<str>, usize>,
+    /// What fillers do, by serving image.
     models: BTreeMap<Arc<str>, Model>,
 }
 
-/// What is known of one serving image.
-#[derive(Debug, Clone, Default)]
-struct Model {
-    theta: Vec<f64>,
-    cover: Vec<Vec<f64>>,
-}
-
 /// The pressure that a tail shows; `ratio` is the tail over its target.
 pub fn pressure(ratio: f64) -> f64 {
     (1.0 - REST / ratio.max(1e-3)).clamp(0.0, FULL)
@@ -75,7 +54,7 @@
     pub fn pressed(&self, image: &str, uses: &Uses) -> Guess {
         let mean = uses.iter().map(|(name, used)| self.coefficient(image, name) * used).sum();
         let variance = match self.models.get(image) {
-            Some(model) => model.variance(&self.row(uses, model.theta.len())),
+            Some(model) => model.variance(&self.row(uses, model.size())),
             None => uses.values().map(|used| PRIOR * used * used).sum(),
         };
         Guess { mean, variance }
@@ -105,20 +84,16 @@
         (self.coefficient(image, filler) + doubt).max(0.0) * share
     }
 
-    /// The filling images, and what each of them does to each serving image.
-    pub(crate) fn known(&self) -> (Vec<Arc<str>>, Vec<(Arc<str>, Vec<Known>)>) {
+    /// The filling images in the order of their numbers.
+    pub(crate) fn fillers(&self) -> Vec<Arc<str>> {
         let mut fillers: Vec<_> = self.names.iter().collect();
         fillers.sort_by_key(|(_, at)| **at);
-        let known = |model: &Model| {
-            let pairs = model.theta.iter().zip(&model.cover).enumerate();
-            let known = pairs.map(|(at, (theta, row))| Known {
-                coefficient: *theta as f32,
-                variance: row[at] as f32,
-            });
-            known.collect()
-        };
-        let images = self.models.iter().map(|(image, model)| (image.clone(), known(model)));
-        (fillers.into_iter().map(|(name, _)| name.clone()).collect(), images.collect())
+        fillers.into_iter().map(|(name, _)| name.clone()).collect()
+    }
+
+    /// What each filling image does to each serving one, in the same order.
+    pub(crate) fn images(&self) -> Vec<(Arc<str>, Vec<Known>)> {
+        self.models.iter().map(|(image, model)| (image.clone(), model.known())).collect()
     }
 
     /// Goes on with what was known.
@@ -155,84 +130,13 @@
 
     fn deviation(&self, image: &str, filler: &str) -> f64 {
         let at = self.names.get(filler).copied();
-        let known = at.and_then(|at| self.models.get(image)?.cover.get(at)?.get(at).copied());
+        let known = at.and_then(|at| self.models.get(image)?.variance_of(at));
         known.unwrap_or(PRIOR).max(0.0).sqrt()
     }
 
     fn coefficient(&self, image: &str, filler: &str) -> f64 {
         let at = self.names.get(filler).copied();
-        let known = at.and_then(|at| self.models.get(image)?.theta.get(at).copied());
+        let known = at.and_then(|at| self.models.get(image)?.coefficient(at));
         known.unwrap_or(USUAL)
     }
 }
-
-impl Model {
-    /// A model of what is known of each coefficient by itself.
-    fn of(known: &[Known]) -> Self {
-        let mut model = Self::default();
-        model.grow(known.len());
-        for (at, known) in known.iter().enumerate() {
-            model.theta[at] = f64::from(known.coefficient);
-            model.cover[at][at] = f64::from(known.variance).clamp(0.0, LOOSEST);
-        }
-        model
-    }
-
-    fn variance(&self, x: &[f64]) -> f64 {
-        let rows = self.cover.iter().zip(x);
-        rows.map(|(row, xi)| xi * dot(row, x)).sum::<f64>().max(0.0)
-    }
-
-    fn update(&mut self, x: &[f64], y: f64, noise: f64) {
-        self.grow(x.len());
-        let px: Vec<f64> = self.cover.iter().map(|row| dot(row, x)).collect();
-        let spread = dot(&px, x);
-        if spread <= f64::EPSILON {
-            return;
-        }
-        let variance = noise * KEEP + spread;
-        let most = OUTLIER * variance.sqrt();
-        let error = (y - dot(&self.theta, x)).clamp(-most, most);
-        for (theta, p) in self.theta.iter_mut().zip(&px) {
-            *theta += p / variance * error;
-        }
-        for (row, pi) in self.cover.iter_mut().zip(&px) {
-            for (cell, pj) in row.iter_mut().zip(&px) {
-                *cell = (*cell - pi * pj / variance) / KEEP;
-            }
-        }
-        self.bound();
-    }
-
-    /// Forgetting must not make a coefficient looser than the bound.
-    fn bound(&mut self) {
-        for i in 0..self.cover.len() {
-            let variance = self.cover[i][i];
-            if variance <= LOOSEST {
-                continue;
-            }
-            let scale = (LOOSEST / variance).sqrt();
-            for j in 0..self.cover.len() {
-                self.cover[i][j] *= scale;
-                self.cover[j][i] *= scale;
-            }
-        }
-    }
-
-    fn grow(&mut self, n: usize) {
-        while self.theta.len() < n {
-            self.theta.push(USUAL);
-            for row in &mut self.cover {
-                row.push(0.0);
-            }
-            let at = self.theta.len() - 1;
-            let mut row = vec![0.0; at + 1];
-            row[at] = PRIOR;
-            self.cover.push(row);
-        }
-    }
-}
-
-fn dot(a: &[f64], b: &[f64]) -> f64 {
-    a.iter().zip(b).map(|(a, b)| a * b).sum()
-}
--- a/crates/owner/src/guard.rs
+++ b/crates/owner/src/learn.rs
@@ -1,14 +1,13 @@
-//! Learns from workers' reports what loads serving tasks have and which fillers disturb them.
+//! Learns from workers' reports: the loads of serving tasks, the fillers that disturb them, and how
+//! hard each task is pressed now.
 
 use std::sync::Arc;
 
-use myrtle_job::TaskId;
-
 use crate::harm::{NOISE, Uses, pressure};
-use crate::{Cell, Flight, Stage, Worker};
+use crate::{Cell, Flight, Worker};
 
 /// The time that a figure covers, in milliseconds; the platform's figure.
-pub(crate) const WINDOW: u64 = 500;
+const WINDOW: u64 = 500;
 
 /// The share of its use at which a filler counts that ended within the window; fitted to reports of
 /// quiet-1: 0.84 and 0.80 on two sites.
@@ -27,23 +26,15 @@
         if worker.figured != now {
             return;
         }
-        worker.faded.retain(|(.., at)| now.saturating_sub(*at) <= WINDOW);
+        worker.faded.retain(|f| now.saturating_sub(f.ended) <= WINDOW);
         let uses = uses(worker);
         let noise = NOISE + (TURN * change(&worker.uses, &uses)).powi(2);
         let middle = now.saturating_sub(WINDOW / 2);
         for (&task, flight) in &mut worker.flights {
-            let (Some(target), Some(image)) = (flight.target, &flight.image) else {
+            flight.show_tail(now);
+            let (Some(shown), Some(image)) = (flight.pressure, &flight.image) else {
                 continue;
             };
-            if flight.percent < 100.0 || flight.figure <= 0.0 {
-                flight.pressure = None;
-                flight.over = None;
-                continue;
-            }
-            let ratio = flight.figure / f64::from(target);
-            let shown = pressure(ratio);
-            flight.pressure = Some(shown);
-            flight.over = (ratio > 1.0).then(|| flight.over.unwrap_or(now));
             let load = self.swings.guess(task, middle);
             let pressed = self.harm.pressed(image, &uses);
             self.harm.learn(image, shown - load.mean, load.variance + noise, &uses);
@@ -53,12 +44,24 @@
     }
 }
 
-/// The fillers that are at work on a worker.
-pub(crate) fn fillers(worker: &Worker) -> impl Iterator<Item = (&TaskId, &Flight)> {
-    worker.flights.iter().filter(|(_, f)| f.filler && f.stage == Stage::Up)
+impl Flight {
+    /// Takes in how hard its tail shows that it is pressed, if it serves and is ready.
+    fn show_tail(&mut self, now: u64) {
+        let Some(target) = self.target.filter(|_| self.image.is_some()) else {
+            return;
+        };
+        if self.percent < 100.0 || self.figure <= 0.0 {
+            self.pressure = None;
+            self.over = None;
+            return;
+        }
+        let ratio = self.figure / f64::from(target);
+        self.pressure = Some(pressure(ratio));
+        self.over = (ratio > 1.0).then(|| self.over.unwrap_or(now));
+    }
 }
 
-/// What fillers used in the last window.
+/// What fillers used in the last window, with those that ended in it.
 fn uses(worker: &Worker) -> Uses {
     let size = worker.size();
     let mut uses = Uses::new();
@@ -67,8 +70,8 @@
             *uses.entry(image.clone()).or_default() += flight.figure / size;
         }
     }
-    for (image, used, _) in &worker.faded {
-        *uses.entry(image.clone()).or_default() += FADED * used / size;
+    for faded in &worker.faded {
+        *uses.entry(faded.image.clone()).or_default() += FADED * faded.used / size;
     }
     uses
 }
--- a/crates/owner/src/lessons.rs
+++ b/crates/owner/src/lessons.rs
@@ -7,7 +7,7 @@
 use myrtle_job::{RecordError, decode, encode};
 
 use crate::Cell;
-use crate::swing::StepKey;
+use crate::step::StepKey;
 
 /// How well a coefficient is known.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -43,7 +43,7 @@
     ///
     /// `now` is the host's steady clock, `wall` the time of day, both in milliseconds.
     pub fn lessons(&self, now: u64, wall: u64) -> Option<Vec<u8>> {
-        let (fillers, images) = self.harm.known();
+        let (fillers, images) = (self.harm.fillers(), self.harm.images());
         if images.is_empty() {
             return None;
         }
--- a/crates/owner/src/pressure.rs
+++ b/crates/owner/src/pressure.rs
@@ -6,7 +6,7 @@
 use myrtle_job::TaskId;
 
 use crate::harm::LIMIT;
-use crate::swing::{StepKey, step_of};
+use crate::step::{StepKey, step_of};
 use crate::{Cell, Flight, Harm, Stage, Worker};
 
 /// The moments that are looked at, in milliseconds from now; most fillers run about as long as
--- a/crates/owner/src/swing.rs
+++ b/crates/owner/src/swing.rs
@@ -10,6 +10,8 @@
 use myrtle_job::{JobId, TaskId};
 
 use crate::lessons::Loads;
+use crate::sine::{Fit, Guess};
+use crate::step::{StepKey, step_of};
 
 /// The shortest period that is tried, in seconds: shorter ones pass within a filler's run.
 const SHORTEST: f64 = 4.0;
@@ -20,18 +22,6 @@
 /// How many periods are tried: from 4 to 49 s.
 const PERIODS: usize = 27;
 
-/// The mean load that is taken before any was seen; measured: 0.24 to 0.72 of a task's processors.
-const USUAL: f64 = 0.48;
-
-/// The variance of the mean before any load was seen.
-const MEAN_PRIOR: f64 = 0.02;
-
-/// The variance of each half of the wave before any load was seen; measured: 0.24 at its crest.
-const WAVE_PRIOR: f64 = 0.03;
-
-/// The variance of each coefficient of a fit that an earlier owner left.
-const RECALLED: f64 = 0.004;
-
 /// How much the variance of each coefficient grows in a second, since services change.
 const DRIFT: f64 = 0.000_05;
 
@@ -39,26 +29,6 @@
 /// five seconds of a cell.
 const KEEP: f64 = 0.999;
 
-/// Errors beyond so many standard deviations count as this many.
-const OUTLIER: f64 = 3.0;
-
-/// The tasks that share a load: those of one step in one repetition of a job.
-pub(crate) type StepKey = (JobId, u32, u16);
-
-/// The step of a task.
-pub(crate) fn step_of(task: TaskId) -> StepKey {
-    (task.job, task.round, task.step)
-}
-
-/// What is expected, and the variance around it.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Guess {
-    /// The expected value.
-    pub mean: f64,
-    /// The variance of the truth around it.
-    pub variance: f64,
-}
-
 /// What is known of the loads of a cell's serving steps.
 #[derive(Debug, Clone)]
 pub struct Swings {
@@ -76,13 +46,6 @@
     seen: u64,
 }
 
-/// A mean and the two halves of a wave, with their covariance.
-#[derive(Debug, Clone, Copy)]
-struct Fit {
-    theta: [f64; 3],
-    cover: [[f64; 3]; 3],
-}
-
 impl Default for Swings {
     fn default() -> Self {
         Self { errors: [0.0; PERIODS], origin: 0, steps: BTreeMap::new() }
@@ -151,60 +114,9 @@
     }
 }
 
-impl Fit {
-    fn new() -> Self {
-        let mut cover = [[0.0; 3]; 3];
-        cover[0][0] = MEAN_PRIOR;
-        cover[1][1] = WAVE_PRIOR;
-        cover[2][2] = WAVE_PRIOR;
-        Self { theta: [USUAL, 0.0, 0.0], cover }
-    }
-
-    /// A fit of an earlier owner; the hosts' clocks may differ, so it is doubted a little.
-    fn recalled(theta: [f32; 3]) -> Self {
-        let mut cover = [[0.0; 3]; 3];
-        (0..3).for_each(|i| cover[i][i] = RECALLED);
-        Self { theta: theta.map(f64::from), cover }
-    }
-
-    fn guess(&self, x: [f64; 3]) -> Guess {
-        let px = self.spread(x);
-        Guess { mean: dot(self.theta, x), variance: dot(px, x).max(0.0) }
-    }
-
-    /// Takes in a value; tells how badly it was foretold.
-    fn update(&mut self, x: [f64; 3], y: f64, noise: f64) -> f64 {
-        let px = self.spread(x);
-        let variance = dot(px, x) + noise;
-        let most = OUTLIER * variance.sqrt();
-        let error = (y - dot(self.theta, x)).clamp(-most, most);
-        for i in 0..3 {
-            self.theta[i] += px[i] / variance * error;
-            for j in 0..3 {
-                self.cover[i][j] -= px[i] * px[j] / variance;
-            }
-        }
-        error * error / variance + variance.ln()
-    }
-
-    fn grow(&mut self, by: f64) {
-        for i in 0..3 {
-            self.cover[i][i] += by;
-        }
-    }
-
-    fn spread(&self, x: [f64; 3]) -> [f64; 3] {
-        self.cover.map(|row| dot(row, x))
-    }
-}
-
 /// A wave's mean, sine and cosine at a moment.
 fn basis(period: usize, at: i64) -> [f64; 3] {
     let seconds = SHORTEST * RATIO.powi(period as i32);
     let (sin, cos) = (TAU * at as f64 / 1000.0 / seconds).sin_cos();
     [1.0, sin, cos]
 }
-
-fn dot(a: [f64; 3], b: [f64; 3]) -> f64 {
-    a.iter().zip(b).map(|(a, b)| a * b).sum()
-}
--- a/crates/owner/src/worker.rs
+++ b/crates/owner/src/worker.rs
@@ -6,9 +6,9 @@
 use myrtle_base::Room;
 use myrtle_job::{Listing, TaskId};
 
-use crate::Flight;
 use crate::harm::Uses;
 use crate::pressure::Outlook;
+use crate::{Flight, Stage};
 
 /// The share of its processors that a serving task uses in the mean, by what fillers were seen to
 /// get beside them.
@@ -27,6 +27,17 @@
     Gone,
 }
 
+/// A filler that has ended but still shows in figures.
+#[derive(Debug, Clone)]
+pub(crate) struct Faded {
+    /// What it ran.
+    pub(crate) image: Arc<str>,
+    /// What it used at last, in thousandths of a core.
+    pub(crate) used: f64,
+    /// When it ended.
+    pub(crate) ended: u64,
+}
+
 /// One life of a worker.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -62,8 +73,8 @@
     pub(crate) outlooks: Vec<Outlook>,
     /// When fillers were last slowed here.
     pub eased: u64,
-    /// Fillers that ended lately: image, thousandths of a core in use, when.
-    pub faded: Vec<(Arc<str>, f64, u64)>,
+    /// Fillers that ended lately.
+    pub(crate) faded: Vec<Faded>,
     /// Whether it is being emptied for the upkeep of its machine.
     pub closing: bool,
     /// When it leaves, if it said so.
@@ -101,7 +112,7 @@
         self.flights.get(&task).filter(|f| f.run == run)?;
         let flight = self.flights.remove(&task)?;
         if let Some(image) = flight.image.clone().filter(|_| flight.filler) {
-            self.faded.push((image, flight.figure, now));
+            self.faded.push(Faded { image, used: flight.figure, ended: now });
         }
         Some(flight)
     }
@@ -155,21 +166,26 @@
         self.listing.as_ref().is_some_and(|l| l.labels.iter().any(|x| x == label))
     }
 
+    /// The fillers that are at work there.
+    pub(crate) fn fillers(&self) -> impl Iterator<Item = (&TaskId, &Flight)> {
+        self.flights.iter().filter(|(_, f)| f.filler && f.stage == Stage::Up)
+    }
+
     /// The processors that fillers could use, in thousandths of a core.
     pub fn spare(&self) -> f64 {
-        let taken: f64 = self.flights.values().filter(|f| !f.filler).map(draw).sum();
+        let taken: f64 = self.flights.values().filter(|f| !f.filler).map(mean_use).sum();
         f64::from(self.room().cpu) - taken
     }
 
-    /// The processors that its fillers ask for.
+    /// The processors that its fillers ask for at their paces, in thousandths of a core.
     pub fn filled(&self) -> f64 {
         let fillers = self.flights.values().filter(|f| f.filler);
         fillers.map(|f| f64::from(f.cpu) * f64::from(f.pace) / 100.0).sum()
     }
 }
 
-/// What a run that is no filler uses, in thousandths of a core.
-fn draw(flight: &Flight) -> f64 {
+/// What a run that is no filler uses in the mean, in thousandths of a core.
+fn mean_use(flight: &Flight) -> f64 {
     let share = if flight.target.is_some() { SERVING_USE } else { 1.0 };
     f64::from(flight.cpu) * share
 }
