Owner: outlooks get a file; costs and shares get names

Hard to read: pressure.rs held the figures of one image on a worker beside the forecasts of a cell, with arrays of a length written out each time and a function called common; cost in fit.rs ran over 36 lines; three bare figures stood in fit.rs and health.rs; the comment on a filler's cost told of the old policy; the writing of lessons was public though only its own file calls it.

Changed: outlook.rs holds Outlook and what counts as light (light_share, formerly common; Outlook::add; the type Moments), pressure.rs the forecasts and what asks for them; place_cost is taken out of cost, its sum in the same order; ALIKE, LIKE and SLOWED name the bare figures; front's lessons.rs shows its two public functions first.

Behaviour is the same: no constant, formula, order of sums, log event or record changed.

Tests run: fmt, clippy of owner, front and gate with warnings as errors, tests of owner and front; all green.

--- a/crates/front/src/lessons.rs
+++ b/crates/front/src/lessons.rs
@@ -18,7 +18,7 @@
 /// The time between two writings: about as long as a new owner would take to learn the same.
 const EVERY: Duration = Duration::from_secs(5);
 
-/// How long the store may take.
+/// How long the store may take for an append or a page.
 const LIMIT: Duration = Duration::from_millis(1_000);
 
 /// The key of a cell's lessons in its partition.
@@ -38,16 +38,6 @@
     }
 }
 
-/// Writes what the owner has learned, if it has learned anything.
-pub async fn write(host: &Host, owned: &Owned) -> Result<(), StoreError> {
-    let Some(lessons) = owned.state().lessons(now(), wall()) else {
-        return Ok(());
-    };
-    let mut body = BytesMut::new();
-    frame_keyed(&mut body, KEY, &lessons);
-    host.store.append(LESSONS, owned.cell, None, body.freeze(), LIMIT).await.map(drop)
-}
-
 /// Goes on with what the last owner has learned; without it the owner learns anew.
 pub async fn recall(host: &Host, owned: &Owned) {
     let mut found = None;
@@ -64,3 +54,13 @@
         Err(e) => warn!("event=lessons-unread cell={} reason=\"{e}\"", owned.cell),
     }
 }
+
+/// Writes what the owner has learned, if it has learned anything.
+async fn write(host: &Host, owned: &Owned) -> Result<(), StoreError> {
+    let Some(lessons) = owned.state().lessons(now(), wall()) else {
+        return Ok(());
+    };
+    let mut body = BytesMut::new();
+    frame_keyed(&mut body, KEY, &lessons);
+    host.store.append(LESSONS, owned.cell, None, body.freeze(), LIMIT).await.map(drop)
+}
--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -50,6 +50,12 @@
 /// What a worker costs that holds serving tasks of other images.
 const MIXED: f64 = 3.0;
 
+/// What a worker gains for a serving task that holds a task of the same image or one like it.
+const ALIKE: f64 = 1.0;
+
+/// How unlike two images may be, from 0 to 1, to count as alike.
+const LIKE: f64 = 0.5;
+
 /// The weight of the pressure that a filler adds, against the share of a worker that is left.
 const HARMFUL: f64 = 8.0;
 
@@ -110,20 +116,7 @@
 
     /// What a task costs on a worker; nothing if it should rather wait.
     fn cost(&self, worker: &Worker, spec: &StepSpec, task: TaskId, waited: u64) -> Option<f64> {
-        let peers = peers(worker, task);
-        let mut cost = match spec.serves() {
-            true if peers > 0 => -TOGETHER,
-            true => 0.0,
-            false => SAME_STEP * peers as f64,
-        };
-        if let Some(rack) = spec.rack.as_deref()
-            && !worker.labelled(rack)
-        {
-            cost += AWAY;
-        }
-        if spec.same_rack && self.elsewhere(worker, task) {
-            cost += AWAY;
-        }
+        let mut cost = self.place_cost(worker, spec, task);
         if spec.filler {
             return Some(cost + self.filler_cost(worker, spec, waited)?);
         }
@@ -139,8 +132,26 @@
         if spec.serves() {
             return Some(cost + self.serving_cost(worker, spec));
         }
-        let room = worker.size();
-        Some(cost - (worker.spare() - worker.filled()) / room)
+        Some(cost - (worker.spare() - worker.filled()) / worker.size())
+    }
+
+    /// What follows from where the other tasks of the step and the data are.
+    fn place_cost(&self, worker: &Worker, spec: &StepSpec, task: TaskId) -> f64 {
+        let peers = peers(worker, task);
+        let mut cost = match spec.serves() {
+            true if peers > 0 => -TOGETHER,
+            true => 0.0,
+            false => SAME_STEP * peers as f64,
+        };
+        if let Some(rack) = spec.rack.as_deref()
+            && !worker.labelled(rack)
+        {
+            cost += AWAY;
+        }
+        if spec.same_rack && self.elsewhere(worker, task) {
+            cost += AWAY;
+        }
+        cost
     }
 
     /// Whether tasks of the step are on another rack than the worker's, and none on its own.
@@ -160,7 +171,8 @@
         open.map(Worker::size).sum()
     }
 
-    /// Fillers go where much is left and nobody is known to be disturbed.
+    /// Fillers go where much is left, where they disturb little and where they keep their speed;
+    /// nothing if too little is left or they would be too slow.
     fn filler_cost(&self, worker: &Worker, spec: &StepSpec, waited: u64) -> Option<f64> {
         let cpu = f64::from(spec.room.cpu);
         let left = worker.spare() - worker.filled();
@@ -185,11 +197,11 @@
         let serving = worker.flights.values().filter(|f| f.target.is_some());
         let (alike, others) = serving.fold((false, 0.0), |(alike, others), f| {
             let unlike = self.harm.unlike(image, f.image.as_deref().unwrap_or(""));
-            (alike || unlike < 0.5, others + unlike)
+            (alike || unlike < LIKE, others + unlike)
         });
         let room = worker.size();
         let left = f64::from(worker.free().cpu) / room;
-        MIXED * others + left - if alike { 1.0 } else { 0.0 }
+        MIXED * others + left - if alike { ALIKE } else { 0.0 }
     }
 }
 
--- a/crates/owner/src/headroom.rs
+++ b/crates/owner/src/headroom.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::harm::LIMIT;
-use crate::pressure::common;
+use crate::outlook::light_share;
 use crate::{Cell, Worker};
 
 /// How far below its limit pressure is kept.
@@ -53,7 +53,7 @@
         let paces = worker.outlooks.iter().map(|outlook| {
             let light = worker.fillers().filter(|(_, f)| self.light(&outlook.image, f));
             let rise: f64 = light.map(|(_, f)| self.press(worker, &outlook.image, f)).sum();
-            common(outlook.highest(HORIZON), rise)
+            light_share(outlook.highest(HORIZON), rise)
         });
         paces.fold(1.0, f64::min)
     }
--- a/crates/owner/src/health.rs
+++ b/crates/owner/src/health.rs
@@ -25,6 +25,9 @@
 /// The share of its estimate for which a task may show none: progress comes in whole percents.
 const STILL_SHARE: u64 = 25;
 
+/// Runs told to keep less than this share of their speed, in percent, are not judged by progress.
+const SLOWED: u32 = 50;
+
 impl Cell {
     /// Counts how a run ended for or against its worker.
     pub(crate) fn judge(&mut self, life: &Arc<str>, how: How, task: TaskId, now: u64) {
@@ -58,7 +61,7 @@
         let still: Vec<_> = worker
             .flights
             .iter()
-            .filter(|(_, f)| f.stage == Stage::Up && f.pace >= 50)
+            .filter(|(_, f)| f.stage == Stage::Up && f.pace >= SLOWED)
             .filter(|(_, f)| !f.lasting || f.percent < 100.0)
             .filter(|(_, f)| {
                 let patience = STILL.max(f.estimate / STILL_SHARE);
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -25,6 +25,7 @@
 mod list;
 mod model;
 mod order;
+mod outlook;
 mod over;
 mod pace;
 mod permit;
--- a/crates/owner/src/worker.rs
+++ b/crates/owner/src/worker.rs
@@ -7,7 +7,7 @@
 use myrtle_job::{Listing, TaskId};
 
 use crate::harm::Uses;
-use crate::pressure::Outlook;
+use crate::outlook::Outlook;
 use crate::{Flight, Stage};
 
 /// The share of its processors that a serving task uses in the mean, by what fillers were seen to
