Gate: handing units on gets a file; tests: headers where they belong

Tests: a line on each of the two tests, run_over_target for the loops, one TARGET, comments on two fields. No check and no figure of a test changed.

Behaviour is the same; the log line on hand-overs now comes from the module rebalance, its text is unchanged.

--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -7,14 +7,12 @@
 use rand::RngExt;
 use tokio::time::sleep;
 
-use myrtle_base::{Millis, winner};
-use myrtle_cell::{Op, Subject, Unit};
+use myrtle_base::Millis;
+use myrtle_cell::{Op, Unit};
 use myrtle_peer::{GateView, Known, Link, Proposal, SchedPeerClient};
 use myrtle_platform::{Host, Role};
-use myrtle_route::KeyTable;
 
 use crate::core::Core;
-use crate::drain::hand_over;
 use crate::life::Event;
 use crate::tables::Tables;
 use crate::view::{Party, View};
@@ -43,9 +41,6 @@
 /// How long after its start a gate waits for a share of every party's rate.
 const SHARES: Duration = Duration::from_secs(5);
 
-/// Units handed on at a time when a better keeper is there.
-const MOVES: usize = 16;
-
 /// Follows the host list until the future is dropped.
 pub async fn follow_list(tables: Arc<Tables>) {
     let mut mark = 0;
@@ -111,41 +106,6 @@
     }
 }
 
-/// Hands units to better keepers, a few at a time, until the future is dropped.
-pub async fn rebalance(tables: Arc<Tables>) {
-    loop {
-        sleep(Duration::from_secs(1)).await;
-        let moves: Vec<_> = better_keepers(&tables).into_iter().take(MOVES).collect();
-        // What is handed on has no keeper until that is in the log, so the log has to be there.
-        if !moves.is_empty() && log_takes(&tables).await {
-            hand_over(&tables, moves).await;
-        }
-    }
-}
-
-/// Whether the log takes commands now: one that changes nothing is put there and read back.
-async fn log_takes(tables: &Tables) -> bool {
-    let subject = Subject::Gate(tables.name().to_string());
-    let folded = matches!(tables.propose(vec![Op::Clear { subject }]).await, Proposal::Folded(_));
-    if !folded {
-        info!("gate: nothing is handed on while the log is away");
-    }
-    folded
-}
-
-/// Whether every bucket of keys has a keeper and nothing has to be handed on, as far as this gate
-/// knows.
-pub fn settled(tables: &Tables) -> bool {
-    let view = tables.view.load();
-    let own = tables.books(|b| b.units());
-    let kept = |bucket| {
-        let unit = Unit::Keys(bucket);
-        let keep = view.peering.units.get(&unit);
-        keep.is_some_and(|k| k.gate != tables.name() || own.contains(&unit))
-    };
-    KeyTable::buckets().all(kept) && better_keepers(tables).is_empty()
-}
-
 impl Tables {
     /// Puts commands into the log by way of a sched.
     pub async fn propose(&self, ops: Vec<Op>) -> Proposal {
@@ -244,15 +204,3 @@
         tables.live(Event::Equipped);
     }
 }
-
-/// Units kept here that another gate should keep.
-fn better_keepers(tables: &Tables) -> Vec<(Unit, String)> {
-    let view = tables.view.load();
-    let up = || view.peering.gates.keys().map(String::as_str);
-    let better = |unit: &Unit| {
-        let best = winner(up(), &unit.to_string())?;
-        (best != tables.name()).then(|| best.to_string())
-    };
-    let units = tables.books(|b| b.units());
-    units.into_iter().filter_map(|u| Some((u.clone(), better(&u)?))).collect()
-}
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -25,7 +25,7 @@
 use crate::rpc::Server;
 use crate::serve::{Reply, serve};
 use crate::tables::Tables;
-use crate::{admin, borrow, drain, follow, usage};
+use crate::{admin, borrow, drain, follow, rebalance, usage};
 
 /// How long a caller may take to send the head of a request.
 const HEAD: Duration = Duration::from_secs(5);
@@ -55,7 +55,7 @@
     /// Whether every bucket of keys has a keeper and nothing has to be handed on among `gates`
     /// gates, as far as this gate knows.
     pub fn settled(&self, gates: usize) -> bool {
-        self.tables.view.load().peering.gates.len() == gates && follow::settled(&self.tables)
+        self.tables.view.load().peering.gates.len() == gates && rebalance::settled(&self.tables)
     }
 
     /// Waits until an operator asks for a planned stop.
@@ -100,7 +100,7 @@
     parts.spawn(follow::follow_list(tables.clone()));
     parts.spawn(follow::follow_view(tables.clone()));
     parts.spawn(follow::renew(tables.clone()));
-    parts.spawn(follow::rebalance(tables.clone()));
+    parts.spawn(rebalance::run(tables.clone()));
     parts.spawn(borrow::run(tables.clone()));
     parts.spawn(usage::run(tables.clone()));
     let (stop, stopped) = watch::channel(false);
--- a/crates/owner/tests/common/judge.rs
+++ b/crates/owner/tests/common/judge.rs
@@ -14,6 +14,7 @@
     jobs: BTreeMap<JobId, Submission>,
     running: BTreeMap<TaskId, BTreeSet<Arc<str>>>,
     done: BTreeSet<TaskId>,
+    /// When tasks were first noted as done.
     noted: BTreeMap<TaskId, u64>,
     cancelled: BTreeSet<JobId>,
     /// What was broken, in words.
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -80,6 +80,7 @@
     progress: BTreeMap<JobId, Vec<u8>>,
     fence: u64,
     late: Vec<(u64, u64, u64, Order)>,
+    /// Orders that a host keeps: when they are sent, whose they are.
     queued: Vec<(u64, usize, Order)>,
     /// Which owner reaches which worker; everybody unless named here.
     cuts: HashMap<(usize, Arc<str>), bool>,
--- a/crates/owner/tests/harm.rs
+++ b/crates/owner/tests/harm.rs
@@ -14,7 +14,8 @@
 
 use common::{World, job, step};
 
-const TARGET: f64 = 150.0;
+/// The target of serving tasks, in milliseconds.
+const TARGET: u32 = 150;
 
 /// A tail as workers tell it: 25 ms at rest, more with load and what presses on it.
 fn tail(pressure: f64) -> f64 {
@@ -43,7 +44,7 @@
             let pressed: f64 =
                 uses.iter().map(|(n, u)| truth.get(&(&*image, &**n)).unwrap_or(&0.0) * u).sum();
             let noise = rng.random_range(0.9..1.1);
-            let shown = pressure(tail(load + pressed) * noise / TARGET);
+            let shown = pressure(tail(load + pressed) * noise / f64::from(TARGET));
             let at = window * 500;
             let (own, beside) = (swings.guess(task, at), harm.pressed(&image, &uses));
             harm.learn(&image, shown - own.mean, own.variance + 0.002, &uses);
@@ -85,7 +86,7 @@
         room: Room { cpu: 6_000, mem: 4_000, accel: 0 },
         lasting: true,
         image: Some(image.into()),
-        target: Some(150),
+        target: Some(TARGET),
         ..step(count)
     }
 }
@@ -101,6 +102,16 @@
     }
 }
 
+/// Lets time pass in tenths of a second, in each of which tails are told that are a little over
+/// `tail`, each longer than the last, in milliseconds.
+fn run_over_target(world: &mut World, tail: f64, looks: u32) {
+    for look in 1..=looks {
+        let tail = tail + f64::from(look);
+        world.workers.values_mut().for_each(|w| w.tail = Some(tail));
+        world.run(100);
+    }
+}
+
 #[test]
 fn serving_tasks_of_one_image_stay_together() {
     let mut world = World::new(1, 6);
@@ -126,12 +137,7 @@
     let fill = world.submit(job(vec![filler("f", 3)]));
     world.run(500);
     let victim = TaskId { job: id, round: 0, step: 0, index: 0 };
-    let mut figure = 600.0;
-    for _ in 0..30 {
-        figure += 1.0;
-        world.workers.values_mut().for_each(|w| w.tail = Some(figure));
-        world.run(100);
-    }
+    run_over_target(&mut world, 600.0, 30);
     let worker = world.workers.values().next().unwrap();
     assert!(worker.runs(victim));
     for index in 0..3 {
@@ -145,18 +151,9 @@
     let mut world = World::new(1, 1);
     world.submit(job(vec![serving("a", 2)]));
     world.run(500);
-    let mut figure = 600.0;
-    for _ in 0..10 {
-        figure += 1.0;
-        world.workers.values_mut().for_each(|w| w.tail = Some(figure));
-        world.run(100);
-    }
+    run_over_target(&mut world, 600.0, 10);
     world.submit(job(vec![filler("f", 3)]));
-    for _ in 0..20 {
-        figure += 1.0;
-        world.workers.values_mut().for_each(|w| w.tail = Some(figure));
-        world.run(100);
-    }
+    run_over_target(&mut world, 610.0, 20);
     assert_eq!(world.workers.values().next().unwrap().count(), 2);
 }
 
--- a/crates/owner/tests/promises.rs
+++ b/crates/owner/tests/promises.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use rand::RngExt;
 use rstest::rstest;
 
@@ -206,7 +208,7 @@
     assert!(world.finish(6_000));
 });
 
-/// Everything at once: lost and late orders, silent and reborn workers, owners replaced.
+/// A start waits at its host while a copy of its task ends or its job is cancelled.
 #[rstest]
 fn starts_that_a_busy_host_kept_back_go_out_only_if_they_still_stand(
     #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
@@ -220,7 +222,7 @@
         let id = world.submit(job(vec![copied, step(2)]));
         world.run(100);
         // A worker that is silent for a moment lets its tasks be copied.
-        let silent: std::sync::Arc<str> = format!("w{}", round % 4).into();
+        let silent: Arc<str> = format!("w{}", round % 4).into();
         world.workers.get_mut(&silent).unwrap().reachable = false;
         world.run(900);
         world.workers.get_mut(&silent).unwrap().reachable = true;
@@ -233,6 +235,8 @@
     assert_eq!(world.judge.broken, Vec::<String>::new());
 }
 
+/// Everything at once: lost and late orders, orders that were kept back, silent and reborn workers,
+/// owners replaced.
 #[rstest]
 fn promises_hold_under_random_faults(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64) {
     let mut world = World::new(seed, 5);
