--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -24,11 +24,12 @@
 /// What it costs a lasting task to take of that share.
 const FULL: f64 = 2.0;
 
-/// What a worker without lasting tasks costs a lasting one.
+/// What a worker without lasting tasks costs a lasting one. Tried: 3 and 4 too.
 const OPENED: f64 = 1.5;
 
 /// How long a filler waits for a worker where it disturbs nobody, in milliseconds; after that it
-/// goes where it disturbs least, and is slowed there as needed. Tried: 2 s, which was worse.
+/// goes where it disturbs least, and is slowed there as needed. Tried: 2 s, which was worse,
+/// and 4 s.
 const BEARABLE_FOR: u64 = 10_000;
 
 /// The share of its speed that a filler must be able to keep on a worker.
@@ -56,7 +57,8 @@
 /// How unlike two images may be, from 0 to 1, to count as alike.
 const LIKE: f64 = 0.5;
 
-/// The weight of the pressure that a filler adds, against the share of a worker that is left.
+/// The weight of the pressure that a filler adds, against the share of a worker that is left. Tried:
+/// 8 and 15.
 const HARMFUL: f64 = 8.0;
 
 impl Cell {
--- a/crates/owner/src/flight.rs
+++ b/crates/owner/src/flight.rs
@@ -57,7 +57,7 @@
     pub estimate: u64,
     /// How much of the work is done, in percent.
     pub percent: f64,
-    /// When that last changed.
+    /// When that last changed, or its pace was last set.
     pub moved: u64,
     /// The newest figure: tail latency in milliseconds, else thousandths of a core in use.
     pub figure: f64,
@@ -67,7 +67,7 @@
     pub over: Option<u64>,
     /// How hard its own load and what fills beside it pressed on its tail in the last window, 0 to 1.
     pub pressure: Option<f64>,
-    /// The highest figure of a filler at full speed.
+    /// The highest figure at full speed; read of fillers only.
     pub most: f64,
 }
 
--- a/crates/owner/src/harm.rs
+++ b/crates/owner/src/harm.rs
@@ -23,10 +23,12 @@
 /// Pressures above this are not told apart by tails.
 const FULL: f64 = 0.97;
 
-/// The variance of a pressure around the model, where nothing changed within the window.
+/// The variance of a pressure around the model, where nothing changed within the window: a standard
+/// deviation of 0.04.
 pub(crate) const NOISE: f64 = 0.0016;
 
-/// How many standard deviations are counted against a filler.
+/// How many standard deviations of a coefficient are counted against a filler. Tried on quiet-1: 0.2
+/// too.
 const CAUTION: f64 = 0.5;
 
 /// Pressures above this one say little of how far above they are.
--- a/crates/owner/src/lessons.rs
+++ b/crates/owner/src/lessons.rs
@@ -9,7 +9,7 @@
 use crate::Cell;
 use crate::step::StepKey;
 
-/// How well a coefficient is known.
+/// What is known of the coefficient of a pair of images.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Known {
     pub(crate) coefficient: f32,
--- a/crates/owner/src/model.rs
+++ b/crates/owner/src/model.rs
@@ -14,7 +14,7 @@
 /// The variance of a coefficient before anything is known.
 pub(crate) const PRIOR: f64 = 0.5;
 
-/// The largest variance that forgetting may bring back.
+/// The largest variance of a coefficient that forgetting may bring back.
 const LOOSEST: f64 = 0.5;
 
 /// The coefficients of one serving image, one for each filling image, and their covariance.
--- a/crates/owner/src/pace.rs
+++ b/crates/owner/src/pace.rs
@@ -23,7 +23,7 @@
 const HALT_SHARE: f64 = 0.6;
 
 /// How long a filler makes no progress before it goes elsewhere, in milliseconds: its stop and its
-/// start from a checkpoint cost about as much.
+/// start from a checkpoint cost about as much. Tried on quiet-1: 2,000 too.
 const PATIENCE: u64 = 1_000;
 
 /// A run whose pace has to change, in percent.
--- a/crates/owner/src/sine.rs
+++ b/crates/owner/src/sine.rs
@@ -11,7 +11,8 @@
 /// The variance of each half of the wave before any load was seen; measured: 0.24 at its crest.
 const WAVE_PRIOR: f64 = 0.03;
 
-/// The variance of each coefficient of a fit that an earlier owner left.
+/// The variance of each coefficient of a fit that an earlier owner left: a standard deviation of
+/// 0.06, since the hosts' clocks may differ.
 const RECALLED: f64 = 0.004;
 
 /// What is expected, and the variance around it.
@@ -42,7 +43,7 @@
         Self { theta: [USUAL, 0.0, 0.0], cover }
     }
 
-    /// A fit of an earlier owner; the hosts' clocks may differ, so it is doubted a little.
+    /// A fit that an earlier owner left, which is doubted a little.
     pub(crate) fn recalled(theta: [f32; 3]) -> Self {
         let mut cover = [[0.0; 3]; 3];
         (0..3).for_each(|i| cover[i][i] = RECALLED);
--- a/crates/owner/src/swing.rs
+++ b/crates/owner/src/swing.rs
@@ -25,17 +25,18 @@
 /// How much the variance of each coefficient grows in a second, since services change.
 const DRIFT: f64 = 0.000_05;
 
-/// How much of the past a period's errors keep at each report; about a thousand count, which is
-/// five seconds of a cell.
+/// How much of the past a period's errors keep at each load that is seen; about a thousand count,
+/// which is five seconds of a cell.
 const KEEP: f64 = 0.999;
 
 /// What is known of the loads of a cell's serving steps.
 #[derive(Debug, Clone)]
 pub struct Swings {
-    /// How badly each period has foretold, as a sum of logarithms of likelihoods.
+    /// How badly each period has foretold: the larger, the less likely it made what was seen.
     errors: [f64; PERIODS],
     /// What the waves' time is ahead of the host's steady clock, in milliseconds.
     origin: i64,
+    /// What is known of each step.
     steps: BTreeMap<StepKey, Track>,
 }
 
@@ -43,6 +44,7 @@
 #[derive(Debug, Clone)]
 struct Track {
     fits: [Fit; PERIODS],
+    /// When a load of it was last seen.
     seen: u64,
 }
 
--- a/crates/owner/src/worker.rs
+++ b/crates/owner/src/worker.rs
@@ -67,9 +67,9 @@
     pub strikes: u32,
     /// When its figures last changed.
     pub figured: u64,
-    /// What fillers used in the last window.
+    /// What fillers used in the last window, by image.
     pub uses: Uses,
-    /// The loads that are forecast for its serving tasks.
+    /// What is foreseen for its serving tasks, by image.
     pub(crate) outlooks: Vec<Outlook>,
     /// When fillers were last slowed here.
     pub eased: u64,
