Owner: looking for a worker and remembering refusals is one function

Changed: Cell::seek in refused.rs looks for a worker unless one that asks for no more found none, and remembers what found none; Refused's own functions are private now. A comment says why copies are not remembered.

Behaviour is the same: no condition, log event or order of calls changed.

Tests run: fmt, clippy of owner, front and gate with warnings as errors, tests of owner and front; all green.

--- a/crates/owner/src/place.rs
+++ b/crates/owner/src/place.rs
@@ -6,7 +6,6 @@
 
 use myrtle_job::{JobId, Run, TaskId};
 
-use crate::refused::Refused;
 use crate::{Cell, Flight, Stage};
 
 impl Cell {
@@ -22,18 +21,13 @@
                 left = true;
                 continue;
             }
-            let spec = job.step(step);
             let copy = job.progress.task(task).is_some_and(|t| !t.waits());
-            let hopeless = self.refused.iter().any(|r| r.covers(job, spec, now));
-            let fit = if hopeless { None } else { self.fit(job, spec, task, now) };
+            let fit = self.seek(task, copy, now);
             if copy && fit.is_none() {
                 // The run that is there may still end.
                 continue;
             }
             let Some(life) = fit else {
-                if !hopeless {
-                    self.refused.extend(Refused::of(job, spec, now));
-                }
                 // The others of the step want the same.
                 self.ask(task, now);
                 self.tell_placed(task, placed, wanted, now);
--- a/crates/owner/src/refused.rs
+++ b/crates/owner/src/refused.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use myrtle_base::Room;
-use myrtle_job::StepSpec;
+use myrtle_job::{StepSpec, TaskId};
 
-use crate::Job;
 use crate::fit::patient;
+use crate::{Cell, Job};
 
 /// A kind of task for which a pass found no worker.
 #[derive(Debug, Clone)]
@@ -20,9 +20,27 @@
     patient: bool,
 }
 
+impl Cell {
+    /// The best worker for a task now, if there is any; not looked for if one that asks for no more
+    /// found none in this pass.
+    pub(crate) fn seek(&mut self, task: TaskId, copy: bool, now: u64) -> Option<Arc<str>> {
+        let job = &self.jobs[&task.job];
+        let spec = job.step(task.step);
+        if self.refused.iter().any(|r| r.covers(job, spec, now)) {
+            return None;
+        }
+        let fit = self.fit(job, spec, task, now);
+        // A copy may not go where its task is, so what it finds says nothing of others.
+        if fit.is_none() && !copy {
+            self.refused.extend(Refused::of(job, spec, now));
+        }
+        fit
+    }
+}
+
 impl Refused {
     /// What follows for others from a step that found no worker; nothing if it is choosy.
-    pub(crate) fn of(job: &Job, spec: &StepSpec, now: u64) -> Option<Self> {
+    fn of(job: &Job, spec: &StepSpec, now: u64) -> Option<Self> {
         let policy = &job.submission.policy;
         if spec.requires.is_some() || spec.spread > 0 || policy.advice.is_some() {
             return None;
@@ -38,7 +56,7 @@
     }
 
     /// Whether a step asks for no less, so that it finds no worker either.
-    pub(crate) fn covers(&self, job: &Job, spec: &StepSpec, now: u64) -> bool {
+    fn covers(&self, job: &Job, spec: &StepSpec, now: u64) -> bool {
         self.service == job.submission.policy.service
             && self.image == spec.image
             && (self.filler, self.lasting) == (spec.filler, spec.lasting)
