Cells are as large as hosts carry, and strong hosts own them

Cause: on the larger site (490 workers, 29 hosts of which 6 have 0.5 cores and 200 Mbit/s) six cells learn by themselves and are unevenly full; larger cells at whatever host joins first choke its link of 10 Mbit/s. Change: hosts are told what they have (`capacity`, `parts`); layouts follow what the deciding host carries, weak hosts decide and join later, and give a cell up when a stronger host asks.

--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -1,6 +1,6 @@
 //! What all parts of a front host share.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -49,6 +49,7 @@
     incarnation: u32,
     intakes: Mutex<HashMap<u32, Arc<Intake>>>,
     wakes: Mutex<HashMap<u32, Arc<Notify>>>,
+    asked: Mutex<BTreeSet<u32>>,
     stopping: AtomicBool,
     layout: OnceLock<Layout>,
 }
@@ -71,6 +72,7 @@
             incarnation: rand::random(),
             intakes: Mutex::default(),
             wakes: Mutex::default(),
+            asked: Mutex::default(),
             stopping: AtomicBool::new(false),
             layout: OnceLock::new(),
         }
@@ -196,12 +198,29 @@
         self.settings.peer()
     }
 
-    /// The name under which this host joins groups; it tells others where to find it.
+    /// The name under which this host joins groups; it tells others where to find it and how large
+    /// a cell it can own.
     ///
     /// A host that was started again is another member: it must not go on under the fencing token
     /// of its last life.
     pub fn member(&self) -> String {
-        format!("{}-{:08x}@{}", self.settings.name, self.incarnation, self.peer())
+        let (name, carries) = (&self.settings.name, self.settings.carries());
+        format!("{name}-{:08x}+{carries}@{}", self.incarnation, self.peer())
+    }
+
+    /// Whether this host can own cells of the size that they have.
+    pub fn strong(&self) -> bool {
+        self.layout().is_none_or(|layout| layout.size() <= self.settings.carries())
+    }
+
+    /// Notes that a stronger host asks for a cell.
+    pub fn ask_for(&self, cell: u32) {
+        self.asked.lock().expect("no holder panics").insert(cell);
+    }
+
+    /// Whether a stronger host has asked for a cell since the last look.
+    pub fn take_asked(&self, cell: u32) -> bool {
+        self.asked.lock().expect("no holder panics").remove(&cell)
     }
 
     /// The jobs of a cell that wait to be written.
--- a/crates/front/src/layout.rs
+++ b/crates/front/src/layout.rs
@@ -5,26 +5,17 @@
 
 use bytes::BytesMut;
 use log::info;
+use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
 use myrtle_adapter::{StoreError, Writer, frame_keyed, read_listing, topics};
-use myrtle_job::{JobId, decode, encode};
+use myrtle_job::{JobId, RecordError, decode, encode};
 
 use crate::host::Host;
 use crate::names::LAYOUT;
 use crate::newest::newest;
 use crate::settings::Cells;
 
-/// The most workers of a deployment that is one cell. One owner learns faster what disturbs what,
-/// and with 350 workers it is overwhelmed: docs/CAPACITY.md.
-const ONE: usize = 100;
-
-/// The most workers of a cell beyond that.
-const MOST: usize = 120;
-
-/// Partitions of a topic; the platform's figure.
-const PARTS: usize = 24;
-
 /// How long the store may take.
 const LIMIT: Duration = Duration::from_millis(2_000);
 
@@ -34,28 +25,47 @@
 /// Looks at a list without workers before it is believed: six seconds.
 const EMPTY_LOOKS: u32 = 8;
 
+/// Steady looks before a host decides that can't own all workers as one cell: hosts that can have
+/// decided by then, and one cell earns 0.15 more than six of 82 workers (quiet day of 490 workers).
+const WEAK_LOOKS: u32 = 4;
+
 /// The key of the layout.
 const KEY: &str = "cells";
 
 /// The cells of a deployment: how many each data centre has; none named means one for all.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Layout {
     centres: BTreeMap<String, u32>,
+    /// The workers of the largest cell when that was decided.
+    size: usize,
 }
 
 impl Layout {
-    /// The cells for so many workers in each data centre.
-    pub fn new(cells: Cells, workers: &BTreeMap<String, usize>) -> Self {
+    /// The cells for so many workers in each data centre, of at most `largest` workers each where
+    /// the store has partitions for so many cells.
+    pub fn new(
+        cells: Cells,
+        workers: &BTreeMap<String, usize>,
+        largest: usize,
+        parts: usize,
+    ) -> Self {
         let all: usize = workers.values().sum();
-        if cells == Cells::One || cells == Cells::Auto && all <= ONE {
-            return Self::default();
+        if cells == Cells::One || cells == Cells::Auto && all <= largest {
+            return Self { centres: BTreeMap::new(), size: all };
         }
         // Each cell has a partition of its own, and a topic has so many.
         let sum = |most: usize| workers.values().map(|n| n.div_ceil(most).max(1)).sum::<usize>();
-        let most = (0..16).map(|n| MOST << n).find(|&most| sum(most) <= PARTS);
+        let most = (0..16).map(|n| largest << n).find(|&most| sum(most) <= parts);
         let most = most.unwrap_or(usize::MAX);
-        let count = |n: &usize| n.div_ceil(most).max(1) as u32;
-        Self { centres: workers.iter().map(|(dc, n)| (dc.clone(), count(n))).collect() }
+        let count = |n: &usize| n.div_ceil(most).max(1);
+        let size = workers.values().map(|n| n.div_ceil(count(n))).max().unwrap_or(0);
+        let centres = workers.iter().map(|(dc, n)| (dc.clone(), count(n) as u32)).collect();
+        Self { centres, size }
+    }
+
+    /// The workers of the largest cell when the cells were decided.
+    pub fn size(&self) -> usize {
+        self.size
     }
 
     /// How many cells there are.
@@ -102,11 +112,18 @@
     }
     let mut before = BTreeMap::new();
     let mut looks = 0;
+    let mut steady = 0;
     loop {
         looks += 1;
-        match look(host, &mut before, looks > EMPTY_LOOKS).await {
+        match look(host, &mut before, &mut steady, looks > EMPTY_LOOKS).await {
             Ok(Some(layout)) => {
-                info!("event=layout cells={} centres={:?}", layout.count(), layout.centres);
+                info!(
+                    "event=layout cells={} centres={:?} size={} carries={}",
+                    layout.count(),
+                    layout.centres,
+                    layout.size,
+                    host.settings.carries()
+                );
                 return layout;
             }
             Ok(None) => {}
@@ -119,6 +136,7 @@
 async fn look(
     host: &Host,
     before: &mut BTreeMap<String, usize>,
+    steady: &mut u32,
     even_empty: bool,
 ) -> Result<Option<Layout>, StoreError> {
     if let Some(layout) = read(host).await? {
@@ -127,24 +145,32 @@
     let workers = count(host).await?;
     host.store_reached();
     // A list that still grows says too little.
-    let steady = (even_empty || !workers.is_empty()) && workers == *before;
+    let same = (even_empty || !workers.is_empty()) && workers == *before;
+    *steady = if same { *steady + 1 } else { 0 };
     *before = workers;
-    if steady {
-        write(host, &Layout::new(host.settings.cells, before)).await?;
-        return read(host).await;
+    let largest = host.settings.carries();
+    let strong = before.values().sum::<usize>() <= largest;
+    if *steady < if strong { 1 } else { WEAK_LOOKS } {
+        return Ok(None);
     }
-    Ok(None)
+    write(host, &Layout::new(host.settings.cells, before, largest, host.settings.parts)).await?;
+    read(host).await
 }
 
 async fn read(host: &Host) -> Result<Option<Layout>, StoreError> {
     let mut found = None;
     newest(host, LAYOUT, 0, LIMIT, |item| {
-        found = decode(&item.value).ok().map(|centres| Layout { centres });
+        found = decode(&item.value).or_else(|_| unsized_layout(&item.value)).ok();
     })
     .await?;
     Ok(found)
 }
 
+/// Reads a layout that was written before sizes were.
+fn unsized_layout(bytes: &[u8]) -> Result<Layout, RecordError> {
+    decode(bytes).map(|centres| Layout { centres, size: 0 })
+}
+
 /// How many workers each data centre lists.
 async fn count(host: &Host) -> Result<BTreeMap<String, usize>, StoreError> {
     let mut workers = BTreeMap::new();
@@ -159,7 +185,7 @@
 
 async fn write(host: &Host, layout: &Layout) -> Result<(), StoreError> {
     let mut body = BytesMut::new();
-    frame_keyed(&mut body, KEY, &encode(&layout.centres));
+    frame_keyed(&mut body, KEY, &encode(layout));
     // All hosts write as the same writer's first call: the store takes one of them.
     let writer = Writer { name: KEY, epoch: 1, number: 0 };
     host.store.append(LAYOUT, 0, Some(writer), body.freeze(), LIMIT).await?;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod ask;
+mod capacity;
 mod clock;
 mod entry;
 mod flush;
@@ -32,10 +33,11 @@
 mod upkeep;
 mod watch;
 
+pub use capacity::Capacity;
 pub use hedge::{Outcome, Seen, hedged};
 pub use layout::Layout;
 pub use names::group as cell_group;
-pub use owners::address as member_address;
+pub use owners::{address as member_address, carries as member_carries};
 pub use patience::Patience;
 pub use run::run;
 pub use settings::{Cells, Settings};
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -3,6 +3,7 @@
 //! A host joins only when nobody holds the cell, and so is the group's only member: whoever joins
 //! beside it could be dealt its partition, and each change of owner costs a takeover.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,12 +11,15 @@
 use tokio::time::{sleep, timeout};
 
 use myrtle_adapter::StoreError;
+use myrtle_peer::FrontPeerClient;
 
 use crate::clock::now;
 use crate::hold::ttl;
 use crate::host::Host;
+use crate::layout::Layout;
 use crate::names::{PROGRESS, group};
 use crate::owned::Owned;
+use crate::owners::{address, carries};
 use crate::{notices, takeover};
 
 /// How long the store keeps a silent member, in milliseconds, unless the platform's least is more:
@@ -32,6 +36,17 @@
 /// two join at once.
 const JITTER: u64 = 500;
 
+/// How long a host that is too weak for a cell leaves it to stronger ones, in milliseconds: they see
+/// it within a look, and wait for their own jitter.
+const WEAK_WAIT: u64 = 1_500;
+
+/// Looks in a row that show a weak owner before a stronger host asks for the cell: 2.7 s, so that
+/// hosts that come back together settle first.
+const WEAK_LOOKS: u32 = 6;
+
+/// How long a request for a cell may take.
+const ASK: Duration = Duration::from_millis(400);
+
 /// How long a join, a leave or a look may take.
 pub const LIMIT: Duration = Duration::from_millis(600);
 
@@ -41,34 +56,75 @@
 /// How long an owner that stops may take to write what it has.
 const HAND_OVER: Duration = Duration::from_millis(1_500);
 
+/// Who holds a cell, by the store.
+enum Standing {
+    /// Nobody.
+    Vacant,
+    /// A host that can own it.
+    Held,
+    /// A host that is too weak for it, where it answers peers.
+    Weak(SocketAddr),
+    /// The store does not tell.
+    Unknown,
+}
+
 /// Owns a cell whenever nobody else does, until the host stops.
 pub async fn take_part(host: Arc<Host>, cell: u32) {
     let waker = host.waker(cell);
+    let mut weak = 0;
     while !host.stopping() {
-        if vacant(&host, cell).await {
-            // Hosts that own a cell already leave the next one to others.
-            let wait = rand::random_range(0..JITTER) + JITTER * host.owned_count() as u64;
-            let jitter = Duration::from_millis(wait);
-            sleep(jitter).await;
-            if !host.stopping() && vacant(&host, cell).await {
-                stay(&host, cell).await;
+        match standing(&host, cell).await {
+            Standing::Vacant => {
+                sleep(wait(&host)).await;
+                let still = matches!(standing(&host, cell).await, Standing::Vacant);
+                if !host.stopping() && still {
+                    stay(&host, cell).await;
+                }
+                weak = 0;
+            }
+            Standing::Weak(at) if host.strong() => {
+                weak += 1;
+                if weak >= WEAK_LOOKS {
+                    weak = 0;
+                    info!("event=cell-asked-for cell={cell} of={at}");
+                    let ask =
+                        |c: FrontPeerClient, context| async move { c.relieve(context, cell).await };
+                    let _ = host.owners.call(at, ASK, ask).await;
+                }
             }
+            Standing::Unknown => {}
+            Standing::Held | Standing::Weak(_) => weak = 0,
         }
         let _ = timeout(LOOK, waker.notified()).await;
     }
 }
 
-/// Whether the store says that nobody holds a cell.
-async fn vacant(host: &Host, cell: u32) -> bool {
-    match host.store.owners(&group(cell), LIMIT).await {
-        Ok(rows) => {
-            host.store_reached();
-            !rows.iter().any(|r| r.part == cell)
-        }
+/// How long this host leaves a free cell to others.
+fn wait(host: &Host) -> Duration {
+    // Hosts that own a cell already leave the next one to others.
+    let wait = rand::random_range(0..JITTER) + JITTER * host.owned_count() as u64;
+    let weak = if host.strong() { 0 } else { WEAK_WAIT };
+    Duration::from_millis(wait + weak)
+}
+
+/// Who holds a cell.
+async fn standing(host: &Host, cell: u32) -> Standing {
+    let rows = match host.store.owners(&group(cell), LIMIT).await {
+        Ok(rows) => rows,
         Err(e) => {
             host.store_missed(&e);
-            false
+            return Standing::Unknown;
         }
+    };
+    host.store_reached();
+    let Some(owner) = rows.into_iter().find(|r| r.part == cell) else {
+        return Standing::Vacant;
+    };
+    let size = host.layout().map_or(0, Layout::size);
+    let weak = carries(&owner.member).is_some_and(|most| most < size);
+    match address(&owner.member).filter(|_| weak) {
+        Some(at) => Standing::Weak(at),
+        None => Standing::Held,
     }
 }
 
@@ -79,6 +135,9 @@
     let time = Duration::from_millis(ttl(host));
     let mut joined_at = now();
     while !host.stopping() {
+        if host.take_asked(cell) && !host.strong() && host.owned(cell).is_some() {
+            return hand_over(host, cell, "a stronger host asked for it").await;
+        }
         let sent = now();
         if sent > joined_at + ttl(host) {
             match followed(host, cell, &member).await {
@@ -161,11 +220,11 @@
 }
 
 /// Gives the cell up after the last append and tells the other hosts that it is free.
-pub async fn hand_over(host: &Host, cell: u32) {
+pub async fn hand_over(host: &Host, cell: u32, why: &str) {
     let Some(owned) = host.owned(cell) else {
         return;
     };
-    owned.close("the host stops");
+    owned.close(why);
     finish(&owned).await;
     host.disown(cell);
     give_up(host, cell).await;
--- a/crates/front/src/owners.rs
+++ b/crates/front/src/owners.rs
@@ -91,3 +91,8 @@
 pub fn address(member: &str) -> Option<SocketAddr> {
     member.rsplit_once('@')?.1.parse().ok()
 }
+
+/// The largest cell that the member of a group can own, in workers.
+pub fn carries(member: &str) -> Option<usize> {
+    member.rsplit_once('@')?.0.rsplit_once('+')?.1.parse().ok()
+}
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -43,6 +43,10 @@
         intake::keep(&self.0, cell, job, record, PASS).await
     }
 
+    async fn relieve(self, _: Context, cell: u32) {
+        self.0.ask_for(cell);
+    }
+
     async fn explain(self, _: Context, cell: u32, job: JobId) -> Vec<String> {
         self.0.owned(cell).map_or_else(Vec::new, |o| o.state().explain(job, now()))
     }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -105,7 +105,7 @@
     let grace = host.settings.grace().saturating_sub(SPARE);
     let end = tokio::time::Instant::now() + grace;
     for cell in 0..host.layout().map_or(0, Layout::count) {
-        member::hand_over(host, cell).await;
+        member::hand_over(host, cell, "the host stops").await;
     }
     sleep(NOTICED).await;
     closing.cancel();
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -9,6 +9,15 @@
 use myrtle_config::{Fault, read_file};
 use myrtle_owner::Bounds;
 
+use crate::capacity::Capacity;
+
+/// The partitions of a topic where the settings name none.
+const USUAL_PARTS: usize = 24;
+
+/// The largest cell of a host that does not tell what it has, in workers: one of 0.12 cores and a
+/// link of 10 megabits a second carries as many.
+const USUAL_CELL: usize = 110;
+
 /// What a front host needs to know before it can ask anybody.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Settings {
@@ -42,6 +51,12 @@
     /// How workers form cells.
     #[serde(default)]
     pub cells: Cells,
+    /// How many partitions a topic of the store may have; each cell has one of its own.
+    #[serde(default = "usual_parts")]
+    pub parts: usize,
+    /// What the host has, if that is told.
+    #[serde(default)]
+    pub capacity: Option<Capacity>,
     /// The deployment's figures.
     pub bounds: Figures,
 }
@@ -76,6 +91,10 @@
     pub contact: u64,
 }
 
+fn usual_parts() -> usize {
+    USUAL_PARTS
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Self, Fault> {
@@ -86,6 +105,14 @@
             let hint = "name the host's data centre as the list does";
             return Err(Fault::at(&file, &text, &["data_centre"], what, hint));
         }
+        if settings.parts == 0 {
+            let hint = "give the store's number of partitions a topic";
+            return Err(Fault::at(&file, &text, &["parts"], "there is no partition".into(), hint));
+        }
+        if settings.capacity.is_some_and(|c| c.share <= 0.0 || c.cores <= 0.0 || c.link <= 0.0) {
+            let hint = "give figures above 0, or leave capacity out";
+            return Err(Fault::at(&file, &text, &["capacity"], "a figure is 0".into(), hint));
+        }
         if settings.bounds.hold == 0 || settings.member_ttl == 0 {
             let hint = "give a time above 0";
             return Err(Fault::at(&file, &text, &["bounds"], "a time is 0".into(), hint));
@@ -93,6 +120,11 @@
         Ok(settings)
     }
 
+    /// The largest cell that this host can own, in workers.
+    pub fn carries(&self) -> usize {
+        self.capacity.map_or(USUAL_CELL, |c| c.workers())
+    }
+
     /// Where peers connect.
     pub fn peer(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.peer_port)
--- a/crates/peer/src/front.rs
+++ b/crates/peer/src/front.rs
@@ -43,6 +43,9 @@
     /// Writes an accepted job for a host that the store turns away.
     async fn pass(cell: u32, job: JobId, record: Vec<u8>) -> Passed;
 
+    /// Asks the owner of a cell that is too large for its host to give the cell up.
+    async fn relieve(cell: u32);
+
     /// What the owner knows of a job, in lines for operators.
     async fn explain(cell: u32, job: JobId) -> Vec<String>;
 }
