The owner of a cell writes its jobs; other hosts only if it is silent

Change: a host passes a job to its cell's owner and writes it itself after 150 ms, or when the owner refuses; both write the same record. What both ways came to decides the answer, so a refusal stays sure.

--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -3,17 +3,20 @@
 //! A host has one call a cell under way: while the store is slow, its partitions take their appends
 //! in turn, and each call more would make all of them wait.
 
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use log::{info, warn};
+use futures::future::{Either, select};
+use log::warn;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, interval, timeout};
 
 use myrtle_adapter::frame_keyed;
 use myrtle_job::JobId;
-use myrtle_peer::Passed;
+use myrtle_peer::{FrontPeerClient, Passed};
 
 use crate::flush::LARGEST;
 use crate::hedge::{Outcome, hedged};
@@ -28,8 +31,9 @@
 /// The time between two looks for jobs that have waited too long.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// How long a job that this host can't write is passed on to a peer.
-const PASS: Duration = Duration::from_millis(400);
+/// How long the owner of a cell is waited for before this host writes a job itself: an owner that
+/// lives answers within 30 ms, and longer only while the store is slow.
+const PASS: Duration = Duration::from_millis(150);
 
 /// A job that waits to be written.
 #[derive(Debug)]
@@ -137,11 +141,13 @@
 }
 
 /// Writes a job here, without asking anybody else.
-pub async fn keep(host: &Host, cell: u32, job: JobId, record: Vec<u8>, limit: Duration) -> Passed {
+async fn keep(host: &Host, cell: u32, job: JobId, record: Vec<u8>, limit: Duration) -> Passed {
     host.intake(cell).put(job, record, limit).await
 }
 
-/// Accepts a job: writes it here, or by way of the cell's owner if the store turns this host away.
+/// Accepts a job: the cell's owner writes it, or this host if the owner does not answer soon.
+///
+/// A record that both write is the same under the same key, so it does no harm.
 pub async fn accept(
     host: &Host,
     cell: u32,
@@ -149,26 +155,69 @@
     record: Vec<u8>,
     limit: Duration,
 ) -> Passed {
-    let end = Instant::now() + limit;
-    // While the store is out of reach nothing is sent, so that the refusal is sure and comes at once.
-    let first = match host.store_gone() {
-        true => Passed::Refused,
-        false => keep(host, cell, job, record.clone(), limit).await,
-    };
-    let owner = host.owners.known(cell).filter(|at| *at != host.peer());
-    let Some(at) = owner.filter(|_| first == Passed::Refused) else {
-        return first;
+    let Some(at) = host.owners.known(cell).filter(|at| *at != host.peer()) else {
+        return write_here(host, cell, job, record, limit).await;
     };
-    let left = end.saturating_duration_since(Instant::now()).min(PASS);
-    info!("event=job-passed job={job} cell={cell} to={at}");
-    let passed = host
-        .owners
-        .call(at, left, |c, context| async move { c.pass(context, cell, job, record).await });
-    match passed.await {
+    let mut by_owner = pin!(pass_on(host, cell, at, job, record.clone(), limit));
+    let early = timeout(PASS, &mut by_owner).await;
+    if early == Ok(Passed::Kept) {
+        return Passed::Kept;
+    }
+    let here = write_here(host, cell, job, record, limit.saturating_sub(PASS));
+    match early {
+        Ok(passed) => passed.or(here.await),
+        Err(_) => either(by_owner, pin!(here)).await,
+    }
+}
+
+/// Writes a job here; while the store is out of reach nothing is sent, so that the refusal is sure
+/// and comes at once.
+pub async fn write_here(
+    host: &Host,
+    cell: u32,
+    job: JobId,
+    record: Vec<u8>,
+    limit: Duration,
+) -> Passed {
+    match host.store_gone() {
+        true => Passed::Refused,
+        false => keep(host, cell, job, record, limit).await,
+    }
+}
+
+/// Lets the cell's owner write a job.
+async fn pass_on(
+    host: &Host,
+    cell: u32,
+    at: SocketAddr,
+    job: JobId,
+    record: Vec<u8>,
+    limit: Duration,
+) -> Passed {
+    if !host.owners.reach(at).await {
+        host.owners.forget(cell);
+        return Passed::Refused;
+    }
+    let call =
+        |c: FrontPeerClient, context| async move { c.pass(context, cell, job, record).await };
+    match host.owners.call(at, limit, call).await {
         Some(passed) => passed,
         None => {
+            host.owners.forget(cell);
             warn!("event=job-in-doubt job={job} cell={cell} peer={at}");
             Passed::Unknown
         }
     }
 }
+
+/// What two ways of writing a job came to, as soon as that is sure.
+async fn either(
+    a: impl Future<Output = Passed> + Unpin,
+    b: impl Future<Output = Passed> + Unpin,
+) -> Passed {
+    match select(a, b).await {
+        Either::Left((Passed::Kept, _)) | Either::Right((Passed::Kept, _)) => Passed::Kept,
+        Either::Left((first, rest)) => first.or(rest.await),
+        Either::Right((first, rest)) => first.or(rest.await),
+    }
+}
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -121,6 +121,9 @@
         return Standing::Vacant;
     };
     let size = host.layout().map_or(0, Layout::size);
+    if let Some(at) = address(&owner.member) {
+        host.owners.learn(cell, at);
+    }
     let weak = carries(&owner.member).is_some_and(|most| most < size);
     match address(&owner.member).filter(|_| weak) {
         Some(at) => Standing::Weak(at),
--- a/crates/front/src/owners.rs
+++ b/crates/front/src/owners.rs
@@ -69,21 +69,32 @@
         let member = rows.into_iter().find(|r| r.part == cell)?.member;
         let at = address(&member)?;
         info!("event=owner-found cell={cell} owner={member}");
-        self.known.lock().expect("no holder panics").insert(cell, (at, now()));
+        self.learn(cell, at);
         Some(at)
     }
 
+    /// Notes who owns a cell.
+    pub fn learn(&self, cell: u32, at: SocketAddr) {
+        self.known.lock().expect("no holder panics").insert(cell, (at, now()));
+    }
+
+    /// Whether a peer can be reached; if not, nothing was sent to it.
+    pub async fn reach(&self, at: SocketAddr) -> bool {
+        self.link(at).reach().await
+    }
+
     /// Calls a peer; nothing if it could not be reached or did not answer in time.
     pub async fn call<T, F, R>(&self, at: SocketAddr, limit: Duration, call: F) -> Option<T>
     where
         F: FnOnce(FrontPeerClient, Context) -> R,
         R: Future<Output = Result<T, RpcError>>,
     {
-        let link = {
-            let mut links = self.links.lock().expect("no holder panics");
-            links.entry(at).or_insert_with(|| Arc::new(Link::new(at))).clone()
-        };
-        link.call(limit, call).await
+        self.link(at).call(limit, call).await
+    }
+
+    fn link(&self, at: SocketAddr) -> Arc<Link<FrontPeerClient>> {
+        let mut links = self.links.lock().expect("no holder panics");
+        links.entry(at).or_insert_with(|| Arc::new(Link::new(at))).clone()
     }
 }
 
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -17,7 +17,7 @@
 use crate::takeover::read_on;
 
 /// How long a host that passes a job on waits for the store.
-const PASS: Duration = Duration::from_millis(1_000);
+const PASS: Duration = Duration::from_millis(2_500);
 
 /// How long the log may take to hold a cancellation.
 const CANCEL: Duration = Duration::from_millis(2_500);
@@ -40,7 +40,7 @@
     }
 
     async fn pass(self, _: Context, cell: u32, job: JobId, record: Vec<u8>) -> Passed {
-        intake::keep(&self.0, cell, job, record, PASS).await
+        intake::write_here(&self.0, cell, job, record, PASS).await
     }
 
     async fn relieve(self, _: Context, cell: u32) {
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -9,6 +9,7 @@
 use crate::host::Host;
 use crate::member;
 use crate::names::group;
+use crate::owners::address;
 
 /// The time between two looks at the other cells.
 const EVERY: Duration = Duration::from_millis(2_500);
@@ -27,8 +28,11 @@
         let Ok(rows) = host.store.owners(&group(cell), LIMIT).await else {
             continue;
         };
-        let owner = rows.iter().any(|r| r.part == cell);
-        without = if owner { 0 } else { without + 1 };
+        let owner = rows.iter().find(|r| r.part == cell);
+        if let Some(at) = owner.and_then(|row| address(&row.member)) {
+            host.owners.learn(cell, at);
+        }
+        without = if owner.is_some() { 0 } else { without + 1 };
         if without >= LOOKS {
             info!("event=cell-without-owner cell={cell} looks={without}");
             // Stays until the host stops: a cell changes hands as seldom as possible.
--- a/crates/peer/src/front.rs
+++ b/crates/peer/src/front.rs
@@ -28,6 +28,17 @@
     Unknown,
 }
 
+impl Passed {
+    /// What follows from two ways of writing the same job.
+    pub fn or(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Kept, _) | (_, Self::Kept) => Self::Kept,
+            (Self::Refused, Self::Refused) => Self::Refused,
+            _ => Self::Unknown,
+        }
+    }
+}
+
 /// What a front host does for its peers.
 #[tarpc::service]
 pub trait FrontPeer {
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -66,6 +66,11 @@
         self.at
     }
 
+    /// Whether there is a connection to the peer, or one can be made.
+    pub async fn reach(&self) -> bool {
+        self.client().await.is_some()
+    }
+
     /// Calls the peer; after an error the next call connects again.
     ///
     /// Returns nothing if the peer could not be reached or did not answer within `limit`.
