Lasting jobs go on to cells with more room

Change: owners tell each other how full they are; a fresh lasting job is handed on by a record of its home's owner, written with its token, and then put into the other cell's log. Records of progress without the new field are still read.

--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::{Instant, sleep};
 
-use myrtle_job::JobId;
+use myrtle_job::{JobId, State};
 use myrtle_peer::Seen;
 
 use crate::host::Host;
@@ -19,7 +19,39 @@
 
 /// Asks the owner of a job's cell until it answers or the client's time is over.
 pub async fn ask(host: &Host, job: JobId, take_back: bool, end: Instant) -> Option<Seen> {
-    let cell = home(host, job);
+    let at_home = home(host, job);
+    match ask_cell(host, at_home, job, take_back, end).await {
+        Some(Seen::Moved(to)) => ask_moved(host, to, job, take_back, end).await,
+        seen => seen,
+    }
+}
+
+/// Asks the cell that looks after a job in place of its home.
+async fn ask_moved(
+    host: &Host,
+    cell: u32,
+    job: JobId,
+    take_back: bool,
+    end: Instant,
+) -> Option<Seen> {
+    loop {
+        match ask_cell(host, cell, job, take_back, end).await {
+            // It is on its way there, or has been over for long.
+            Some(Seen::Unknown) if !take_back => return Some(Seen::Job(State::Queued)),
+            Some(Seen::Unknown) => sleep(PAUSE.min(left(end))).await,
+            seen => return seen,
+        }
+    }
+}
+
+/// Asks the owner of a cell until it answers or the client's time is over.
+async fn ask_cell(
+    host: &Host,
+    cell: u32,
+    job: JobId,
+    take_back: bool,
+    end: Instant,
+) -> Option<Seen> {
     while Instant::now() < end {
         let own = match take_back {
             true => peers::cancel(host, cell, job).await,
--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -17,7 +17,7 @@
 use crate::names::{JOBS, OWNER, PROGRESS};
 use crate::owned::Owned;
 use crate::patience::Patience;
-use crate::permits;
+use crate::{balance, permits};
 
 /// How long changes are gathered before they are written; adds little to the store's own time.
 const GATHER: Duration = Duration::from_millis(2);
@@ -65,7 +65,11 @@
         drop_jobs(&host, &owned, &batch.records).await;
         let took = now() - began;
         host.meter.took("myrtle_commit_micros", "", Duration::from_millis(took));
-        let starts = owned.state().committed(batch, now());
+        let (starts, deliveries) = {
+            let mut cell = owned.state();
+            (cell.committed(batch, now()), cell.deliveries())
+        };
+        balance::deliver_all(&host, &owned, deliveries);
         if !owned.closed() {
             owned.dispatch(starts);
         }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod ask;
+mod balance;
 mod capacity;
 mod clock;
 mod entry;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -7,7 +7,7 @@
 use tarpc::context::Context;
 use tokio::time::timeout;
 
-use myrtle_job::JobId;
+use myrtle_job::{JobId, Load};
 use myrtle_peer::{FrontPeer, Passed, Seen};
 
 use crate::clock::{now, wall};
@@ -47,6 +47,10 @@
         self.0.ask_for(cell);
     }
 
+    async fn load(self, _: Context, cell: u32) -> Option<Load> {
+        load(&self.0, cell)
+    }
+
     async fn explain(self, _: Context, cell: u32, job: JobId) -> Vec<String> {
         self.0.owned(cell).map_or_else(Vec::new, |o| o.state().explain(job, now()))
     }
@@ -57,13 +61,27 @@
     let Some(owned) = host.owned(cell).filter(|o| !o.closed()) else {
         return Seen::Elsewhere;
     };
-    if let Some(state) = owned.state().state(job) {
-        return Seen::Job(state);
+    if let Some(seen) = known(&owned, job) {
+        return seen;
     }
     if !current(host, &owned).await {
         return Seen::Elsewhere;
     }
-    owned.state().state(job).map_or(Seen::Unknown, Seen::Job)
+    known(&owned, job).unwrap_or(Seen::Unknown)
+}
+
+/// What an owner has in memory of a job.
+fn known(owned: &Owned, job: JobId) -> Option<Seen> {
+    let cell = owned.state();
+    let moved = cell.moved(job).map(Seen::Moved);
+    moved.or_else(|| cell.state(job).map(Seen::Job))
+}
+
+/// How full a cell is, if this host owns it.
+pub fn load(host: &Host, cell: u32) -> Option<Load> {
+    let owned = host.owned(cell).filter(|o| !o.closed())?;
+    let state = owned.state();
+    state.loaded.then(|| state.load())
 }
 
 /// Takes a job back, if this host owns the cell; answers once that is in the log.
@@ -75,6 +93,9 @@
     if !known && !current(host, &owned).await {
         return Seen::Elsewhere;
     }
+    if let Some(to) = owned.state().moved(job) {
+        return Seen::Moved(to);
+    }
     let mut commits = owned.committed.subscribe();
     let known = owned.state().cancel(job, now(), wall());
     if !known {
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -18,7 +18,7 @@
 use crate::names::{JOBS, OWNER, PROGRESS};
 use crate::newest::newest;
 use crate::owned::Owned;
-use crate::{flush, lessons, roster, tick, upkeep};
+use crate::{balance, flush, lessons, roster, tick, upkeep};
 
 /// How long the store may take for an append or a page during a takeover.
 const LIMIT: Duration = Duration::from_millis(2_000);
@@ -71,6 +71,9 @@
     tokio::spawn(roster::follow(host.clone(), owned.clone()));
     tokio::spawn(flush::run(host.clone(), owned.clone()));
     tokio::spawn(tick::run(owned.clone()));
+    tokio::spawn(balance::run(host.clone(), owned.clone()));
+    let inherited = owned.state().deliveries();
+    balance::deliver_all(&host, &owned, inherited);
     tokio::spawn(lessons::run(host.clone(), owned.clone()));
     tokio::spawn(upkeep::run(host.clone(), owned.clone()));
     tail(host, owned).await;
@@ -99,7 +102,7 @@
     let (jobs, end) = pages(host, JOBS, owned.cell).await?;
     let mut read: HashMap<JobId, Progress> = HashMap::new();
     for (id, value) in progress {
-        match decode(&value) {
+        match Progress::read(&value) {
             Ok(p) => drop(read.insert(id, p)),
             Err(e) => warn!("event=progress-unread job={id} reason=\"{e}\""),
         }
@@ -164,7 +167,12 @@
     for record in page.records {
         match unframe_keyed(record) {
             Ok(framed) => match framed.key.parse() {
-                Ok(id) => admit(owned, id, &framed.value),
+                Ok(id) => {
+                    admit(owned, id, &framed.value);
+                    if host.layout().is_some_and(|l| l.home(id) == owned.cell) {
+                        owned.state().hand_on(id, now());
+                    }
+                }
                 Err(e) => warn!("event=job-unread reason=\"{e}\""),
             },
             Err(e) => warn!("event=job-unread reason=\"{e}\""),
--- a/crates/front/tests/layout.rs
+++ b/crates/front/tests/layout.rs
@@ -2,16 +2,28 @@
 
 use std::collections::BTreeMap;
 
-use myrtle_front::{Cells, Layout};
+use rstest::rstest;
+
+use myrtle_front::{Capacity, Cells, Layout, member_address, member_carries};
 use myrtle_job::JobId;
 
+/// What a host of 0.12 cores and a link of 10 megabits a second carries, in workers.
+const WEAK: usize = 90;
+
+/// Partitions of a topic.
+const PARTS: usize = 24;
+
+fn auto(counts: &[(&str, usize)], largest: usize) -> Layout {
+    Layout::new(Cells::Auto, &workers(counts), largest, PARTS)
+}
+
 fn workers(counts: &[(&str, usize)]) -> BTreeMap<String, usize> {
     counts.iter().map(|(name, n)| (name.to_string(), *n)).collect()
 }
 
 #[test]
 fn a_small_deployment_is_one_cell_that_every_host_looks_after() {
-    let layout = Layout::new(Cells::Auto, &workers(&[("a", 16), ("b", 16), ("c", 16)]));
+    let layout = auto(&[("a", 16), ("b", 16), ("c", 16)], WEAK);
     assert_eq!(layout.count(), 1);
     assert!(["a", "b", "c", "new"].iter().all(|dc| layout.at_home(0, dc)));
     assert_eq!(layout.cell_of("b", 7), 0);
@@ -19,7 +31,7 @@
 
 #[test]
 fn a_larger_one_has_cells_in_each_data_centre() {
-    let layout = Layout::new(Cells::Auto, &workers(&[("a", 117), ("b", 300), ("c", 10)]));
+    let layout = auto(&[("a", 117), ("b", 300), ("c", 10)], 120);
     assert_eq!(layout.count(), 1 + 3 + 1);
     assert_eq!(layout.cell_of("a", 9), 0);
     assert_eq!(layout.cell_of("c", 9), 4);
@@ -31,7 +43,7 @@
 
 #[test]
 fn a_worker_of_an_unknown_data_centre_belongs_to_the_first_cell() {
-    let layout = Layout::new(Cells::DataCentre, &workers(&[("a", 2), ("b", 2)]));
+    let layout = Layout::new(Cells::DataCentre, &workers(&[("a", 2), ("b", 2)]), WEAK, PARTS);
     assert_eq!(layout.count(), 2);
     assert_eq!(layout.cell_of("new", 3), 0);
     assert!(!layout.at_home(0, "new"));
@@ -40,6 +52,35 @@
 #[test]
 fn there_are_never_more_cells_than_partitions() {
     let centres: Vec<(String, usize)> = (0..20).map(|n| (format!("d{n}"), 1_400)).collect();
-    let layout = Layout::new(Cells::Auto, &centres.into_iter().collect());
-    assert!(layout.count() <= 24, "{} cells", layout.count());
+    let centres: BTreeMap<String, usize> = centres.into_iter().collect();
+    for parts in [PARTS, 20] {
+        let layout = Layout::new(Cells::Auto, &centres, WEAK, parts);
+        assert!(layout.count() as usize <= parts, "{} cells", layout.count());
+    }
+}
+
+#[test]
+fn hosts_that_carry_more_make_fewer_cells() {
+    let counts = [("a", 164), ("b", 163), ("c", 163)];
+    assert_eq!(auto(&counts, WEAK).count(), 6);
+    assert_eq!(auto(&counts, 375).count(), 3);
+    assert_eq!(auto(&counts, 375).size(), 164);
+    assert_eq!(auto(&counts, 500).count(), 1);
+}
+
+#[test]
+fn a_host_carries_what_both_its_processors_and_its_link_do() {
+    let host = |share, link| Capacity { share, cores: 1.0, link }.workers();
+    assert!(host(0.12, 10.0) < 100, "a weak host");
+    assert!((300..490).contains(&host(0.5, 200.0)), "a strong one");
+    assert!(host(0.5, 10.0) < host(0.5, 200.0), "a narrow link");
+    assert!(host(0.1, 1_000.0) >= 66, "what small hosts own today");
+}
+
+#[rstest]
+#[case("front-a-1-0badcafe+375@10.0.0.1:7000", Some(375))]
+#[case("front-a-1-0badcafe@10.0.0.1:7000", None)]
+fn a_member_tells_what_it_carries(#[case] member: &str, #[case] carries: Option<usize>) {
+    assert_eq!(member_carries(member), carries);
+    assert_eq!(member_address(member), Some(([10, 0, 0, 1], 7000).into()));
 }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod fault;
 mod id;
+mod load;
 mod progress;
 mod record;
 mod spec;
@@ -10,7 +11,8 @@
 
 pub use fault::Fault;
 pub use id::{JobId, TaskId};
-pub use progress::{Progress, Round, State};
+pub use load::Load;
+pub use progress::{Moved, Progress, Round, State};
 pub use record::{RecordError, Submission, decode, encode};
 pub use spec::{Advice, JobSpec, Policy, Repeat, StepSpec};
 pub use task::{Run, Step, Task};
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobSpec, Step, Task, TaskId};
+use crate::{JobSpec, RecordError, Step, Task, TaskId, decode};
 
 /// What clients are told of a job.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
@@ -59,6 +59,15 @@
     }
 }
 
+/// That another cell looks after a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Moved {
+    /// The cell that does.
+    pub to: u32,
+    /// Whether the job is surely in that cell's log.
+    pub delivered: bool,
+}
+
 /// What the owner of a cell keeps of a job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
@@ -70,9 +79,34 @@
     pub next: u32,
     /// When the job was over, in milliseconds since 1970; 0 before that.
     pub ended: u64,
+    /// The cell that looks after the job in place of its home, if one does.
+    pub moved: Option<Moved>,
+}
+
+/// How a job's progress was written before jobs could be handed on to other cells.
+#[derive(Debug, Deserialize)]
+struct Unmoved {
+    state: State,
+    rounds: BTreeMap<u32, Round>,
+    next: u32,
+    ended: u64,
 }
 
 impl Progress {
+    /// Reads a record, also one that was written before jobs could be handed on.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no progress in either form.
+    pub fn read(bytes: &[u8]) -> Result<Self, RecordError> {
+        decode(bytes).or_else(|e| match decode::<Unmoved>(bytes) {
+            Ok(Unmoved { state, rounds, next, ended }) => {
+                Ok(Self { state, rounds, next, ended, moved: None })
+            }
+            Err(_) => Err(e),
+        })
+    }
+
     /// The task, if its repetition is under way.
     pub fn task(&self, id: TaskId) -> Option<&Task> {
         let round = self.rounds.get(&id.round)?;
--- a/crates/owner/src/admit.rs
+++ b/crates/owner/src/admit.rs
@@ -72,9 +72,12 @@
         if over || job.progress.next >= job.submission.spec.rounds() {
             self.timed.remove(&id);
         }
-        if over {
+        if over || job.progress.moved.is_some() {
             self.open.remove(&id);
         }
+        if job.progress.moved.is_some_and(|m| !m.delivered) {
+            self.due.push(id);
+        }
         for (task, run) in job.runs(id) {
             let spec = self.jobs[&id].step(task.step);
             let flight = Flight::new(run.number, spec, Stage::Inherited, now);
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -5,6 +5,7 @@
 
 use myrtle_job::{JobId, State};
 
+use crate::balance::Told;
 use crate::refused::Refused;
 use crate::usual::Usual;
 use crate::wave::WaveState;
@@ -54,6 +55,10 @@
     pub(crate) refused: Vec<Refused>,
     /// How much work the jobs of each queue usually are.
     pub(crate) usual: Usual,
+    /// What other cells have told of themselves.
+    pub(crate) others: BTreeMap<u32, Told>,
+    /// Jobs to be put into other cells' logs.
+    pub(crate) due: Vec<JobId>,
     /// When loads were last forecast.
     pub(crate) foreseen: u64,
     /// Jobs with tasks that may have to be placed.
@@ -86,6 +91,8 @@
             swings: Swings::default(),
             refused: Vec::new(),
             usual: Usual::default(),
+            others: BTreeMap::new(),
+            due: Vec::new(),
             foreseen: 0,
             counts: Counts::default(),
             open: BTreeSet::new(),
@@ -106,7 +113,8 @@
     /// How many jobs of each queue have not begun.
     pub fn pending(&self) -> BTreeMap<&str, u64> {
         let mut counts = BTreeMap::new();
-        for job in self.jobs.values().filter(|j| j.shown == State::Queued) {
+        let here = self.jobs.values().filter(|j| j.progress.moved.is_none());
+        for job in here.filter(|j| j.shown == State::Queued) {
             *counts.entry(&*job.submission.policy.queue).or_default() += 1;
         }
         counts
--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -63,6 +63,9 @@
         for (id, state) in batch.shown {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.shown = state;
+                if job.progress.moved.is_some_and(|m| !m.delivered) {
+                    self.due.push(id);
+                }
             }
         }
         let starts = batch.starts.into_iter();
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -4,6 +4,7 @@
 //! (`now`) and, where clients name times of day, since 1970 (`wall`).
 
 mod admit;
+mod balance;
 mod bounds;
 mod cell;
 mod commit;
@@ -43,6 +44,7 @@
 mod wave;
 mod worker;
 
+pub use balance::Delivery;
 pub use bounds::Bounds;
 pub use cell::{Cell, Counts};
 pub use commit::Batch;
--- /dev/null
+++ b/crates/owner/tests/balance.rs
@@ -0,0 +1,178 @@
+//! Lasting jobs go on to cells with more room, and exactly one cell starts their tasks.
+
+use myrtle_base::Room;
+use myrtle_job::{JobId, JobSpec, Listing, Load, Policy, Progress, StepSpec, Submission, decode};
+use myrtle_owner::{Bounds, Cell, Order};
+
+/// The number of the other cell.
+const OTHER: u32 = 1;
+
+/// The job that comes.
+const JOB: JobId = JobId(7);
+
+/// Names a case and gives it an owner of four workers of 32 cores.
+macro_rules! case {
+    ($name:ident, $cell:ident, $body:block) => {
+        #[test]
+        fn $name() {
+            let mut $cell = owner(1);
+            $body
+        }
+    };
+}
+
+fn owner(fence: u64) -> Cell {
+    let mut cell = Cell::new(Bounds::default(), fence, 0);
+    for n in 0..4u16 {
+        let listing = Listing {
+            service: "s".into(),
+            address: ([10, 0, 0, 1], 1000 + n).into(),
+            data_centre: "d".into(),
+            draining: false,
+            remaining: None,
+            room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
+            labels: vec![],
+            machine: None,
+            number: 1,
+        };
+        cell.list(&format!("w{n}"), listing, 0);
+        let held = myrtle_job::Held { clock: 5, running: vec![], ended: vec![] };
+        cell.held(&format!("w{n}").as_str().into(), held, 0, 1, 1);
+    }
+    cell.loaded = true;
+    cell
+}
+
+fn submission(lasting: bool) -> Submission {
+    let step = StepSpec {
+        count: 4,
+        room: Room { cpu: 8_000, mem: 1_000, accel: 0 },
+        estimate: 1_000,
+        lasting,
+        ..StepSpec::default()
+    };
+    let spec = JobSpec { body: "b".into(), steps: vec![step], repeat: None };
+    let policy =
+        Policy { queue: "q".into(), service: "s".into(), attempts: 3, ..Policy::default() };
+    Submission { policy, spec, taken: 0 }
+}
+
+fn load(claimed: f64) -> Load {
+    Load { claimed, size: 128_000.0 }
+}
+
+/// A cell four times as large, without lasting tasks.
+fn roomy() -> Load {
+    Load { claimed: 0.0, size: 512_000.0 }
+}
+
+/// Plans and writes once; the progress of the job that was written, and the starts.
+fn write(cell: &mut Cell) -> (Option<Progress>, Vec<Order>) {
+    cell.plan(10);
+    let batch = cell.batch();
+    let record = batch.records.iter().find(|(id, _)| *id == JOB);
+    let progress = record.map(|(_, bytes)| Progress::read(bytes).unwrap());
+    (progress, cell.committed(batch, 10))
+}
+
+case!(a_lasting_job_goes_to_a_cell_with_more_room, cell, {
+    cell.hear(OTHER, roomy(), 10);
+    cell.admit(JOB, submission(true), 10, 0);
+    cell.hand_on(JOB, 10);
+    assert_eq!(cell.deliveries(), vec![], "not before its home has written that");
+    let (progress, starts) = write(&mut cell);
+    assert_eq!(starts, vec![]);
+    assert_eq!(progress.unwrap().moved.unwrap().to, OTHER);
+    let deliveries = cell.deliveries();
+    assert_eq!(deliveries.len(), 1);
+    assert_eq!(decode::<Submission>(&deliveries[0].record).unwrap(), submission(true));
+    assert_eq!(cell.moved(JOB), Some(OTHER));
+    assert!(cell.pending().is_empty(), "the other cell counts it");
+    cell.delivered(JOB);
+    assert!(write(&mut cell).0.unwrap().moved.unwrap().delivered);
+    assert_eq!(cell.deliveries(), vec![]);
+});
+
+case!(the_next_owner_delivers_what_the_last_one_may_not_have, cell, {
+    cell.hear(OTHER, roomy(), 10);
+    cell.admit(JOB, submission(true), 10, 0);
+    cell.hand_on(JOB, 10);
+    let progress = write(&mut cell).0.unwrap();
+    let mut next = owner(2);
+    next.admit(JOB, submission(true), 20, 0);
+    next.inherit(JOB, progress, 20);
+    assert_eq!(write(&mut next).1, vec![], "only the other cell starts it");
+    assert_eq!(next.deliveries().len(), 1);
+    next.delivered(JOB);
+    let progress = write(&mut next).0.unwrap();
+    let mut last = owner(3);
+    last.admit(JOB, submission(true), 30, 0);
+    last.inherit(JOB, progress, 30);
+    assert_eq!(last.deliveries(), vec![]);
+    assert_eq!(write(&mut last).1, vec![]);
+});
+
+case!(a_job_that_has_begun_stays, cell, {
+    cell.admit(JOB, submission(true), 10, 0);
+    assert_eq!(write(&mut cell).1.len(), 4);
+    cell.hear(OTHER, roomy(), 10);
+    cell.hand_on(JOB, 10);
+    assert_eq!(cell.moved(JOB), None);
+});
+
+case!(a_short_job_stays, cell, {
+    cell.hear(OTHER, roomy(), 10);
+    cell.admit(JOB, submission(false), 10, 0);
+    cell.hand_on(JOB, 10);
+    assert_eq!(cell.moved(JOB), None);
+});
+
+case!(a_cell_that_is_as_full_gets_nothing, cell, {
+    cell.hear(OTHER, load(32_000.0), 10);
+    cell.admit(JOB, submission(true), 10, 0);
+    cell.hand_on(JOB, 10);
+    assert_eq!(cell.moved(JOB), None);
+    assert_eq!(write(&mut cell).1.len(), 4);
+});
+
+case!(what_was_told_long_ago_or_without_workers_does_not_count, cell, {
+    cell.hear(OTHER, roomy(), 10);
+    cell.hear(2, Load::default(), 9_000);
+    cell.admit(JOB, submission(true), 9_000, 0);
+    cell.hand_on(JOB, 9_000);
+    assert_eq!(cell.moved(JOB), None);
+});
+
+case!(jobs_that_come_at_once_do_not_all_go_to_the_same_cell, cell, {
+    cell.hear(1, load(0.0), 10);
+    cell.hear(2, load(0.0), 10);
+    for n in 0..9 {
+        let id = JobId(100 + n);
+        cell.admit(id, submission(true), 10, 0);
+        cell.hand_on(id, 10);
+    }
+    let to = |cell_number| (0..9).filter(|n| cell.moved(JobId(100 + n)) == cell_number).count();
+    assert_eq!((to(None), to(Some(1)), to(Some(2))), (3, 3, 3));
+});
+
+case!(a_job_that_is_over_elsewhere_is_forgotten, cell, {
+    cell.hear(OTHER, roomy(), 10);
+    cell.admit(JOB, submission(true), 10, 0);
+    cell.hand_on(JOB, 10);
+    write(&mut cell);
+    cell.delivered(JOB);
+    let later = 3 * Bounds::default().status;
+    assert_eq!(cell.perhaps_forgotten(100), vec![]);
+    assert_eq!(cell.perhaps_forgotten(later), vec![(JOB, OTHER)]);
+    cell.forget_moved(JOB);
+    assert!(cell.batch().records.contains(&(JOB, vec![])));
+});
+
+#[test]
+fn progress_written_before_jobs_were_handed_on_is_read() {
+    let new = myrtle_job::encode(&Progress::default());
+    // The last byte says that no other cell looks after it.
+    let old = &new[..new.len() - 1];
+    assert_eq!(Progress::read(old).unwrap(), Progress::default());
+    assert!(Progress::read(&old[..old.len() - 1]).is_err());
+}
--- a/crates/peer/src/front.rs
+++ b/crates/peer/src/front.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use myrtle_job::{JobId, State};
+use myrtle_job::{JobId, Load, State};
 
 /// What a host says of a job in one of its cells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,6 +15,8 @@
     Unknown,
     /// What the log holds of it.
     Job(State),
+    /// Another cell looks after it.
+    Moved(u32),
 }
 
 /// What came of a job that was passed on.
@@ -57,6 +59,9 @@
     /// Asks the owner of a cell that is too large for its host to give the cell up.
     async fn relieve(cell: u32);
 
+    /// How full a cell is; nothing if the host does not own it.
+    async fn load(cell: u32) -> Option<Load>;
+
     /// What the owner knows of a job, in lines for operators.
     async fn explain(cell: u32, job: JobId) -> Vec<String>;
 }
