Workers whose entries go are emptied; entries that lapsed with the store are waited for

Only workers that said so were emptied. Change: a worker that answers and has been unlisted for 0.8 s, 3 s after the list could last not be read, is emptied as a draining one, one lasting task of a step at a time.

--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -36,7 +36,10 @@
                 from = None;
                 continue;
             }
-            Err(e) => host.store_missed(&e),
+            Err(e) => {
+                host.store_missed(&e);
+                owned.state().list_missed(now());
+            }
         }
         hold_all(&host, &owned);
         sleep(EVERY).await;
@@ -56,7 +59,7 @@
     let missing: Vec<_> =
         cell.workers.keys().filter(|id| !listed.contains(&***id)).cloned().collect();
     for id in missing {
-        cell.unlist(&id);
+        cell.unlist(&id, now());
     }
     Ok(end)
 }
@@ -67,7 +70,7 @@
     let next = from + page.records.len() as u64;
     for record in page.records {
         match unframe_keyed(record) {
-            Ok(framed) if framed.value.is_empty() => owned.state().unlist(&framed.key),
+            Ok(framed) if framed.value.is_empty() => owned.state().unlist(&framed.key, now()),
             Ok(framed) => drop(take(host, owned, &framed.key, &framed.value)),
             Err(e) => warn!("event=worker-unread reason=\"{e}\""),
         }
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -55,6 +55,8 @@
     pub(crate) refused: Vec<Refused>,
     /// How much work the jobs of each queue usually are.
     pub(crate) usual: Usual,
+    /// When the list of workers could last not be read.
+    pub(crate) blind: u64,
     /// What other cells have told of themselves.
     pub(crate) others: BTreeMap<u32, Told>,
     /// Jobs to be put into other cells' logs.
@@ -91,6 +93,7 @@
             swings: Swings::default(),
             refused: Vec::new(),
             usual: Usual::default(),
+            blind: now,
             others: BTreeMap::new(),
             due: Vec::new(),
             foreseen: 0,
--- a/crates/owner/src/drain.rs
+++ b/crates/owner/src/drain.rs
@@ -7,19 +7,25 @@
 use myrtle_job::TaskId;
 
 use crate::step::step_of;
-use crate::{Cell, Life, Stage};
+use crate::{Cell, Life, Stage, Worker};
 
 /// The time that a move needs beside the stop itself, in milliseconds.
 const SLACK: u64 = 400;
 
+/// How long the list has to be without a worker that answers before it is taken to leave without
+/// having said so, in milliseconds: its entry may come back under the next look.
+const UNLISTED_FOR: u64 = 800;
+
+/// How long after the list could not be read entries that lapsed meanwhile may still come back, in
+/// milliseconds: the platform gives about two seconds.
+const BACK_WITHIN: u64 = 3_000;
+
 impl Cell {
     /// Stops what would not end before its worker leaves, so that it goes on elsewhere.
     pub fn evacuate(&mut self, now: u64) {
         let mut moves: Vec<(Arc<str>, TaskId, u32)> = Vec::new();
-        for (life, worker) in self.workers.iter().filter(|(_, w)| w.draining()) {
-            if worker.life != Life::Well {
-                continue;
-            }
+        let well = self.workers.iter().filter(|(_, w)| w.life == Life::Well);
+        for (life, worker) in well.filter(|(_, w)| self.leaves(w, now)) {
             let left = worker.leaves.map(|l| l.saturating_sub(now));
             for (&task, flight) in worker.flights.iter().filter(|(_, f)| f.stage == Stage::Up) {
                 if flight.lasting {
@@ -43,6 +49,14 @@
         }
     }
 
+    /// Whether a worker that answers is about to leave: it says so, or its entry is gone though the
+    /// list can be read.
+    fn leaves(&self, worker: &Worker, now: u64) -> bool {
+        let unlisted = !worker.listed && worker.listing.is_some();
+        worker.draining()
+            || unlisted && now >= worker.unlisted + UNLISTED_FOR && now >= self.blind + BACK_WITHIN
+    }
+
     /// Moves runs off a worker; true once nothing is left there.
     pub(crate) fn empty(&mut self, life: &Arc<str>, urgent: bool, now: u64) -> bool {
         let Some(worker) = self.workers.get(life) else {
--- a/crates/owner/src/list.rs
+++ b/crates/owner/src/list.rs
@@ -37,12 +37,18 @@
         worker.listed = true;
     }
 
+    /// The list of workers could not be read: entries may lapse meanwhile though their workers live.
+    pub fn list_missed(&mut self, now: u64) {
+        self.blind = now;
+    }
+
     /// The list no longer shows a life; what runs there may go on.
-    pub fn unlist(&mut self, life: &str) {
+    pub fn unlist(&mut self, life: &str, now: u64) {
         if let Some(worker) = self.workers.get_mut(life)
             && worker.listed
         {
             worker.listed = false;
+            worker.unlisted = now;
             info!("event=worker-unlisted worker={life} runs={}", worker.flights.len());
         }
     }
--- a/crates/owner/src/worker.rs
+++ b/crates/owner/src/worker.rs
@@ -45,6 +45,8 @@
     pub listing: Option<Listing>,
     /// Whether the list shows it now.
     pub listed: bool,
+    /// When the list ceased to show it.
+    pub unlisted: u64,
     /// Whether it can be given work.
     pub life: Life,
     /// When it last answered.
@@ -87,6 +89,7 @@
         Self {
             listing: None,
             listed: false,
+            unlisted: now,
             life: Life::Unmet,
             heard: now,
             clock: None,
--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -16,11 +16,14 @@
     /// Lets an owner do what is due.
     pub(super) fn act(&mut self, at: usize) {
         let now = self.now;
+        if !self.owners[at].logged {
+            self.owners[at].cell.list_missed(now);
+        }
         for (id, worker) in &self.workers {
             if worker.listed {
                 self.owners[at].cell.list(id, worker.listing.clone(), now);
             } else {
-                self.owners[at].cell.unlist(id);
+                self.owners[at].cell.unlist(id, now);
             }
         }
         if (now / STEP).is_multiple_of(HOLD_EVERY) {
--- /dev/null
+++ b/crates/owner/tests/leaving.rs
@@ -0,0 +1,97 @@
+//! Workers whose entries go: with a word, without one, or because the store was away.
+
+mod common;
+
+use common::{World, case, job, step};
+use myrtle_job::StepSpec;
+
+/// Eight lasting tasks, one of which may be away.
+fn lasting() -> StepSpec {
+    StepSpec { lasting: true, may_miss: Some(1), ..step(8) }
+}
+
+/// The worker with the most runs.
+fn fullest(world: &World) -> std::sync::Arc<str> {
+    world.workers.iter().max_by_key(|(_, w)| w.count()).unwrap().0.clone()
+}
+
+/// Lets time pass; the fewest runs that went on at any moment.
+fn least(world: &mut World, millis: u64) -> usize {
+    let mut least = usize::MAX;
+    for _ in 0..millis / 10 {
+        world.run(10);
+        least = least.min(world.workers.values().map(|w| w.count()).sum());
+    }
+    least
+}
+
+case!(a_worker_that_leaves_without_a_word_is_emptied_one_by_one, world, {
+    world.run(4_000);
+    world.submit(job(vec![lasting()]));
+    world.run(1_000);
+    let leaving = fullest(&world);
+    world.workers.get_mut(&leaving).unwrap().listed = false;
+    let least = least(&mut world, 6_000);
+    assert!(least >= 7, "{least} of 8 were at work");
+    assert_eq!(world.workers[&leaving].count(), 0);
+});
+
+case!(an_entry_that_lapsed_while_the_store_was_away_moves_nothing, world, {
+    world.run(4_000);
+    world.submit(job(vec![lasting()]));
+    world.run(1_000);
+    let lapsed = fullest(&world);
+    let before = world.workers[&lapsed].count();
+    world.owner().logged = false;
+    world.workers.get_mut(&lapsed).unwrap().listed = false;
+    world.run(4_000);
+    world.owner().logged = true;
+    world.run(1_900);
+    world.workers.get_mut(&lapsed).unwrap().listed = true;
+    world.run(3_000);
+    assert_eq!(world.workers[&lapsed].count(), before);
+    assert_eq!(world.owner().cell.counts.moved, 0);
+});
+
+case!(an_entry_still_missing_after_that_is_taken_to_leave, world, {
+    world.run(4_000);
+    world.submit(job(vec![lasting()]));
+    world.run(1_000);
+    let gone = fullest(&world);
+    world.owner().logged = false;
+    world.workers.get_mut(&gone).unwrap().listed = false;
+    world.run(2_000);
+    world.owner().logged = true;
+    world.run(9_000);
+    assert_eq!(world.workers[&gone].count(), 0);
+});
+
+case!(a_worker_without_an_entry_gets_nothing_new_and_its_runs_go_on, world, {
+    let mut slow = step(8);
+    slow.estimate = 20_000;
+    let id = world.submit(job(vec![slow]));
+    world.run(500);
+    let gone = fullest(&world);
+    let before = (world.workers[&gone].count(), world.workers[&gone].ever);
+    world.workers.get_mut(&gone).unwrap().listed = false;
+    world.submit(job(vec![step(20)]));
+    world.run(5_000);
+    assert_eq!((world.workers[&gone].count(), world.workers[&gone].ever), before);
+    assert!(world.finish(30_000));
+    assert!(world.judge.starts.iter().all(|(task, n)| task.job != id || *n == 1));
+});
+
+case!(a_drain_that_lasts_many_seconds_longer_than_said_starts_nothing_twice, world, {
+    let mut slow = step(8);
+    slow.estimate = 9_000;
+    world.submit(job(vec![slow]));
+    world.run(500);
+    let leaving = fullest(&world);
+    let worker = world.workers.get_mut(&leaving).unwrap();
+    worker.listing.draining = true;
+    worker.listing.remaining = Some(2_000);
+    world.run(4_000);
+    world.workers.get_mut(&leaving).unwrap().listed = false;
+    assert!(world.finish(30_000));
+    assert!(world.judge.starts.values().all(|n| *n == 1), "{:?}", world.judge.starts);
+});
