--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -102,19 +102,30 @@
 
     /// Starts a host and waits until it is ready.
     pub async fn host(&mut self, name: &str) {
+        self.host_with(name, "").await;
+    }
+
+    /// Starts a host that is too weak for a cell of more than one worker.
+    pub async fn weak_host(&mut self, name: &str) {
+        self.host_with(name, "capacity: {share: 0.001, cores: 1, link: 1000}\n").await;
+    }
+
+    /// Starts a host with further settings and waits until it is ready.
+    async fn host_with(&mut self, name: &str, further: &str) {
         let started = async {
             // Another test may take a port between its choice and its use; the host says so.
-            while !self.try_host(name).await {}
+            while !self.try_host(name, further).await {}
         };
         timeout(LIMIT, started).await.expect("the host never was ready");
     }
 
     /// Starts a host on ports that were free; false if one of them has been taken since.
-    async fn try_host(&mut self, name: &str) -> bool {
+    async fn try_host(&mut self, name: &str, further: &str) -> bool {
         let ports = [free_port().await, free_port().await, free_port().await];
         let file = format!("myrtle-{}-{}.yaml", std::process::id(), ports[0]);
         let path = std::env::temp_dir().join(file);
-        std::fs::write(&path, settings(name, self.store_at, ports, self.hold)).unwrap();
+        let text = settings(name, self.store_at, ports, self.hold) + further;
+        std::fs::write(&path, text).unwrap();
         let process = Command::new(env!("CARGO_BIN_EXE_myrtle-front"))
             .arg(&path)
             .stdout(Stdio::null())
--- a/crates/front/tests/whole.rs
+++ b/crates/front/tests/whole.rs
@@ -173,6 +173,32 @@
     assert!(ended.await.unwrap().success());
 });
 
+case!(a_weak_host_owns_a_large_cell_only_until_a_strong_one_is_there, site, {
+    site.weak_host("w").await;
+    site.hosts.remove("h1");
+    site.hosts.remove("h2");
+    until(|| async { owner(&site).await == "w" }).await;
+    assert_eq!(site.submit("w", "00000000000000b1", 4).await, 200);
+    site.host("h3").await;
+    until(|| async { owner(&site).await == "h3" }).await;
+    site.completed("w", "00000000000000b1").await;
+    assert_eq!(site.submit("w", "00000000000000b2", 4).await, 200);
+    site.completed("h3", "00000000000000b2").await;
+    assert_eq!(site.book.runs().len(), 10);
+});
+
+case!(a_job_is_taken_while_its_cells_owner_is_frozen, site, {
+    let first = owner(&site).await;
+    let other = site.hosts.keys().find(|h| **h != first).unwrap().clone();
+    assert_eq!(site.submit(&other, "00000000000000b3", 4).await, 200);
+    site.hosts[&first].signal(Signal::SIGSTOP);
+    assert_eq!(site.submit(&other, "00000000000000b4", 4).await, 200);
+    site.hosts[&first].signal(Signal::SIGCONT);
+    site.completed(&other, "00000000000000b3").await;
+    site.completed(&other, "00000000000000b4").await;
+    assert_eq!(site.book.runs().len(), 10);
+});
+
 case!(a_frozen_owner_wakes_to_a_later_one_and_starts_nothing, site, {
     let first = owner(&site).await;
     site.hosts[&first].signal(Signal::SIGSTOP);
