--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -1,8 +1,7 @@
 //! Which worker suits a task best: the one with the least cost.
 //!
 //! Costs are weighed against the share of a worker's processors that is left: 1 is a whole worker.
-//! Where a comment names no trial, none is recorded for the figure; trials are of quiet-1, without
-//! the price of processor time.
+//! docs/report/DISRUPTION.md holds what other figures measured.
 
 use std::sync::Arc;
 
@@ -15,7 +14,6 @@
 
 /// The share of all processors on workers without lasting tasks that lasting tasks leave to short
 /// ones, which are worth more for the time that they take, and to fillers that disturb many.
-/// Tried on six seeds of two sites: 0.08 with a scrap on each worker, 0.12, 0.18 and 0.25.
 const KEPT: f64 = 0.15;
 
 /// How long a lasting task waits for room elsewhere before it takes of that share, in milliseconds.
@@ -24,12 +22,11 @@
 /// What it costs a lasting task to take of that share.
 const FULL: f64 = 2.0;
 
-/// What a worker without lasting tasks costs a lasting one. Tried: 3 and 4 too.
+/// What a worker without lasting tasks costs a lasting one.
 const OPENED: f64 = 1.5;
 
 /// How long a filler waits for a worker where it disturbs nobody, in milliseconds; after that it
-/// goes where it disturbs least, and is slowed there as needed. Tried: 2 s, which was worse,
-/// and 4 s.
+/// goes where it disturbs least, and is slowed there as needed.
 const BEARABLE_FOR: u64 = 10_000;
 
 /// The share of its speed that a filler must be able to keep on a worker.
@@ -57,8 +54,7 @@
 /// How unlike two images may be, from 0 to 1, to count as alike.
 const LIKE: f64 = 0.5;
 
-/// The weight of the pressure that a filler adds, against the share of a worker that is left. Tried:
-/// 8 and 15.
+/// The weight of the pressure that a filler adds, against the share of a worker that is left.
 const HARMFUL: f64 = 8.0;
 
 impl Cell {
--- a/crates/owner/src/harm.rs
+++ b/crates/owner/src/harm.rs
@@ -27,8 +27,8 @@
 /// deviation of 0.04.
 pub(crate) const NOISE: f64 = 0.0016;
 
-/// How many standard deviations of a coefficient are counted against a filler. Tried on quiet-1: 0.2
-/// too.
+/// How many standard deviations of a coefficient are counted against a filler, so that
+/// what is not known yet is not taken to be harmless.
 const CAUTION: f64 = 0.5;
 
 /// Pressures above this one say little of how far above they are.
