Lasting jobs of the first moments are handed on too

Change: a new owner keeps fresh lasting jobs open for up to 1 s until others have told; each plan looks again at those that have not begun.

--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -35,7 +35,8 @@
 /// Begins to own a cell; its parts run until it is closed.
 pub fn begin(host: &Arc<Host>, cell: u32, fence: u64) -> Arc<Owned> {
     info!("event=owner-begins cell={cell} fence={fence}");
-    let state = Cell::new(host.settings.owner_bounds(), fence, now());
+    let mut state = Cell::new(host.settings.owner_bounds(), fence, now());
+    state.alone = host.layout().is_none_or(|layout| layout.count() < 2);
     let owned = Arc::new(Owned::new(cell, fence, state));
     host.own(cell, owned.clone());
     tokio::spawn(take(host.clone(), owned.clone()));
@@ -108,7 +109,7 @@
         }
     }
     for (id, value) in jobs {
-        admit(owned, id, &value);
+        admit(host, owned, id, &value);
         if let Some(progress) = read.remove(&id) {
             owned.state().inherit(id, progress, now());
         }
@@ -144,7 +145,7 @@
                 warn!("event=job-log-cut cell={} first={first}", owned.cell);
                 match pages(&host, JOBS, owned.cell).await {
                     Ok((jobs, end)) => {
-                        jobs.iter().for_each(|(id, value)| admit(&owned, *id, value));
+                        jobs.iter().for_each(|(id, value)| admit(&host, &owned, *id, value));
                         owned.read.store(end, Ordering::Relaxed);
                     }
                     Err(e) => host.store_missed(&e),
@@ -167,12 +168,7 @@
     for record in page.records {
         match unframe_keyed(record) {
             Ok(framed) => match framed.key.parse() {
-                Ok(id) => {
-                    admit(owned, id, &framed.value);
-                    if host.layout().is_some_and(|l| l.home(id) == owned.cell) {
-                        owned.state().hand_on(id, now());
-                    }
-                }
+                Ok(id) => admit(host, owned, id, &framed.value),
                 Err(e) => warn!("event=job-unread reason=\"{e}\""),
             },
             Err(e) => warn!("event=job-unread reason=\"{e}\""),
@@ -186,12 +182,18 @@
 }
 
 /// Takes in an accepted job.
-fn admit(owned: &Owned, id: JobId, value: &[u8]) {
+fn admit(host: &Host, owned: &Owned, id: JobId, value: &[u8]) {
     if value.is_empty() {
         return;
     }
     match decode::<Submission>(value) {
-        Ok(submission) => owned.state().admit(id, submission, now(), wall()),
+        Ok(submission) => {
+            let mut cell = owned.state();
+            cell.admit(id, submission, now(), wall());
+            if host.layout().is_some_and(|l| l.home(id) == owned.cell) {
+                cell.settle(id);
+            }
+        }
         Err(e) => warn!("event=job-unread job={id} reason=\"{e}\""),
     }
 }
--- a/crates/owner/src/balance.rs
+++ b/crates/owner/src/balance.rs
@@ -18,6 +18,10 @@
 /// half of what a job of 14 tasks takes of a cell of 160 workers.
 const EMPTIER: f64 = 0.01;
 
+/// How long a new owner waits for other cells to tell before it keeps such a job, in milliseconds:
+/// when all begin together most jobs come before any has told.
+const UNTOLD: u64 = 1_000;
+
 /// How long what another cell told is believed, in milliseconds: it is asked three times a second,
 /// and what this owner hands on is counted at once.
 const BELIEVED: u64 = 3_000;
@@ -55,27 +59,42 @@
         self.others.insert(cell, Told { load, at: now });
     }
 
-    /// Hands a job that has just come on to another cell, if that has clearly more room.
-    pub fn hand_on(&mut self, id: JobId, now: u64) {
-        let Some(job) = self.jobs.get(&id).filter(|j| fresh(j)) else {
-            return;
+    /// Notes that this cell is the home of a job.
+    pub fn settle(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.home = true;
+        }
+    }
+
+    /// Whether a job need not be placed here now: it goes on to a cell that has clearly more room,
+    /// or it is not known yet whether there is one.
+    pub(crate) fn goes_on(&mut self, id: JobId, now: u64) -> bool {
+        let Some(job) = self.jobs.get(&id).filter(|j| !self.alone && j.home && fresh(j)) else {
+            return false;
         };
         let claim = claim(job);
+        let Some((share, to)) = self.emptiest(claim, now) else {
+            return now < self.began + UNTOLD;
+        };
         let load = self.load();
-        if load.size <= 0.0 {
-            return;
+        if load.size <= 0.0 || load.share(0.0) < share + EMPTIER {
+            return false;
         }
-        let own = load.share(0.0);
+        self.hand_on(id, to, claim);
+        true
+    }
+
+    /// The cell with the most room once it has a job as well, and the share that is taken then.
+    fn emptiest(&self, claim: f64, now: u64) -> Option<(f64, u32)> {
         let told = self.others.iter();
         let told = told.filter(|(_, t)| now < t.at + BELIEVED && t.load.size > 0.0);
         let shares = told.map(|(&cell, told)| (told.load.share(claim), cell));
-        let Some((share, to)) = shares.min_by(|a, b| a.0.total_cmp(&b.0)) else {
-            return;
-        };
-        if own < share + EMPTIER {
-            return;
-        }
-        info!("event=job-handed-on job={id} to={to} share={own:.3} there={share:.3}");
+        shares.min_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
+    /// Hands a job on to another cell.
+    fn hand_on(&mut self, id: JobId, to: u32, claim: f64) {
+        info!("event=job-handed-on job={id} to={to}");
         if let Some(told) = self.others.get_mut(&to) {
             told.load.claimed += claim;
         }
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -39,6 +39,8 @@
     pub fence: u64,
     /// When this owner took over.
     pub began: u64,
+    /// Whether there is no other cell to hand jobs on to.
+    pub alone: bool,
     /// Whether the log has been read as far as it went at the takeover.
     pub loaded: bool,
     /// The jobs.
@@ -86,6 +88,7 @@
             bounds,
             fence,
             began: now,
+            alone: true,
             loaded: false,
             jobs: HashMap::new(),
             workers: BTreeMap::new(),
--- a/crates/owner/src/job.rs
+++ b/crates/owner/src/job.rs
@@ -16,6 +16,8 @@
     pub shown: State,
     /// When it was handed in, by the steady clock.
     pub came: u64,
+    /// Whether this cell is its home, which may hand it on to another one.
+    pub home: bool,
     /// Since when a task has found no worker, if nothing was placed after that.
     pub stuck: Option<u64>,
     /// When tasks may be tried again, after a refusal or a failure.
@@ -48,6 +50,7 @@
             progress,
             shown,
             came,
+            home: false,
             stuck: None,
             retry: BTreeMap::new(),
             shunned: BTreeMap::new(),
--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -67,6 +67,9 @@
         let mut ranks: Vec<Rank> = open.map(|(id, job)| rank(id, job, mean(job), now)).collect();
         ranks.sort_unstable();
         for rank in ranks {
+            if self.goes_on(rank.id, now) {
+                continue;
+            }
             if !self.place_job(rank.id, now) {
                 self.open.remove(&rank.id);
             }
--- a/crates/owner/tests/balance.rs
+++ b/crates/owner/tests/balance.rs
@@ -40,9 +40,16 @@
         cell.held(&format!("w{n}").as_str().into(), held, 0, 1, 1);
     }
     cell.loaded = true;
+    cell.alone = false;
     cell
 }
 
+/// A job comes to its home.
+fn come(cell: &mut Cell, id: JobId, lasting: bool, now: u64) {
+    cell.admit(id, submission(lasting), now, 0);
+    cell.settle(id);
+}
+
 fn submission(lasting: bool) -> Submission {
     let step = StepSpec {
         count: 4,
@@ -68,17 +75,21 @@
 
 /// Plans and writes once; the progress of the job that was written, and the starts.
 fn write(cell: &mut Cell) -> (Option<Progress>, Vec<Order>) {
-    cell.plan(10);
+    write_at(cell, 10)
+}
+
+fn write_at(cell: &mut Cell, now: u64) -> (Option<Progress>, Vec<Order>) {
+    cell.plan(now);
     let batch = cell.batch();
     let record = batch.records.iter().find(|(id, _)| *id == JOB);
     let progress = record.map(|(_, bytes)| Progress::read(bytes).unwrap());
-    (progress, cell.committed(batch, 10))
+    (progress, cell.committed(batch, now))
 }
 
 case!(a_lasting_job_goes_to_a_cell_with_more_room, cell, {
     cell.hear(OTHER, roomy(), 10);
-    cell.admit(JOB, submission(true), 10, 0);
-    cell.hand_on(JOB, 10);
+    come(&mut cell, JOB, true, 10);
+    cell.plan(10);
     assert_eq!(cell.deliveries(), vec![], "not before its home has written that");
     let (progress, starts) = write(&mut cell);
     assert_eq!(starts, vec![]);
@@ -95,42 +106,41 @@
 
 case!(the_next_owner_delivers_what_the_last_one_may_not_have, cell, {
     cell.hear(OTHER, roomy(), 10);
-    cell.admit(JOB, submission(true), 10, 0);
-    cell.hand_on(JOB, 10);
+    come(&mut cell, JOB, true, 10);
     let progress = write(&mut cell).0.unwrap();
     let mut next = owner(2);
-    next.admit(JOB, submission(true), 20, 0);
+    come(&mut next, JOB, true, 20);
     next.inherit(JOB, progress, 20);
     assert_eq!(write(&mut next).1, vec![], "only the other cell starts it");
     assert_eq!(next.deliveries().len(), 1);
     next.delivered(JOB);
     let progress = write(&mut next).0.unwrap();
     let mut last = owner(3);
-    last.admit(JOB, submission(true), 30, 0);
+    come(&mut last, JOB, true, 30);
     last.inherit(JOB, progress, 30);
     assert_eq!(last.deliveries(), vec![]);
     assert_eq!(write(&mut last).1, vec![]);
 });
 
 case!(a_job_that_has_begun_stays, cell, {
-    cell.admit(JOB, submission(true), 10, 0);
+    cell.hear(OTHER, load(32_000.0), 10);
+    come(&mut cell, JOB, true, 10);
     assert_eq!(write(&mut cell).1.len(), 4);
     cell.hear(OTHER, roomy(), 10);
-    cell.hand_on(JOB, 10);
+    cell.plan(20);
     assert_eq!(cell.moved(JOB), None);
 });
 
 case!(a_short_job_stays, cell, {
     cell.hear(OTHER, roomy(), 10);
-    cell.admit(JOB, submission(false), 10, 0);
-    cell.hand_on(JOB, 10);
+    come(&mut cell, JOB, false, 10);
+    assert_eq!(write(&mut cell).1.len(), 4);
     assert_eq!(cell.moved(JOB), None);
 });
 
 case!(a_cell_that_is_as_full_gets_nothing, cell, {
     cell.hear(OTHER, load(32_000.0), 10);
-    cell.admit(JOB, submission(true), 10, 0);
-    cell.hand_on(JOB, 10);
+    come(&mut cell, JOB, true, 10);
     assert_eq!(cell.moved(JOB), None);
     assert_eq!(write(&mut cell).1.len(), 4);
 });
@@ -138,27 +148,44 @@
 case!(what_was_told_long_ago_or_without_workers_does_not_count, cell, {
     cell.hear(OTHER, roomy(), 10);
     cell.hear(2, Load::default(), 9_000);
-    cell.admit(JOB, submission(true), 9_000, 0);
-    cell.hand_on(JOB, 9_000);
+    come(&mut cell, JOB, true, 9_000);
+    assert_eq!(write_at(&mut cell, 9_000).1.len(), 4);
+    assert_eq!(cell.moved(JOB), None);
+});
+
+case!(a_new_owner_waits_a_moment_for_what_other_cells_tell, cell, {
+    come(&mut cell, JOB, true, 10);
+    assert_eq!(write_at(&mut cell, 500).1, vec![]);
+    cell.hear(OTHER, roomy(), 600);
+    write_at(&mut cell, 610);
+    assert_eq!(cell.moved(JOB), Some(OTHER));
+});
+
+case!(a_new_owner_that_hears_nothing_keeps_the_job, cell, {
+    come(&mut cell, JOB, true, 10);
+    assert_eq!(write_at(&mut cell, 500).1, vec![]);
+    assert_eq!(write_at(&mut cell, 1_100).1.len(), 4);
+});
+
+case!(a_job_of_another_home_stays_where_it_was_handed_on_to, cell, {
+    cell.hear(OTHER, roomy(), 10);
+    cell.admit(JOB, submission(true), 10, 0);
+    assert_eq!(write(&mut cell).1.len(), 4);
     assert_eq!(cell.moved(JOB), None);
 });
 
 case!(jobs_that_come_at_once_do_not_all_go_to_the_same_cell, cell, {
     cell.hear(1, load(0.0), 10);
     cell.hear(2, load(0.0), 10);
-    for n in 0..9 {
-        let id = JobId(100 + n);
-        cell.admit(id, submission(true), 10, 0);
-        cell.hand_on(id, 10);
-    }
+    (0..9).for_each(|n| come(&mut cell, JobId(100 + n), true, 10));
+    cell.plan(10);
     let to = |cell_number| (0..9).filter(|n| cell.moved(JobId(100 + n)) == cell_number).count();
     assert_eq!((to(None), to(Some(1)), to(Some(2))), (3, 3, 3));
 });
 
 case!(a_job_that_is_over_elsewhere_is_forgotten, cell, {
     cell.hear(OTHER, roomy(), 10);
-    cell.admit(JOB, submission(true), 10, 0);
-    cell.hand_on(JOB, 10);
+    come(&mut cell, JOB, true, 10);
     write(&mut cell);
     cell.delivered(JOB);
     let later = 3 * Bounds::default().status;
