--- a/crates/front/src/balance.rs
+++ b/crates/front/src/balance.rs
@@ -10,7 +10,7 @@
 use myrtle_adapter::frame_keyed;
 use myrtle_job::{JobId, Load};
 use myrtle_owner::Delivery;
-use myrtle_peer::Seen;
+use myrtle_peer::{FrontPeerClient, Seen};
 
 use crate::clock::{now, wall};
 use crate::host::Host;
@@ -77,9 +77,7 @@
         let Some(at) = host.owners.find(host, cell).await else {
             continue;
         };
-        let ask = |c: myrtle_peer::FrontPeerClient, context| async move {
-            c.state(context, cell, job).await
-        };
+        let ask = |c: FrontPeerClient, context| async move { c.state(context, cell, job).await };
         if host.owners.call(at, ASK, ask).await == Some(Seen::Unknown) {
             owned.state().forget_moved(job);
         }
--- a/crates/front/src/layout.rs
+++ b/crates/front/src/layout.rs
@@ -25,7 +25,7 @@
 /// Looks at a list without workers before it is believed: six seconds.
 const EMPTY_LOOKS: u32 = 8;
 
-/// Steady looks before a host decides that can't own all workers as one cell: stronger hosts, which
+/// Steady looks before a host decides that can't own all workers as one cell by itself: stronger hosts, which
 /// make fewer and larger cells, have decided by then.
 const WEAK_LOOKS: u32 = 4;
 
