Lasting tasks that find no worker go on in a cell with room

Cause: a cell that lost workers could not give away what had begun: only jobs of which nothing was ever started went to other cells. 629 lasting tasks stayed in 115 workers while two other cells had room.

Ruled out: handing whole jobs on (stops more tasks of a step than it may miss), lending workers (fencing tokens of two groups don't compare), one larger cell (its owner falls behind).

Change: tasks that run nowhere are handed on by themselves: written as handed on in the home's progress, then put into the other cell's log under a key that no other record replaces; the end of the job follows in the same way; a task never goes back to a cell that has had it. What cells tell each other names the free room of their 16 emptiest workers; workers about to leave no longer count as room. Old progress records are still read.

--- a/crates/front/src/balance.rs
+++ b/crates/front/src/balance.rs
@@ -1,4 +1,4 @@
-//! Asks other cells how full they are, and puts jobs into their logs that they look after.
+//! Asks other cells how full they are, and puts jobs and tasks into their logs that they look after.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use myrtle_adapter::frame_keyed;
-use myrtle_job::{JobId, Load};
+use myrtle_job::{Key, Load};
 use myrtle_owner::Delivery;
 use myrtle_peer::{FrontPeerClient, Seen};
 
@@ -84,7 +84,7 @@
     }
 }
 
-/// Puts jobs into the logs of the cells that look after them.
+/// Puts jobs and tasks into the logs of the cells that look after them.
 pub fn deliver_all(host: &Arc<Host>, owned: &Arc<Owned>, deliveries: Vec<Delivery>) {
     for delivery in deliveries {
         let (host, owned) = (host.clone(), owned.clone());
@@ -92,19 +92,19 @@
     }
 }
 
-/// Puts a job into another cell's log; a repeat writes the same record, so it does no harm.
+/// Puts a record into another cell's log; a repeat writes the same one, so it does no harm.
 ///
 /// A host that stops goes on until it ends: the next owner would only find out after its takeover.
 async fn deliver(host: &Host, owned: &Owned, delivery: Delivery) {
-    let Delivery { job, to, record } = delivery;
+    let Delivery { key, to, record } = delivery;
     let mut body = BytesMut::new();
-    frame_keyed(&mut body, &job.to_string(), &record);
+    frame_keyed(&mut body, &key.to_string(), &record);
     let body = body.freeze();
     while !owned.deposed() {
         match host.store.append(JOBS, to, None, body.clone(), LIMIT).await {
-            Ok(_) => return delivered(owned, job, to),
+            Ok(_) => return delivered(owned, key, to),
             Err(e) => {
-                warn!("event=job-not-delivered job={job} to={to} reason=\"{e}\"");
+                warn!("event=not-delivered key={key} to={to} reason=\"{e}\"");
                 host.store_missed(&e);
                 sleep(PAUSE).await;
             }
@@ -112,8 +112,8 @@
     }
 }
 
-fn delivered(owned: &Owned, job: JobId, to: u32) {
-    info!("event=job-delivered job={job} to={to}");
-    owned.state().delivered(job);
+fn delivered(owned: &Owned, key: Key, to: u32) {
+    info!("event=delivered key={key} to={to}");
+    owned.state().delivered(key);
     owned.work.notify_one();
 }
--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use myrtle_adapter::{StoreError, Writer, frame_keyed};
-use myrtle_job::JobId;
+use myrtle_job::{JobId, Key};
 use myrtle_owner::{Batch, Order, Question};
 
 use crate::clock::now;
@@ -62,7 +62,7 @@
             }
             number += 1;
         }
-        drop_jobs(&host, &owned, &batch.records).await;
+        drop_jobs(&host, &owned, &batch.drops).await;
         let took = now() - began;
         host.meter.took("myrtle_commit_micros", "", Duration::from_millis(took));
         let (starts, deliveries) = {
@@ -145,11 +145,9 @@
 }
 
 /// Drops what was handed in for jobs that are forgotten; a failure leaves some records more.
-async fn drop_jobs(host: &Host, owned: &Owned, records: &[(JobId, Vec<u8>)]) {
+async fn drop_jobs(host: &Host, owned: &Owned, drops: &[Key]) {
     let mut body = BytesMut::new();
-    for (id, _) in records.iter().filter(|(_, value)| value.is_empty()) {
-        frame_keyed(&mut body, &id.to_string(), &[]);
-    }
+    drops.iter().for_each(|key| frame_keyed(&mut body, &key.to_string(), &[]));
     if body.is_empty() {
         return;
     }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -81,7 +81,7 @@
 pub fn load(host: &Host, cell: u32) -> Option<Load> {
     let owned = host.owned(cell).filter(|o| !o.closed())?;
     let state = owned.state();
-    state.loaded.then(|| state.load())
+    state.loaded.then(|| state.load(now()))
 }
 
 /// Takes a job back, if this host owns the cell; answers once that is in the log.
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -1,6 +1,6 @@
 //! Takes a cell over: bars earlier owners, reads the log, then acts.
 
-use std::collections::HashMap;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use myrtle_adapter::{StoreError, Writer, unframe_keyed};
-use myrtle_job::{JobId, Progress, Submission, decode};
+use myrtle_job::{BadName, JobId, Key, Progress, Submission, decode};
 use myrtle_owner::Cell;
 
 use crate::clock::{now, wall};
@@ -36,6 +36,7 @@
 pub fn begin(host: &Arc<Host>, cell: u32, fence: u64) -> Arc<Owned> {
     info!("event=owner-begins cell={cell} fence={fence}");
     let mut state = Cell::new(host.settings.owner_bounds(), fence, now());
+    state.number = cell;
     state.alone = host.layout().is_none_or(|layout| layout.count() < 2);
     let owned = Arc::new(Owned::new(cell, fence, state));
     host.own(cell, owned.clone());
@@ -99,34 +100,28 @@
 
 /// Reads the jobs of the cell and how far they have come.
 async fn load(host: &Host, owned: &Owned) -> Result<(), StoreError> {
-    let (progress, _) = pages(host, PROGRESS, owned.cell).await?;
-    let (jobs, end) = pages(host, JOBS, owned.cell).await?;
-    let mut read: HashMap<JobId, Progress> = HashMap::new();
+    let (progress, _) = pages::<JobId>(host, PROGRESS, owned.cell).await?;
+    let (jobs, end) = pages::<Key>(host, JOBS, owned.cell).await?;
+    jobs.iter().for_each(|(key, value)| admit(host, owned, *key, value));
     for (id, value) in progress {
         match Progress::read(&value) {
-            Ok(p) => drop(read.insert(id, p)),
+            Ok(progress) => owned.state().inherit(id, progress, now()),
             Err(e) => warn!("event=progress-unread job={id} reason=\"{e}\""),
         }
     }
-    for (id, value) in jobs {
-        admit(host, owned, id, &value);
-        if let Some(progress) = read.remove(&id) {
-            owned.state().inherit(id, progress, now());
-        }
-    }
-    for id in read.keys() {
-        warn!("event=progress-without-job job={id}");
-    }
+    // The progress that was read may tell of some of the parts that are in the log, or of none.
+    let parts = jobs.iter().filter(|(key, _)| !matches!(key, Key::Job(_)));
+    parts.for_each(|(key, value)| admit(host, owned, *key, value));
     owned.read.store(end, Ordering::Relaxed);
     Ok(())
 }
 
 /// All newest records of a partition, and the offset from which to go on.
-async fn pages(
+async fn pages<K: FromStr<Err = BadName>>(
     host: &Host,
     topic: &str,
     cell: u32,
-) -> Result<(Vec<(JobId, Vec<u8>)>, u64), StoreError> {
+) -> Result<(Vec<(K, Vec<u8>)>, u64), StoreError> {
     let mut found = Vec::new();
     let end = newest(host, topic, cell, LIMIT, |item| match item.key.parse() {
         Ok(id) => found.push((id, item.value)),
@@ -145,7 +140,7 @@
                 warn!("event=job-log-cut cell={} first={first}", owned.cell);
                 match pages(&host, JOBS, owned.cell).await {
                     Ok((jobs, end)) => {
-                        jobs.iter().for_each(|(id, value)| admit(&host, &owned, *id, value));
+                        jobs.iter().for_each(|(key, value)| admit(&host, &owned, *key, value));
                         owned.read.store(end, Ordering::Relaxed);
                     }
                     Err(e) => host.store_missed(&e),
@@ -168,7 +163,7 @@
     for record in page.records {
         match unframe_keyed(record) {
             Ok(framed) => match framed.key.parse() {
-                Ok(id) => admit(host, owned, id, &framed.value),
+                Ok(key) => admit(host, owned, key, &framed.value),
                 Err(e) => warn!("event=job-unread reason=\"{e}\""),
             },
             Err(e) => warn!("event=job-unread reason=\"{e}\""),
@@ -181,19 +176,26 @@
     Ok(())
 }
 
-/// Takes in an accepted job.
-fn admit(host: &Host, owned: &Owned, id: JobId, value: &[u8]) {
+/// Takes in an accepted job, or what another cell hands on of one.
+fn admit(host: &Host, owned: &Owned, key: Key, value: &[u8]) {
     if value.is_empty() {
         return;
     }
-    match decode::<Submission>(value) {
-        Ok(submission) => {
+    let taken = match key {
+        Key::Job(id) => decode::<Submission>(value).map(|submission| {
             let mut cell = owned.state();
             cell.admit(id, submission, now(), wall());
-            if host.layout().is_some_and(|l| l.home(id) == owned.cell) {
-                cell.settle(id);
+            if let Some(layout) = host.layout() {
+                cell.settle(id, layout.home(id));
             }
+        }),
+        Key::Part(id) => decode(value).map(|part| owned.state().take_part(id, part, now(), wall())),
+        Key::Recall(id) => {
+            owned.state().take_back(id.job, now(), wall());
+            Ok(())
         }
-        Err(e) => warn!("event=job-unread job={id} reason=\"{e}\""),
+    };
+    if let Err(e) = taken {
+        warn!("event=job-unread key={key} reason=\"{e}\"");
     }
 }
--- a/crates/job/src/id.rs
+++ b/crates/job/src/id.rs
@@ -22,7 +22,7 @@
 }
 
 impl BadName {
-    fn of(text: &str) -> Self {
+    pub(crate) fn of(text: &str) -> Self {
         Self { text: text.chars().take(64).collect() }
     }
 }
@@ -54,7 +54,7 @@
 }
 
 /// One task of a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskId {
     /// The job.
     pub job: JobId,
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -3,6 +3,7 @@
 mod fault;
 mod id;
 mod load;
+mod part;
 mod progress;
 mod record;
 mod spec;
@@ -10,9 +11,10 @@
 mod worker;
 
 pub use fault::Fault;
-pub use id::{JobId, TaskId};
+pub use id::{BadName, JobId, TaskId};
 pub use load::Load;
-pub use progress::{Moved, Progress, Round, State};
+pub use part::{Key, Part, PartId, PartTask};
+pub use progress::{Handed, Moved, Progress, Round, State, Taken};
 pub use record::{RecordError, Submission, decode, encode};
 pub use spec::{Advice, JobSpec, Policy, Repeat, StepSpec};
 pub use task::{Run, Step, Task};
--- a/crates/job/src/load.rs
+++ b/crates/job/src/load.rs
@@ -2,16 +2,23 @@
 
 use serde::{Deserialize, Serialize};
 
+use myrtle_base::Room;
+
 /// How much of a cell lasting tasks have taken, in thousandths of a core.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     /// What the tasks ask for, whether they run or wait.
     pub claimed: f64,
-    /// What the workers have that are listed and not silent.
+    /// What the workers have that are listed, not silent and not about to leave.
     pub size: f64,
+    /// What is free on the workers with the most processors left, at most [`Load::WORKERS`].
+    pub free: Vec<Room>,
 }
 
 impl Load {
+    /// How many workers are told of: about what one cell hands on between two questions.
+    pub const WORKERS: usize = 16;
+
     /// The share that is taken once `more` is asked for as well.
     pub fn share(&self, more: f64) -> f64 {
         (self.claimed + more) / self.size.max(1.0)
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobSpec, RecordError, Step, Task, TaskId, decode};
+use crate::{JobSpec, PartId, RecordError, Step, Task, TaskId, decode};
 
 /// What clients are told of a job.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
@@ -68,6 +68,30 @@
     pub delivered: bool,
 }
 
+/// Tasks that a cell has handed on to another one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handed {
+    /// The cell that looks after them.
+    pub to: u32,
+    /// The tasks.
+    pub tasks: Vec<TaskId>,
+    /// Whether they are surely in that cell's log.
+    pub delivered: bool,
+    /// Whether that cell has surely been told that the job is over.
+    pub recalled: bool,
+}
+
+/// Tasks that a cell has taken over from another one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Taken {
+    /// What the other cell calls them.
+    pub part: PartId,
+    /// Cells that have looked after them before.
+    pub via: Vec<u32>,
+    /// The tasks.
+    pub tasks: Vec<TaskId>,
+}
+
 /// What the owner of a cell keeps of a job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
@@ -81,9 +105,23 @@
     pub ended: u64,
     /// The cell that looks after the job in place of its home, if one does.
     pub moved: Option<Moved>,
+    /// Tasks that were handed on to other cells, by the numbers of the parts.
+    pub handed: Vec<Handed>,
+    /// Tasks that were taken over; if there are any, the cell looks after no others of the job.
+    pub taken: Vec<Taken>,
+}
+
+/// How a job's progress was written before tasks could be handed on to other cells.
+#[derive(Debug, Deserialize)]
+struct Unhanded {
+    state: State,
+    rounds: BTreeMap<u32, Round>,
+    next: u32,
+    ended: u64,
+    moved: Option<Moved>,
 }
 
-/// How a job's progress was written before jobs could be handed on to other cells.
+/// The same before whole jobs could.
 #[derive(Debug, Deserialize)]
 struct Unmoved {
     state: State,
@@ -92,21 +130,50 @@
     ended: u64,
 }
 
+impl From<Unhanded> for Progress {
+    fn from(old: Unhanded) -> Self {
+        let Unhanded { state, rounds, next, ended, moved } = old;
+        Self { state, rounds, next, ended, moved, ..Self::default() }
+    }
+}
+
+impl From<Unmoved> for Progress {
+    fn from(old: Unmoved) -> Self {
+        let Unmoved { state, rounds, next, ended } = old;
+        Self { state, rounds, next, ended, ..Self::default() }
+    }
+}
+
 impl Progress {
-    /// Reads a record, also one that was written before jobs could be handed on.
+    /// Reads a record, also one that was written before jobs or tasks could be handed on.
     ///
     /// # Errors
     ///
-    /// The bytes are no progress in either form.
+    /// The bytes are no progress in any of these forms.
     pub fn read(bytes: &[u8]) -> Result<Self, RecordError> {
-        decode(bytes).or_else(|e| match decode::<Unmoved>(bytes) {
-            Ok(Unmoved { state, rounds, next, ended }) => {
-                Ok(Self { state, rounds, next, ended, moved: None })
-            }
-            Err(_) => Err(e),
+        decode(bytes).or_else(|e| {
+            let unhanded = decode::<Unhanded>(bytes).map(Self::from);
+            let unmoved = || decode::<Unmoved>(bytes).map(Self::from);
+            unhanded.or_else(|_| unmoved()).map_err(|_| e)
         })
     }
 
+    /// Whether another cell looks after a task.
+    pub fn away(&self, id: TaskId) -> bool {
+        let taken = || self.taken.iter().any(|t| t.tasks.contains(&id));
+        self.handed.iter().any(|h| h.tasks.contains(&id)) || !self.taken.is_empty() && !taken()
+    }
+
+    /// What was handed on under a name.
+    pub fn handed(&self, part: PartId) -> Option<&Handed> {
+        self.handed.get(part.number as usize)
+    }
+
+    /// The same, to change it.
+    pub fn handed_mut(&mut self, part: PartId) -> Option<&mut Handed> {
+        self.handed.get_mut(part.number as usize)
+    }
+
     /// The task, if its repetition is under way.
     pub fn task(&self, id: TaskId) -> Option<&Task> {
         let round = self.rounds.get(&id.round)?;
--- a/crates/job/tests/model.rs
+++ b/crates/job/tests/model.rs
@@ -3,8 +3,8 @@
 use rstest::rstest;
 
 use myrtle_job::{
-    Fault, JobId, JobSpec, Progress, Round, Run, Step, StepSpec, Submission, Task, TaskId, decode,
-    encode,
+    Fault, JobId, JobSpec, Key, Progress, Round, Run, Step, StepSpec, Submission, Task, TaskId,
+    decode, encode,
 };
 
 fn step(count: u16, estimate: u64, after: &[u16]) -> StepSpec {
@@ -34,6 +34,24 @@
     assert!(name.parse::<TaskId>().is_err());
 }
 
+#[rstest]
+#[case::job("5c0e7a21d94b36f8", "5c0e7a21d94b36f8")]
+#[case::part("5c0e7a21d94b36f8_3.17", "5c0e7a21d94b36f8")]
+#[case::recall("5c0e7a21d94b36f8~0.0", "5c0e7a21d94b36f8")]
+fn a_records_key_is_read_as_it_is_written(#[case] name: &str, #[case] job: &str) {
+    let key: Key = name.parse().unwrap();
+    assert_eq!((key.to_string(), key.job().to_string()), (name.to_string(), job.to_string()));
+}
+
+#[rstest]
+#[case::no_number("5c0e7a21d94b36f8_3")]
+#[case::no_cell("5c0e7a21d94b36f8_.3")]
+#[case::short("5c0e7a21d94b36_1.3")]
+#[case::letters("5c0e7a21d94b36f8~x.3")]
+fn a_bad_key_is_refused(#[case] name: &str) {
+    assert!(name.parse::<Key>().is_err());
+}
+
 #[rstest]
 #[case::no_steps(job(vec![]), Fault::NoSteps)]
 #[case::no_tasks(job(vec![step(0, 1, &[])]), Fault::Tasks { step: 0 })]
--- a/crates/owner/src/admit.rs
+++ b/crates/owner/src/admit.rs
@@ -2,7 +2,7 @@
 
 use log::{Level, info, log, warn};
 
-use myrtle_job::{JobId, Progress, Round, State, Submission};
+use myrtle_job::{JobId, Key, Progress, Round, State, Submission};
 
 use crate::{Cell, Flight, Job, Stage, Worker};
 
@@ -51,11 +51,20 @@
         self.barred.retain(|_, at| now.saturating_sub(*at) < keep);
         let old = |j: &Job| {
             let ended = j.progress.ended;
-            j.progress.state.over() && wall > ended + keep && !j.progress.live()
+            let told = j.progress.handed.iter().all(|h| h.recalled);
+            j.progress.state.over() && wall > ended + keep && !j.progress.live() && told
         };
         let gone: Vec<_> = self.jobs.iter().filter(|(_, j)| old(j)).map(|(&id, _)| id).collect();
         for id in gone {
-            self.jobs.remove(&id);
+            let Some(job) = self.jobs.remove(&id) else {
+                continue;
+            };
+            let taken =
+                job.progress.taken.iter().flat_map(|t| [Key::Part(t.part), Key::Recall(t.part)]);
+            self.drops.extend(taken);
+            if job.progress.taken.is_empty() {
+                self.drops.push(Key::Job(id));
+            }
             self.dirty.insert(id);
         }
     }
@@ -75,9 +84,9 @@
         if over || job.progress.moved.is_some() {
             self.open.remove(&id);
         }
-        if job.progress.moved.is_some_and(|m| !m.delivered) {
-            self.due.push(id);
-        }
+        job.handed_at = (!job.progress.handed.is_empty()).then_some(now);
+        let job = &self.jobs[&id];
+        self.due.extend(self.undelivered(id, job));
         for (task, run) in job.runs(id) {
             let spec = self.jobs[&id].step(task.step);
             let flight = Flight::new(run.number, spec, Stage::Inherited, now);
--- a/crates/owner/src/balance.rs
+++ b/crates/owner/src/balance.rs
@@ -8,9 +8,12 @@
 //! for ever while the others had room. Handed on, no task waits so, and 0.753 of what is owed is
 //! earned in place of 0.723 (490 workers, mean of nine days).
 
+use std::cmp::Reverse;
+
 use log::info;
 
-use myrtle_job::{JobId, Load, Moved};
+use myrtle_base::Room;
+use myrtle_job::{JobId, Key, Load, Moved, TaskId};
 
 use crate::{Cell, Job, Life, Worker};
 
@@ -27,31 +30,38 @@
 const BELIEVED: u64 = 3_000;
 
 /// What another cell has told.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct Told {
-    load: Load,
+    pub(crate) load: Load,
     at: u64,
 }
 
-/// A job to be put into another cell's log.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Delivery {
-    /// The job.
-    pub job: JobId,
-    /// The cell that looks after it from now on.
-    pub to: u32,
-    /// What was handed in.
-    pub record: Vec<u8>,
+impl Told {
+    /// Whether it is young enough to act on.
+    pub(crate) fn believed(&self, now: u64) -> bool {
+        now < self.at + BELIEVED && self.load.size > 0.0
+    }
 }
 
 impl Cell {
     /// How much of the cell lasting tasks have taken.
-    pub fn load(&self) -> Load {
-        let here = self.jobs.values().filter(|j| j.progress.moved.is_none());
-        let lasting = here.filter(|j| !j.progress.state.over() && j.submission.spec.lasts());
-        let there = |w: &&Worker| w.listed && matches!(w.life, Life::Well | Life::Unmet);
-        let workers = self.workers.values().filter(there);
-        Load { claimed: lasting.map(claim).sum(), size: workers.map(Worker::size).sum() }
+    pub fn load(&self, now: u64) -> Load {
+        let here = self.jobs.iter().filter(|(_, j)| j.progress.moved.is_none());
+        let lasting = here.filter(|(_, j)| !j.progress.state.over() && j.submission.spec.lasts());
+        let stays =
+            |w: &&Worker| w.listed && !w.draining() && matches!(w.life, Life::Well | Life::Unmet);
+        let workers = self.workers.values().filter(stays);
+        let size = workers.map(Worker::size).sum();
+        Load { claimed: lasting.map(|(id, job)| claim(id, job)).sum(), size, free: self.free(now) }
+    }
+
+    /// What is free on the workers that have the most processors left.
+    fn free(&self, now: u64) -> Vec<Room> {
+        let open = self.workers.values().filter(|w| w.open(now));
+        let mut free: Vec<_> = open.map(Worker::free).filter(|free| free.cpu > 0).collect();
+        free.sort_unstable_by_key(|free| Reverse(free.cpu));
+        free.truncate(Load::WORKERS);
+        free
     }
 
     /// Notes what another cell told of itself.
@@ -59,24 +69,25 @@
         self.others.insert(cell, Told { load, at: now });
     }
 
-    /// Notes that this cell is the home of a job.
-    pub fn settle(&mut self, id: JobId) {
+    /// Notes which cell is the home of a job.
+    pub fn settle(&mut self, id: JobId, home: u32) {
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.home = true;
+            job.home = Some(home);
         }
     }
 
     /// Whether a job need not be placed here now: it goes on to a cell that has clearly more room,
     /// or it is not known yet whether there is one.
     pub(crate) fn goes_on(&mut self, id: JobId, now: u64) -> bool {
-        let Some(job) = self.jobs.get(&id).filter(|j| !self.alone && j.home && fresh(j)) else {
+        let here = |j: &&Job| !self.alone && j.home == Some(self.number);
+        let Some(job) = self.jobs.get(&id).filter(here).filter(|j| fresh(j)) else {
             return false;
         };
-        let claim = claim(job);
+        let claim = claim(&id, job);
         let Some((share, to)) = self.emptiest(claim, now) else {
             return now < self.began + UNTOLD;
         };
-        let load = self.load();
+        let load = self.load(now);
         if load.size <= 0.0 || load.share(0.0) < share + EMPTIER {
             return false;
         }
@@ -87,7 +98,7 @@
     /// The cell with the most room once it has a job as well, and the share that is taken then.
     fn emptiest(&self, claim: f64, now: u64) -> Option<(f64, u32)> {
         let told = self.others.iter();
-        let told = told.filter(|(_, t)| now < t.at + BELIEVED && t.load.size > 0.0);
+        let told = told.filter(|(_, t)| t.believed(now));
         let shares = told.map(|(&cell, told)| (told.load.share(claim), cell));
         shares.min_by(|a, b| a.0.total_cmp(&b.0))
     }
@@ -110,26 +121,6 @@
         self.jobs.get(&id)?.progress.moved.map(|moved| moved.to)
     }
 
-    /// Jobs to be put into other cells' logs, once each unless it fails.
-    pub fn deliveries(&mut self) -> Vec<Delivery> {
-        let due = std::mem::take(&mut self.due);
-        let jobs = due.into_iter().filter_map(|id| Some((id, self.jobs.get(&id)?)));
-        let deliveries = jobs.filter_map(|(id, job)| {
-            let to = job.progress.moved.filter(|m| !m.delivered)?.to;
-            Some(Delivery { job: id, to, record: myrtle_job::encode(&job.submission) })
-        });
-        deliveries.collect()
-    }
-
-    /// A job is in the other cell's log.
-    pub fn delivered(&mut self, id: JobId) {
-        let moved = self.jobs.get_mut(&id).and_then(|j| j.progress.moved.as_mut());
-        if let Some(moved) = moved.filter(|m| !m.delivered) {
-            moved.delivered = true;
-            self.dirty.insert(id);
-        }
-    }
-
     /// Jobs that other cells look after and that may be over and forgotten there, with these cells.
     pub fn perhaps_forgotten(&self, wall: u64) -> Vec<(JobId, u32)> {
         let old = |j: &Job| wall > j.submission.taken + 2 * self.bounds.status;
@@ -142,21 +133,28 @@
     pub fn forget_moved(&mut self, id: JobId) {
         if self.moved(id).is_some() {
             self.jobs.remove(&id);
+            self.drops.push(Key::Job(id));
             self.dirty.insert(id);
         }
     }
 }
 
-/// What a job's lasting tasks ask for, in thousandths of a core.
-fn claim(job: &Job) -> f64 {
-    let lasting = job.submission.spec.steps.iter().filter(|s| s.lasting);
-    lasting.map(|s| f64::from(s.count) * f64::from(s.claim().cpu)).sum()
+/// What the lasting tasks of a job that the cell looks after ask for, in thousandths of a core.
+fn claim(&id: &JobId, job: &Job) -> f64 {
+    let lasting = job.submission.spec.steps.iter().zip(0u16..).filter(|(s, _)| s.lasting);
+    let claims = lasting.map(|(spec, step)| {
+        let tasks = (0..spec.count).map(|index| TaskId { job: id, round: 0, step, index });
+        tasks.filter(|&t| !job.progress.away(t)).count() as f64 * f64::from(spec.claim().cpu)
+    });
+    claims.sum()
 }
 
 /// Whether nothing of a lasting job was ever started.
 fn fresh(job: &Job) -> bool {
     job.submission.spec.lasts()
         && job.progress.moved.is_none()
+        && job.progress.handed.is_empty()
+        && job.progress.taken.is_empty()
         && !job.progress.state.over()
         && job.progress.tasks().all(|(.., task)| task.last == 0)
 }
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use myrtle_job::{JobId, State};
+use myrtle_job::{JobId, Key, State};
 
 use crate::balance::Told;
 use crate::refused::Refused;
@@ -37,6 +37,8 @@
     pub bounds: Bounds,
     /// The fencing token on every order.
     pub fence: u64,
+    /// The cell's number.
+    pub number: u32,
     /// When this owner took over.
     pub began: u64,
     /// Whether there is no other cell to hand jobs on to.
@@ -61,8 +63,12 @@
     pub(crate) blind: u64,
     /// What other cells have told of themselves.
     pub(crate) others: BTreeMap<u32, Told>,
-    /// Jobs to be put into other cells' logs.
-    pub(crate) due: Vec<JobId>,
+    /// Records to be put into other cells' logs.
+    pub(crate) due: Vec<Key>,
+    /// Records on their way there.
+    pub(crate) sending: BTreeSet<Key>,
+    /// Records of forgotten jobs to be dropped from the log.
+    pub(crate) drops: Vec<Key>,
     /// When loads were last forecast.
     pub(crate) foreseen: u64,
     /// Jobs with tasks that may have to be placed.
@@ -87,6 +93,7 @@
         Self {
             bounds,
             fence,
+            number: 0,
             began: now,
             alone: true,
             loaded: false,
@@ -99,6 +106,8 @@
             blind: now,
             others: BTreeMap::new(),
             due: Vec::new(),
+            sending: BTreeSet::new(),
+            drops: Vec::new(),
             foreseen: 0,
             counts: Counts::default(),
             open: BTreeSet::new(),
--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use myrtle_job::{JobId, State, TaskId, encode};
+use myrtle_job::{JobId, Key, State, TaskId, encode};
 
 use crate::{Cell, Order, Stage};
 
@@ -17,6 +17,10 @@
     notes: Vec<(Arc<str>, u64)>,
     /// States that clients may be told then.
     shown: Vec<(JobId, State)>,
+    /// Records that other cells may be given then.
+    due: Vec<Key>,
+    /// Records of forgotten jobs.
+    pub drops: Vec<Key>,
 }
 
 impl Batch {
@@ -34,7 +38,7 @@
 
     /// Everything that changed since the last batch.
     pub fn batch(&mut self) -> Batch {
-        let mut batch = Batch::default();
+        let mut batch = Batch { drops: std::mem::take(&mut self.drops), ..Batch::default() };
         for id in std::mem::take(&mut self.dirty) {
             let Some(job) = self.jobs.get(&id) else {
                 batch.records.push((id, Vec::new()));
@@ -42,6 +46,7 @@
             };
             batch.records.push((id, encode(&job.progress)));
             batch.shown.push((id, job.progress.state));
+            batch.due.extend(self.undelivered(id, job));
         }
         for (life, worker) in &self.workers {
             if worker.taken > worker.noted {
@@ -63,11 +68,9 @@
         for (id, state) in batch.shown {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.shown = state;
-                if job.progress.moved.is_some_and(|m| !m.delivered) {
-                    self.due.push(id);
-                }
             }
         }
+        self.due.extend(batch.due);
         let starts = batch.starts.into_iter();
         starts.filter_map(|(life, task, run)| self.start(&life, task, run, now)).collect()
     }
--- a/crates/owner/src/drain.rs
+++ b/crates/owner/src/drain.rs
@@ -30,7 +30,7 @@
             for (&task, flight) in worker.flights.iter().filter(|(_, f)| f.stage == Stage::Up) {
                 if flight.lasting {
                     let moving = moves.iter().any(|(_, t, _)| step_of(*t) == step_of(task));
-                    if self.may_move(task) && !moving {
+                    if self.may_move(task, now) && !moving {
                         moves.push((life.clone(), task, flight.run));
                     }
                     continue;
@@ -70,7 +70,7 @@
             let free = match flight.lasting {
                 true => {
                     let moving = moves.iter().any(|(t, _)| step_of(*t) == step_of(task));
-                    !moving && self.may_move(task)
+                    !moving && self.may_move(task, now)
                 }
                 false => flight.saves || urgent,
             };
@@ -89,7 +89,7 @@
     }
 
     /// Whether one more task of a lasting step may be away.
-    pub(crate) fn may_move(&self, task: TaskId) -> bool {
+    pub(crate) fn may_move(&self, task: TaskId, now: u64) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return true;
         };
@@ -105,6 +105,9 @@
         let tasks = &round.steps[usize::from(task.step)].tasks;
         let away = tasks.iter().enumerate().filter(|(index, t)| {
             let id = TaskId { index: *index as u16, ..task };
+            if job.progress.away(id) {
+                return job.handed_lately(now);
+            }
             !t.live.iter().any(|r| {
                 let flight = self.workers.get(&r.worker).and_then(|w| w.flights.get(&id));
                 flight.is_some_and(|f| f.stage == Stage::Up && f.percent >= 100.0)
--- a/crates/owner/src/explain.rs
+++ b/crates/owner/src/explain.rs
@@ -1,6 +1,6 @@
 //! What operators are told of a job.
 
-use myrtle_job::JobId;
+use myrtle_job::{JobId, TaskId};
 
 use crate::Cell;
 
@@ -23,9 +23,13 @@
         for (round, step, index, task) in job.progress.tasks().filter(|(.., t)| !t.done) {
             let runs: Vec<_> =
                 task.live.iter().map(|r| format!("run {} on {}", r.number, r.worker)).collect();
-            let what = if runs.is_empty() { "waits".to_string() } else { runs.join(", ") };
-            lines
-                .push(format!("{id}.{round}.{step}.{index}: {what}, {} failed", task.failed.len()));
+            let name = TaskId { job: id, round, step, index };
+            let what = match () {
+                _ if job.progress.away(name) => "is looked after by another cell".to_string(),
+                _ if runs.is_empty() => "waits".to_string(),
+                _ => runs.join(", "),
+            };
+            lines.push(format!("{name}: {what}, {} failed", task.failed.len()));
         }
         lines
     }
--- a/crates/owner/src/gist.rs
+++ b/crates/owner/src/gist.rs
@@ -49,13 +49,7 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            for round in job.progress.rounds.values() {
-                for (at, step) in round.steps.iter().enumerate() {
-                    if round.ready(&job.submission.spec, at) {
-                        gist.waiting += step.tasks.iter().filter(|t| t.waits()).count();
-                    }
-                }
-            }
+            gist.waiting += job.waiting(*id);
         }
         for worker in self.workers.values() {
             if worker.life != Life::Well {
--- a/crates/owner/src/job.rs
+++ b/crates/owner/src/job.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use myrtle_job::{JobId, Progress, Run, State, StepSpec, Submission, TaskId};
+use myrtle_job::{JobId, Progress, Run, State, StepSpec, Submission, Task, TaskId};
 
 /// An accepted job.
 #[derive(Debug, Clone)]
@@ -16,8 +16,10 @@
     pub shown: State,
     /// When it was handed in, by the steady clock.
     pub came: u64,
-    /// Whether this cell is its home, which may hand it on to another one.
-    pub home: bool,
+    /// The cell that its name says, if that is known; it may hand the job on to another one.
+    pub home: Option<u32>,
+    /// When tasks were last handed on to other cells.
+    pub handed_at: Option<u64>,
     /// Since when a task has found no worker, if nothing was placed after that.
     pub stuck: Option<u64>,
     /// When tasks may be tried again, after a refusal or a failure.
@@ -50,7 +52,8 @@
             progress,
             shown,
             came,
-            home: false,
+            home: None,
+            handed_at: None,
             stuck: None,
             retry: BTreeMap::new(),
             shunned: BTreeMap::new(),
@@ -58,6 +61,11 @@
         }
     }
 
+    /// Whether a task of the job has to be started here; `record` is the task's own.
+    pub fn waits(&self, task: TaskId, record: &Task) -> bool {
+        record.waits() && !self.progress.away(task)
+    }
+
     /// What was asked for of a step.
     pub fn step(&self, step: u16) -> &StepSpec {
         &self.submission.spec.steps[usize::from(step)]
@@ -97,6 +105,16 @@
         left.sum()
     }
 
+    /// How many tasks have to be started here and their turn has come; the job's name is `id`.
+    pub fn waiting(&self, id: JobId) -> usize {
+        let ready = self.progress.tasks().filter(|&(round, step, ..)| {
+            self.progress.rounds[&round].ready(&self.submission.spec, usize::from(step))
+        });
+        let tasks =
+            ready.map(|(round, step, index, t)| (TaskId { job: id, round, step, index }, t));
+        tasks.filter(|(task, t)| self.waits(*task, t)).count()
+    }
+
     /// Every run that may be going on; the tasks are named for the job `id`, which is this one.
     pub fn runs(&self, id: JobId) -> Vec<(TaskId, Run)> {
         let tasks = self.progress.tasks();
--- /dev/null
+++ b/crates/owner/src/part.rs
@@ -0,0 +1,143 @@
+//! Hands lasting tasks that find no worker on to cells with room, and takes such tasks over.
+//!
+//! Jobs that have begun stay, but tasks of theirs that run nowhere may go: when workers leave, their
+//! tasks find a full cell while others have room. The owner writes in the job's progress which tasks
+//! another cell looks after, and only then puts them into that cell's log, so exactly one cell starts
+//! them, whichever owner dies in between. When the job is over, that cell is told in the same way.
+
+use std::collections::BTreeMap;
+
+use log::info;
+
+use myrtle_job::{Handed, JobId, Part, PartId, Progress, Round, State, Taken, TaskId};
+
+use crate::{Cell, Job};
+
+/// How long a task finds no worker before it is handed on, in milliseconds: a little longer than
+/// lasting tasks wait before they take of the room kept for short ones.
+const WAITED: u64 = 1_700;
+
+/// The share of a cell up to which lasting tasks may fill it with what others hand on.
+const FULL: f64 = 0.95;
+
+/// How long the other tasks of a step count those handed on as away, in milliseconds: until the
+/// next cell has started them.
+const UNDER_WAY: u64 = 4_000;
+
+impl Cell {
+    /// Takes over tasks that another cell has handed on; a repeat changes nothing.
+    pub fn take_part(&mut self, id: PartId, part: Part, now: u64, wall: u64) {
+        let Part { submission, via, tasks } = part;
+        let job = self.jobs.entry(id.job).or_insert_with(|| {
+            let rounds = BTreeMap::from([(0, Round::fresh(&submission.spec))]);
+            let progress =
+                Progress { state: State::Running, rounds, next: 1, ..Progress::default() };
+            Job::new(submission, progress, now)
+        });
+        if job.progress.taken.iter().any(|t| t.part == id) {
+            return;
+        }
+        for task in &tasks {
+            if let Some(record) = job.progress.task_mut(task.task) {
+                record.last = record.last.max(task.last);
+                record.saved.clone_from(&task.saved);
+            }
+        }
+        info!("event=tasks-taken job={} tasks={} from={}", id.job, tasks.len(), id.from);
+        let tasks = tasks.into_iter().map(|t| t.task).collect();
+        job.progress.taken.push(Taken { part: id, via, tasks });
+        self.dirty.insert(id.job);
+        if self.barred.remove(&id.job).is_some() {
+            self.finish(id.job, State::Cancelled, now, wall);
+        } else if !self.jobs[&id.job].progress.state.over() {
+            self.open.insert(id.job);
+        }
+    }
+
+    /// A job of which tasks were taken over is over; if they still come, they are not started.
+    pub fn take_back(&mut self, id: JobId, now: u64, wall: u64) {
+        if !self.cancel(id, now, wall) {
+            self.bar(id, now);
+        }
+    }
+
+    /// Hands on lasting tasks of a job that have found no worker for a while.
+    pub(crate) fn hand_on_tasks(&mut self, id: JobId, now: u64) {
+        let waited = |j: &&Job| j.waited(now) >= WAITED && j.submission.spec.repeat.is_none();
+        let Some(job) = self.jobs.get(&id).filter(|j| !self.alone && waited(j)) else {
+            return;
+        };
+        let waiting: Vec<_> =
+            waiting(id, job, now).map(|task| (task, self.via(job, task))).collect();
+        let mut parts: BTreeMap<(u32, Vec<u32>), Vec<TaskId>> = BTreeMap::new();
+        for (task, via) in waiting {
+            if let Some(to) = self.claim_elsewhere(task, &via, now) {
+                parts.entry((to, via)).or_default().push(task);
+            }
+        }
+        if parts.is_empty() {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        for ((to, _), tasks) in parts {
+            info!("event=tasks-handed-on job={id} tasks={} to={to}", tasks.len());
+            job.progress.handed.push(Handed { to, tasks, delivered: false, recalled: false });
+        }
+        job.handed_at = Some(now);
+        self.dirty.insert(id);
+    }
+
+    /// Cells that must not get a task: this one and those that have looked after it or its job.
+    pub(crate) fn via(&self, job: &Job, task: TaskId) -> Vec<u32> {
+        let taken = job.progress.taken.iter().find(|t| t.tasks.contains(&task));
+        let mut via = taken.map_or_else(|| job.home.into_iter().collect(), |t| t.via.clone());
+        if !via.contains(&self.number) {
+            via.push(self.number);
+        }
+        via
+    }
+
+    /// The cell with the most room that has a worker for a task; its room is counted as taken.
+    fn claim_elsewhere(&mut self, task: TaskId, via: &[u32], now: u64) -> Option<u32> {
+        let claim = self.jobs[&task.job].step(task.step).claim();
+        let cpu = f64::from(claim.cpu);
+        let others = self.others.iter_mut().filter(|(cell, told)| {
+            let room = told.load.free.iter().any(|free| claim.fits(free));
+            !via.contains(cell) && told.believed(now) && room && told.load.share(cpu) <= FULL
+        });
+        let (cell, told) =
+            others.min_by(|(_, a), (_, b)| a.load.share(cpu).total_cmp(&b.load.share(cpu)))?;
+        told.load.claimed += cpu;
+        let free = told.load.free.iter_mut().find(|free| claim.fits(free))?;
+        *free = free.less(&claim);
+        Some(*cell)
+    }
+}
+
+impl Job {
+    /// Whether tasks that were handed on may not have been started there yet.
+    pub(crate) fn handed_lately(&self, now: u64) -> bool {
+        self.handed_at.is_some_and(|at| now < at + UNDER_WAY)
+    }
+}
+
+/// The lasting tasks of a job that could run and do not.
+fn waiting(id: JobId, job: &Job, now: u64) -> impl Iterator<Item = TaskId> + '_ {
+    let round = job.progress.rounds.get(&0).filter(|_| !job.progress.state.over());
+    let steps =
+        round.into_iter().flat_map(|round| round.steps.iter().zip(0u16..).map(move |s| (round, s)));
+    let steps = steps.filter(|(round, (_, step))| {
+        let spec = job.step(*step);
+        // A label may be known in this cell only.
+        let free = spec.lasting && !spec.gang && spec.requires.is_none();
+        free && round.ready(&job.submission.spec, usize::from(*step))
+    });
+    let tasks = steps.flat_map(move |(_, (step, number))| {
+        let named = step.tasks.iter().zip(0u16..);
+        named.map(move |(t, index)| (TaskId { job: id, round: 0, step: number, index }, t))
+    });
+    let due = move |task: &TaskId| job.retry.get(task).is_none_or(|&at| at <= now);
+    tasks.filter(move |(task, t)| job.waits(*task, t) && due(task)).map(|(task, _)| task)
+}
--- a/crates/owner/src/place.rs
+++ b/crates/owner/src/place.rs
@@ -53,7 +53,7 @@
             .iter()
             .enumerate()
             .map(|(index, t)| (TaskId { job: id, round, step, index: index as u16 }, t))
-            .filter(|(task, t)| t.waits() || self.wants_copy(*task, t, now))
+            .filter(|(task, t)| job.waits(*task, t) || self.wants_copy(*task, t, now))
             .map(|(task, _)| task)
             .collect()
     }
--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -1,6 +1,6 @@
 //! Finds the jobs whose tasks are to be placed, the most urgent first.
 
-use myrtle_job::{JobId, Round};
+use myrtle_job::{JobId, Round, TaskId};
 
 use crate::{Cell, Job};
 
@@ -70,7 +70,9 @@
             if self.goes_on(rank.id, now) {
                 continue;
             }
-            if !self.place_job(rank.id, now) {
+            if self.place_job(rank.id, now) {
+                self.hand_on_tasks(rank.id, now);
+            } else {
                 self.open.remove(&rank.id);
             }
         }
@@ -86,9 +88,12 @@
         for (&number, round) in &job.progress.rounds {
             for (at, step) in round.steps.iter().enumerate() {
                 let copies = spec.steps[at].copies;
-                if step.tasks.iter().any(|t| t.waits() || copies && !t.done)
-                    && round.ready(spec, at)
-                {
+                let mut tasks = step.tasks.iter().zip(0u16..);
+                let wanted = tasks.any(|(t, index)| {
+                    let task = TaskId { job: id, round: number, step: at as u16, index };
+                    job.waits(task, t) || copies && !t.done
+                });
+                if wanted && round.ready(spec, at) {
                     ready.push((number, at as u16));
                 }
             }
--- a/crates/owner/tests/balance.rs
+++ b/crates/owner/tests/balance.rs
@@ -1,7 +1,9 @@
 //! Lasting jobs go on to cells with more room, and exactly one cell starts their tasks.
 
 use myrtle_base::Room;
-use myrtle_job::{JobId, JobSpec, Listing, Load, Policy, Progress, StepSpec, Submission, decode};
+use myrtle_job::{
+    JobId, JobSpec, Key, Listing, Load, Policy, Progress, StepSpec, Submission, decode,
+};
 use myrtle_owner::{Bounds, Cell, Order};
 
 /// The number of the other cell.
@@ -47,7 +49,7 @@
 /// A job comes to its home.
 fn come(cell: &mut Cell, id: JobId, lasting: bool, now: u64) {
     cell.admit(id, submission(lasting), now, 0);
-    cell.settle(id);
+    cell.settle(id, cell.number);
 }
 
 fn submission(lasting: bool) -> Submission {
@@ -65,12 +67,12 @@
 }
 
 fn load(claimed: f64) -> Load {
-    Load { claimed, size: 128_000.0 }
+    Load { claimed, size: 128_000.0, free: vec![] }
 }
 
 /// A cell four times as large, without lasting tasks.
 fn roomy() -> Load {
-    Load { claimed: 0.0, size: 512_000.0 }
+    Load { claimed: 0.0, size: 512_000.0, free: vec![] }
 }
 
 /// Plans and writes once; the progress of the job that was written, and the starts.
@@ -99,7 +101,7 @@
     assert_eq!(decode::<Submission>(&deliveries[0].record).unwrap(), submission(true));
     assert_eq!(cell.moved(JOB), Some(OTHER));
     assert!(cell.pending().is_empty(), "the other cell counts it");
-    cell.delivered(JOB);
+    cell.delivered(Key::Job(JOB));
     assert!(write(&mut cell).0.unwrap().moved.unwrap().delivered);
     assert_eq!(cell.deliveries(), vec![]);
 });
@@ -113,7 +115,7 @@
     next.inherit(JOB, progress, 20);
     assert_eq!(write(&mut next).1, vec![], "only the other cell starts it");
     assert_eq!(next.deliveries().len(), 1);
-    next.delivered(JOB);
+    next.delivered(Key::Job(JOB));
     let progress = write(&mut next).0.unwrap();
     let mut last = owner(3);
     come(&mut last, JOB, true, 30);
@@ -187,7 +189,7 @@
     cell.hear(OTHER, roomy(), 10);
     come(&mut cell, JOB, true, 10);
     write(&mut cell);
-    cell.delivered(JOB);
+    cell.delivered(Key::Job(JOB));
     let later = 3 * Bounds::default().status;
     assert_eq!(cell.perhaps_forgotten(100), vec![]);
     assert_eq!(cell.perhaps_forgotten(later), vec![(JOB, OTHER)]);
@@ -198,8 +200,11 @@
 #[test]
 fn progress_written_before_jobs_were_handed_on_is_read() {
     let new = myrtle_job::encode(&Progress::default());
-    // The last byte says that no other cell looks after it.
-    let old = &new[..new.len() - 1];
+    // The last bytes say that no tasks were handed on or taken over, and the one before them that no
+    // other cell looks after the job.
+    let unhanded = &new[..new.len() - 2];
+    assert_eq!(Progress::read(unhanded).unwrap(), Progress::default());
+    let old = &new[..new.len() - 3];
     assert_eq!(Progress::read(old).unwrap(), Progress::default());
     assert!(Progress::read(&old[..old.len() - 1]).is_err());
 }
