Whole-path tests: tasks of a full data centre go on in the other one

Two data centres with a cell, a host and two workers of 32 cores each, as real processes: eight lasting tasks fill one cell, one of its workers leaves, its four tasks go on in the other data centre; when the job is cancelled all eight stop. No change of logic.

--- /dev/null
+++ b/crates/front/tests/centres.rs
@@ -0,0 +1,74 @@
+//! Two data centres, each with a cell of its own, as real processes over loopback.
+
+mod common;
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use common::{Site, call, until};
+
+/// The job whose tasks fill one of the cells.
+const JOB: &str = "00000000000000c1";
+
+/// Names a case and gives it a site of two data centres with two workers of 32 cores each.
+macro_rules! case {
+    ($name:ident, $site:ident, $body:block) => {
+        #[tokio::test]
+        async fn $name() {
+            let $site = Site::of_two_centres(Duration::from_secs(60)).await;
+            $body
+            assert_eq!($site.book.doubled(), vec![]);
+        }
+    };
+}
+
+/// Hands in eight lasting tasks of eight cores and waits until all run in one cell.
+async fn fill(site: &Site) {
+    let steps = json!([{ "count": 8, "cpu": 8000, "mem_mb": 64, "estimate_ms": 60,
+        "long_running": true }]);
+    let body = json!({ "spec": "t", "steps": steps }).to_string();
+    assert_eq!(call(site.clients("h1"), "POST", &format!("/p/{JOB}"), &body).await.0, 200);
+    until(|| async { site.book.runs().len() == 8 }).await;
+    let workers: Vec<_> = site.book.runs().into_iter().map(|r| centre(&r.worker)).collect();
+    assert!(workers.iter().all(|c| *c == workers[0]), "one cell looks after the job");
+}
+
+/// The data centre of a worker.
+fn centre(worker: &str) -> &'static str {
+    if matches!(worker, "i-0" | "i-1") { "d" } else { "e" }
+}
+
+/// Says that the worker with the first run leaves; returns its data centre.
+fn leave(site: &Site) -> &'static str {
+    let first = site.book.runs().remove(0).worker;
+    let runner = site.runners.iter().find(|r| r.name == first).unwrap();
+    let listing = runner.listing_as(centre(&first), "draining");
+    site.store.put("keyed.servers", &first, listing.as_bytes());
+    centre(&first)
+}
+
+/// How many runs go on in a data centre.
+fn running(site: &Site, of: &str) -> usize {
+    site.book.runs().iter().filter(|r| r.over.is_none() && centre(&r.worker) == of).count()
+}
+
+case!(tasks_whose_worker_leaves_a_full_data_centre_go_on_in_the_other, site, {
+    fill(&site).await;
+    let full = leave(&site);
+    let other = if full == "d" { "e" } else { "d" };
+    until(|| async { running(&site, other) == 4 }).await;
+    assert_eq!(running(&site, full), 4);
+    assert_eq!(site.state("h1", JOB).await.as_deref(), Some("running"));
+    assert_eq!(site.state("h2", JOB).await.as_deref(), Some("running"));
+});
+
+case!(a_job_that_is_cancelled_stops_in_both_data_centres, site, {
+    fill(&site).await;
+    let full = leave(&site);
+    let other = if full == "d" { "e" } else { "d" };
+    until(|| async { running(&site, other) == 4 }).await;
+    assert_eq!(call(site.clients("h2"), "DELETE", &format!("/p/{JOB}"), "").await.0, 200);
+    until(|| async { running(&site, "d") + running(&site, "e") == 0 }).await;
+    assert_eq!(site.state("h1", JOB).await.as_deref(), Some("cancelled"));
+});
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A site over loopback: front hosts as processes, the stand-in of the store, workers.
 
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
+
 mod call;
 mod text;
 
@@ -78,6 +80,27 @@
 
     /// A site whose workers hold leases of up to `hold` milliseconds.
     pub async fn with(work: Duration, hold: u64) -> Self {
+        let mut site = Self::without_hosts(work, hold, ["d"; 4]).await;
+        site.host("h1").await;
+        site.host("h2").await;
+        site
+    }
+
+    /// A site of two data centres, each with a host, two workers and a cell of its own.
+    pub async fn of_two_centres(work: Duration) -> Self {
+        let mut site = Self::without_hosts(work, 10_000, ["d", "d", "e", "e"]).await;
+        for (name, centre) in [("h1", "d"), ("h2", "e")] {
+            let edit = |text: String| {
+                let text = text.replace("data_centre: d\n", &format!("data_centre: {centre}\n"));
+                text.replace("[d]", "[d, e]") + "cells: data_centre\n"
+            };
+            site.host_with(name, edit).await;
+        }
+        site
+    }
+
+    /// A site of four workers in these data centres, still without hosts.
+    async fn without_hosts(work: Duration, hold: u64, centres: [&str; 4]) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_at = listener.local_addr().unwrap();
         let store = Arc::new(Store::default());
@@ -88,43 +111,42 @@
         }));
         let book = Arc::new(Book::default());
         let mut runners = Vec::new();
-        for n in 0..4 {
+        for (n, centre) in centres.into_iter().enumerate() {
             let runner = Runner::start(&format!("i-{n}"), work, book.clone()).await.unwrap();
-            store.put("keyed.servers", &runner.name, runner.listing().as_bytes());
+            let listing = runner.listing_as(centre, "ready");
+            store.put("keyed.servers", &runner.name, listing.as_bytes());
             runners.push(runner);
         }
         store.put("keyed.op", "config", configuration(1).to_string().as_bytes());
-        let mut site = Self { store, store_at, book, hosts: BTreeMap::new(), runners, hold };
-        site.host("h1").await;
-        site.host("h2").await;
-        site
+        Self { store, store_at, book, hosts: BTreeMap::new(), runners, hold }
     }
 
     /// Starts a host and waits until it is ready.
     pub async fn host(&mut self, name: &str) {
-        self.host_with(name, "").await;
+        self.host_with(name, |text| text).await;
     }
 
     /// Starts a host that is too weak for a cell of more than one worker.
     pub async fn weak_host(&mut self, name: &str) {
-        self.host_with(name, "capacity: {share: 0.001, cores: 1, link: 1000}\n").await;
+        let weak = "capacity: {share: 0.001, cores: 1, link: 1000}\n";
+        self.host_with(name, |text| text + weak).await;
     }
 
-    /// Starts a host with further settings and waits until it is ready.
-    async fn host_with(&mut self, name: &str, further: &str) {
+    /// Starts a host with edited settings and waits until it is ready.
+    async fn host_with(&mut self, name: &str, edit: impl Fn(String) -> String) {
         let started = async {
             // Another test may take a port between its choice and its use; the host says so.
-            while !self.try_host(name, further).await {}
+            while !self.try_host(name, &edit).await {}
         };
         timeout(LIMIT, started).await.expect("the host never was ready");
     }
 
     /// Starts a host on ports that were free; false if one of them has been taken since.
-    async fn try_host(&mut self, name: &str, further: &str) -> bool {
+    async fn try_host(&mut self, name: &str, edit: &impl Fn(String) -> String) -> bool {
         let ports = [free_port().await, free_port().await, free_port().await];
         let file = format!("myrtle-{}-{}.yaml", std::process::id(), ports[0]);
         let path = std::env::temp_dir().join(file);
-        let text = settings(name, self.store_at, ports, self.hold) + further;
+        let text = edit(settings(name, self.store_at, ports, self.hold));
         std::fs::write(&path, text).unwrap();
         let process = Command::new(env!("CARGO_BIN_EXE_myrtle-front"))
             .arg(&path)
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -146,9 +146,14 @@
 
     /// What it writes of itself.
     pub fn listing(&self) -> String {
+        self.listing_as("d", "ready")
+    }
+
+    /// What it writes of itself in a data centre and a state, `ready` or `draining`.
+    pub fn listing_as(&self, data_centre: &str, state: &str) -> String {
         json!({
-            "service": "s", "address": self.at.to_string(), "zone": "d", "version": "v1",
-            "slots": 8, "state": "ready", "cold_left_ms": 0, "call_seq": 1,
+            "service": "s", "address": self.at.to_string(), "zone": data_centre, "version": "v1",
+            "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 1,
             "capacity": { "cpu": 32000, "mem_mb": 128_000, "gpu": 0 }, "labels": ["a", "r1"],
         })
         .to_string()
