Logs tell where an owner's time goes, how late it is, and how full its cell is

Cause: logs could not tell an owner that falls behind its processor from a cell without room.

Change: the line event=cell names the milliseconds spent on planning, encoding, reports and looks since the last one, the latest timer, and the share of the cell that lasting tasks ask for.

--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -11,6 +11,7 @@
 use myrtle_job::{JobId, Key};
 use myrtle_owner::{Batch, Order, Question};
 
+use crate::busy::Work;
 use crate::clock::now;
 use crate::hedge::{Outcome, hedged};
 use crate::host::Host;
@@ -82,9 +83,9 @@
 fn plan(owned: &Owned) -> (Vec<Order>, Vec<Question>, Batch) {
     let mut cell = owned.state();
     if !owned.closed() {
-        cell.plan(now());
+        owned.busy.spend(Work::Plan, || cell.plan(now()));
     }
-    let batch = cell.batch();
+    let batch = owned.busy.spend(Work::Batch, || cell.batch());
     owned.write(!batch.is_empty());
     (cell.orders(), cell.questions(), batch)
 }
--- a/crates/front/src/hold.rs
+++ b/crates/front/src/hold.rs
@@ -9,6 +9,7 @@
 use myrtle_adapter::WorkerError;
 use myrtle_owner::HoldArgs;
 
+use crate::busy::Work;
 use crate::clock::{now, wall};
 use crate::host::Host;
 use crate::owned::Owned;
@@ -48,7 +49,9 @@
         match result {
             Ok(Ok(held)) => {
                 pause = FIRST_PAUSE;
-                owned.state().held(&life, held, sent, now(), wall());
+                let mut cell = owned.state();
+                owned.busy.spend(Work::Held, || cell.held(&life, held, sent, now(), wall()));
+                drop(cell);
                 owned.work.notify_one();
             }
             Ok(Err(told)) => {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod ask;
 mod balance;
+mod busy;
 mod capacity;
 mod clock;
 mod entry;
--- a/crates/front/src/owned.rs
+++ b/crates/front/src/owned.rs
@@ -10,6 +10,7 @@
 use myrtle_adapter::WorkerClient;
 use myrtle_owner::{Cell, Order};
 
+use crate::busy::Busy;
 use crate::clock::now;
 
 /// Orders that one worker is given at a time; more would open more connections to it.
@@ -37,6 +38,8 @@
     pub committed: watch::Sender<u64>,
     /// How far accepted jobs have been read.
     pub read: AtomicU64,
+    /// Where this owner's time goes.
+    pub busy: Busy,
     state: Mutex<Cell>,
     held: Mutex<BTreeSet<Arc<str>>>,
     lines: Mutex<HashMap<Arc<str>, Arc<Line>>>,
@@ -55,6 +58,7 @@
             work: Notify::new(),
             committed: watch::Sender::new(0),
             read: AtomicU64::new(0),
+            busy: Busy::default(),
             state: Mutex::new(state),
             held: Mutex::default(),
             lines: Mutex::default(),
--- a/crates/front/src/tick.rs
+++ b/crates/front/src/tick.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use log::info;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep_until};
 
+use myrtle_owner::Order;
+
+use crate::busy::Work;
 use crate::clock::{now, wall};
 use crate::owned::Owned;
 
@@ -22,26 +25,31 @@
 pub async fn run(owned: Arc<Owned>) {
     let mut looks = 0u32;
     while !owned.closed() {
-        sleep(EVERY).await;
+        let due = Instant::now() + EVERY;
+        sleep_until(due).await;
+        owned.busy.late(due.elapsed());
         looks = looks.wrapping_add(1);
-        let again = {
-            let mut cell = owned.state();
-            cell.lapse(now());
-            cell.evacuate(now());
-            cell.guard_all(now());
-            cell.look_for_copies(now());
-            cell.begin_rounds(wall());
-            if looks.is_multiple_of(FORGET_EVERY) {
-                cell.forget(now(), wall());
-            }
-            if looks.is_multiple_of(TELL_EVERY) {
-                info!("event=cell cell={} {}", owned.cell, cell.gist());
-            }
-            cell.repeat(now())
-        };
+        let again = owned.busy.spend(Work::Look, || look(&owned, looks));
         owned.dispatch(again);
         if owned.state().restless() {
             owned.work.notify_one();
         }
     }
 }
+
+/// One look; returns what is to be told again.
+fn look(owned: &Owned, looks: u32) -> Vec<Order> {
+    let mut cell = owned.state();
+    cell.lapse(now());
+    cell.evacuate(now());
+    cell.guard_all(now());
+    cell.look_for_copies(now());
+    cell.begin_rounds(wall());
+    if looks.is_multiple_of(FORGET_EVERY) {
+        cell.forget(now(), wall());
+    }
+    if looks.is_multiple_of(TELL_EVERY) {
+        info!("event=cell cell={} {} {}", owned.cell, cell.gist(), owned.busy.take());
+    }
+    cell.repeat(now())
+}
--- a/crates/owner/src/balance.rs
+++ b/crates/owner/src/balance.rs
@@ -46,13 +46,18 @@
 impl Cell {
     /// How much of the cell lasting tasks have taken.
     pub fn load(&self, now: u64) -> Load {
+        Load { free: self.free(now), ..self.taken() }
+    }
+
+    /// The same without what is free on single workers.
+    pub(crate) fn taken(&self) -> Load {
         let here = self.jobs.iter().filter(|(_, j)| j.progress.moved.is_none());
         let lasting = here.filter(|(_, j)| !j.progress.state.over() && j.submission.spec.lasts());
         let stays =
             |w: &&Worker| w.listed && !w.draining() && matches!(w.life, Life::Well | Life::Unmet);
-        let workers = self.workers.values().filter(stays);
-        let size = workers.map(Worker::size).sum();
-        Load { claimed: lasting.map(|(id, job)| claim(id, job)).sum(), size, free: self.free(now) }
+        let size = self.workers.values().filter(stays).map(Worker::size).sum();
+        let claimed = lasting.map(|(id, job)| claim(id, job)).sum();
+        Load { claimed, size, free: Vec::new() }
     }
 
     /// What is free on the workers that have the most processors left.
--- a/crates/owner/src/gist.rs
+++ b/crates/owner/src/gist.rs
@@ -9,7 +9,7 @@
 #[display(
     "jobs={jobs} open={open} waiting={waiting} workers={workers} silent={silent} serving={serving} \
      fillers={fillers} slowed={slowed} others={others} over={over} cores={cores:.0} \
-     spare={spare:.0} filled={filled:.0}"
+     spare={spare:.0} filled={filled:.0} claimed={claimed:.2}"
 )]
 pub struct Gist {
     /// Jobs that are not over.
@@ -38,6 +38,8 @@
     pub spare: f64,
     /// Cores that fillers ask for.
     pub filled: f64,
+    /// The share of the cell that lasting tasks ask for, whether they run or wait.
+    pub claimed: f64,
 }
 
 impl Cell {
@@ -70,6 +72,7 @@
                 gist.over += usize::from(flight.over.is_some());
             }
         }
+        gist.claimed = self.taken().share(0.0);
         gist
     }
 }
