Sums over the runs of a worker are kept, pairs of images are worked out once a search

Cause: each task that looks for a place folded over all runs of each worker, several times, and lasting ones over all workers for each worker: 350 x 350 a task.

Ruled out: reports (held_ms a fourth of plan_ms), encoding, a slow store (steady commits).

Change: Flights keeps sums until a run changes; Search works out what is the same for all workers once; the waves of a moment are worked out once.

Decisions are the same: only what they cost has changed.

--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -7,6 +7,8 @@
 
 use myrtle_job::{StepSpec, TaskId};
 
+use crate::pressure::Bearing;
+use crate::search::Search;
 use crate::{Cell, Job, Life, Stage, Worker};
 
 /// The share of the processors it asks for that a filler must find free.
@@ -67,6 +69,7 @@
         now: u64,
     ) -> Option<Arc<str>> {
         let shunned = job.shunned.get(&task).map_or(&[][..], Vec::as_slice);
+        let mut search = Search::new(self, spec, task, job.waited(now));
         let mut best: Option<(f64, &Arc<str>)> = None;
         for (life, worker) in &self.workers {
             if !worker.open(now) || !self.allowed(worker, job, spec, task) {
@@ -79,7 +82,7 @@
             if ticketed && job.ticket(task, life, now).is_none() {
                 continue;
             }
-            let Some(mut cost) = self.cost(worker, spec, task, job.waited(now)) else {
+            let Some(mut cost) = self.cost(worker, &mut search) else {
                 continue;
             };
             if shunned.contains(life) {
@@ -116,22 +119,23 @@
     }
 
     /// What a task costs on a worker; nothing if it should rather wait.
-    fn cost(&self, worker: &Worker, spec: &StepSpec, task: TaskId, waited: u64) -> Option<f64> {
-        let mut cost = self.place_cost(worker, spec, task);
+    fn cost(&self, worker: &Worker, search: &mut Search<'_>) -> Option<f64> {
+        let spec = search.spec;
+        let mut cost = self.place_cost(worker, spec, search.task);
         if spec.filler {
-            return Some(cost + self.filler_cost(worker, spec, waited)?);
+            return Some(cost + self.filler_cost(worker, search)?);
         }
         if spec.lasting && !worker.lasts() {
             cost += OPENED;
-            if self.unopened() - worker.size() < KEPT * self.size() {
-                if !patient(spec, waited) {
+            if search.unkept < worker.size() {
+                if !patient(spec, search.waited) {
                     return None;
                 }
                 cost += FULL;
             }
         }
         if spec.serves() {
-            return Some(cost + self.serving_cost(worker, spec));
+            return Some(cost + self.serving_cost(worker, search));
         }
         Some(cost - (worker.spare() - worker.filled()) / worker.size())
     }
@@ -161,43 +165,42 @@
         with_peers.peek().is_some() && !with_peers.any(|w| w.rack() == worker.rack())
     }
 
-    /// The processors of all workers that answer, in thousandths of a core.
-    fn size(&self) -> f64 {
-        self.workers.values().filter(|w| w.life == Life::Well).map(Worker::size).sum()
-    }
-
-    /// The processors of workers that hold no lasting task.
-    fn unopened(&self) -> f64 {
-        let open = self.workers.values().filter(|w| w.life == Life::Well && !w.lasts());
-        open.map(Worker::size).sum()
+    /// The processors of workers without lasting tasks beyond those that are kept so, in thousandths
+    /// of a core; below 0 if there are fewer.
+    pub(crate) fn unkept(&self) -> f64 {
+        let well = self.workers.values().filter(|w| w.life == Life::Well);
+        well.fold(0.0, |sum, w| sum + w.size() * if w.lasts() { -KEPT } else { 1.0 - KEPT })
     }
 
     /// Fillers go where much is left, where they disturb little and where they keep their speed;
     /// nothing if too little is left or they would be too slow.
-    fn filler_cost(&self, worker: &Worker, spec: &StepSpec, waited: u64) -> Option<f64> {
+    fn filler_cost(&self, worker: &Worker, search: &mut Search<'_>) -> Option<f64> {
+        let spec = search.spec;
         let cpu = f64::from(spec.room.cpu);
         let left = worker.spare() - worker.filled();
         if left < LEAST_SHARE * cpu {
             return None;
         }
-        let filler = spec.image.as_deref().unwrap_or("");
-        let bearing = self.bearing(worker, filler, spec.room.cpu, spec.estimate);
-        if bearing < if patient(spec, waited) { ENDURABLE } else { BEARABLE } {
+        let share = cpu / worker.size();
+        let mut bearing = Bearing::new();
+        let mut harm = 0.0;
+        for outlook in &worker.outlooks {
+            let pair = search.pair(&self.harm, &outlook.image);
+            bearing.count(outlook, pair.risk, share);
+            harm += f64::from(outlook.tasks) * pair.rise * share;
+        }
+        let bearing = bearing.within(spec.estimate);
+        if bearing < if patient(spec, search.waited) { ENDURABLE } else { BEARABLE } {
             return None;
         }
-        let share = cpu / worker.size();
-        let rises = worker.outlooks.iter();
-        let rises = rises.map(|o| f64::from(o.tasks) * self.harm.rise(&o.image, filler, share));
-        let harm: f64 = rises.sum();
         Some(HARMFUL * harm + 1.0 - bearing - left / worker.size())
     }
 
     /// Serving tasks go where tasks like them are, and fill one worker before the next.
-    fn serving_cost(&self, worker: &Worker, spec: &StepSpec) -> f64 {
-        let image = spec.image.as_deref().unwrap_or("");
+    fn serving_cost(&self, worker: &Worker, search: &mut Search<'_>) -> f64 {
         let serving = worker.flights.values().filter(|f| f.target.is_some());
         let (alike, others) = serving.fold((false, 0.0), |(alike, others), f| {
-            let unlike = self.harm.unlike(image, f.image.as_deref().unwrap_or(""));
+            let unlike = search.unlike(&self.harm, f.image.as_deref().unwrap_or(""));
             (alike || unlike < LIKE, others + unlike)
         });
         let room = worker.size();
--- a/crates/owner/src/outlook.rs
+++ b/crates/owner/src/outlook.rs
@@ -71,11 +71,12 @@
         }
     }
 
-    /// The shares of its speed that one more filler could keep at each moment.
-    pub(crate) fn paces(&self, harm: &Harm, filler: &str, share: f64) -> Moments {
-        let rise = harm.risk(&self.image, filler, share);
+    /// The shares of its speed that one more filler could keep at each moment, which uses a share of
+    /// the worker and may add `risk` to the pressure with a whole one.
+    pub(crate) fn paces(&self, risk: f64, share: f64) -> Moments {
+        let rise = risk * share;
         // Slowed ones are to go on before others come, so all count at full speed.
-        if harm.risk(&self.image, filler, 1.0) < LIGHT {
+        if risk < LIGHT {
             return self.loads.map(|load| light_share(load, self.light + rise));
         }
         self.loads.map(|load| ((LIMIT - MARGIN - load - self.beside) / rise).clamp(0.0, 1.0))
--- a/crates/owner/src/pace.rs
+++ b/crates/owner/src/pace.rs
@@ -170,5 +170,5 @@
 
 /// How long the task has been over its target that has been so for longest, in milliseconds.
 fn over_for(worker: &Worker, now: u64) -> Option<u64> {
-    worker.flights.values().filter_map(|f| Some(now.saturating_sub(f.over?))).max()
+    worker.flights.sums().over.map(|since| now.saturating_sub(since))
 }
--- a/crates/owner/src/pressure.rs
+++ b/crates/owner/src/pressure.rs
@@ -11,6 +11,29 @@
 /// The time between two forecasts, in milliseconds; loads move by a hundredth in it.
 const FORECAST_EVERY: u64 = 100;
 
+/// The share of its speed that one more filler could keep at each moment ahead.
+pub(crate) struct Bearing(Moments);
+
+impl Bearing {
+    /// On a worker without serving tasks.
+    pub(crate) fn new() -> Self {
+        Self([1.0; AHEAD.len()])
+    }
+
+    /// Counts a serving image for a filler that uses a share of the worker; `risk` is what it may
+    /// add to the image's pressure with a whole one.
+    pub(crate) fn count(&mut self, outlook: &Outlook, risk: f64, share: f64) {
+        let could = outlook.paces(risk, share);
+        self.0.iter_mut().zip(could).for_each(|(pace, could)| *pace = pace.min(could));
+    }
+
+    /// The mean over `time` from now, 0 to 1.
+    pub(crate) fn within(&self, time: u64) -> f64 {
+        let within = AHEAD.iter().filter(|at| **at <= time).count().max(2);
+        self.0[..within].iter().sum::<f64>() / within as f64
+    }
+}
+
 impl Worker {
     /// Counts a filler that is about to start here.
     pub(crate) fn expect(&mut self, harm: &Harm, filler: &str, cpu: u32) {
@@ -56,18 +79,6 @@
         }
     }
 
-    /// The share of its speed that one more filler could keep on a worker for `time`, 0 to 1.
-    pub(crate) fn bearing(&self, worker: &Worker, filler: &str, cpu: u32, time: u64) -> f64 {
-        let share = f64::from(cpu) / worker.size();
-        let mut paces = [1.0f64; AHEAD.len()];
-        for outlook in &worker.outlooks {
-            let could = outlook.paces(&self.harm, filler, share);
-            paces.iter_mut().zip(could).for_each(|(pace, could)| *pace = pace.min(could));
-        }
-        let within = AHEAD.iter().filter(|at| **at <= time).count().max(2);
-        paces[..within].iter().sum::<f64>() / within as f64
-    }
-
     /// Whether a filler is light beside a serving image.
     pub(crate) fn light(&self, image: &str, flight: &Flight) -> bool {
         is_light(&self.harm, image, flight.image.as_deref().unwrap_or(""))
--- a/crates/owner/src/swing.rs
+++ b/crates/owner/src/swing.rs
@@ -38,6 +38,8 @@
     origin: i64,
     /// What is known of each step.
     steps: BTreeMap<StepKey, Track>,
+    /// The waves at the moment that was last asked for; all reports of a worker are of one moment.
+    waves: (i64, [[f64; 3]; PERIODS]),
 }
 
 /// The fits of one step, one for each period.
@@ -50,7 +52,7 @@
 
 impl Default for Swings {
     fn default() -> Self {
-        Self { errors: [0.0; PERIODS], origin: 0, steps: BTreeMap::new() }
+        Self { errors: [0.0; PERIODS], origin: 0, steps: BTreeMap::new(), waves: waves(0) }
     }
 }
 
@@ -64,12 +66,16 @@
 
     /// Takes in a load that a task of the step showed, with the variance of that figure.
     pub fn see(&mut self, task: TaskId, at: u64, load: f64, variance: f64) {
+        let moment = self.origin + at as i64;
+        if self.waves.0 != moment {
+            self.waves = waves(moment);
+        }
         let track = self.steps.entry(step_of(task)).or_insert_with(|| Track::new(at));
         let passed = at.saturating_sub(track.seen) as f64 / 1000.0;
         track.seen = track.seen.max(at);
         for (n, fit) in track.fits.iter_mut().enumerate() {
             fit.grow(DRIFT * passed);
-            let badness = fit.update(basis(n, self.origin + at as i64), load, variance);
+            let badness = fit.update(self.waves.1[n], load, variance);
             self.errors[n] = self.errors[n] * KEEP + badness;
         }
     }
@@ -121,6 +127,11 @@
     }
 }
 
+/// The waves of all periods at a moment.
+fn waves(at: i64) -> (i64, [[f64; 3]; PERIODS]) {
+    (at, std::array::from_fn(|period| basis(period, at)))
+}
+
 /// A wave's mean, sine and cosine at a moment.
 fn basis(period: usize, at: i64) -> [f64; 3] {
     let seconds = SHORTEST * RATIO.powi(period as i32);
--- a/crates/owner/src/worker.rs
+++ b/crates/owner/src/worker.rs
@@ -1,6 +1,5 @@
 //! Workers as the owner sees them.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use myrtle_base::Room;
@@ -8,11 +7,7 @@
 
 use crate::harm::Uses;
 use crate::outlook::Outlook;
-use crate::{Flight, Stage};
-
-/// The share of its processors that a serving task uses in the mean, by what fillers were seen to
-/// get beside them.
-const SERVING_USE: f64 = 0.5;
+use crate::{Flight, Flights, Stage};
 
 /// Whether a life of a worker can be given work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,7 +51,7 @@
     /// The end of every lease there, on its clock.
     pub until: u64,
     /// The runs there.
-    pub flights: BTreeMap<TaskId, Flight>,
+    pub flights: Flights,
     /// Ends up to this number were taken in.
     pub taken: u64,
     /// Ends up to this number are in the log.
@@ -94,7 +89,7 @@
             heard: now,
             clock: None,
             until: 0,
-            flights: BTreeMap::new(),
+            flights: Flights::default(),
             taken: 0,
             noted: 0,
             aside: 0,
@@ -132,7 +127,7 @@
 
     /// What the runs there count.
     pub fn used(&self) -> Room {
-        self.flights.values().fold(Room::default(), |sum, f| sum + f.claim)
+        self.flights.sums().used
     }
 
     /// What is left.
@@ -161,7 +156,7 @@
 
     /// Whether a lasting task is there.
     pub fn lasts(&self) -> bool {
-        self.flights.values().any(|f| f.lasting)
+        self.flights.sums().lasts
     }
 
     /// Whether it has a label.
@@ -176,19 +171,11 @@
 
     /// The processors that fillers could use, in thousandths of a core.
     pub fn spare(&self) -> f64 {
-        let taken: f64 = self.flights.values().filter(|f| !f.filler).map(mean_use).sum();
-        f64::from(self.room().cpu) - taken
+        f64::from(self.room().cpu) - self.flights.sums().taken
     }
 
     /// The processors that its fillers ask for at their paces, in thousandths of a core.
     pub fn filled(&self) -> f64 {
-        let fillers = self.flights.values().filter(|f| f.filler);
-        fillers.map(|f| f64::from(f.cpu) * f64::from(f.pace) / 100.0).sum()
+        self.flights.sums().filled
     }
 }
-
-/// What a run that is no filler uses in the mean, in thousandths of a core.
-fn mean_use(flight: &Flight) -> f64 {
-    let share = if flight.target.is_some() { SERVING_USE } else { 1.0 };
-    f64::from(flight.cpu) * share
-}
--- /dev/null
+++ b/crates/owner/tests/flights.rs
@@ -0,0 +1,61 @@
+//! What the runs on a worker come to together follows every change.
+
+use myrtle_base::Room;
+use myrtle_job::{JobId, StepSpec, TaskId};
+use myrtle_owner::{Flight, Stage, Worker};
+
+fn task(index: u16) -> TaskId {
+    TaskId { job: JobId(1), round: 0, step: 0, index }
+}
+
+fn step(filler: bool) -> StepSpec {
+    StepSpec {
+        count: 1,
+        room: Room { cpu: 2_000, mem: 100, accel: 0 },
+        filler,
+        ..StepSpec::default()
+    }
+}
+
+/// Names a case and gives it a worker without runs.
+macro_rules! case {
+    ($name:ident, $worker:ident, $body:block) => {
+        #[test]
+        fn $name() {
+            let mut $worker = Worker::new(0);
+            $body
+        }
+    };
+}
+
+case!(a_run_that_comes_or_goes_counts_at_once, worker, {
+    assert_eq!(worker.used().cpu, 0);
+    worker.flights.insert(task(0), Flight::new(1, &step(false), Stage::Up, 0));
+    assert_eq!((worker.used().cpu, worker.used().mem), (2_000, 100));
+    worker.flights.insert(task(1), Flight::new(1, &step(true), Stage::Up, 0));
+    assert_eq!((worker.used().cpu, worker.used().mem), (2_000, 200), "fillers take no processors");
+    worker.flights.remove(&task(0));
+    assert_eq!((worker.used().cpu, worker.used().mem), (0, 100));
+    drop(std::mem::take(&mut worker.flights));
+    assert_eq!(worker.used(), Room::default());
+});
+
+case!(a_pace_that_changes_counts_at_once, worker, {
+    worker.flights.insert(task(0), Flight::new(1, &step(true), Stage::Up, 0));
+    assert_eq!(worker.filled(), 2_000.0);
+    worker.flights.get_mut(&task(0)).unwrap().pace = 50;
+    assert_eq!(worker.filled(), 1_000.0);
+    for (_, flight) in &mut worker.flights {
+        flight.pace = 10;
+    }
+    assert_eq!(worker.filled(), 200.0);
+});
+
+case!(a_lasting_run_is_known_while_it_is_there, worker, {
+    assert!(!worker.lasts());
+    let lasting = StepSpec { lasting: true, ..step(false) };
+    worker.flights.insert(task(0), Flight::new(1, &lasting, Stage::Up, 0));
+    assert!(worker.lasts());
+    worker.flights.clear();
+    assert!(!worker.lasts());
+});
