A pass over the waiting tasks is followed by as long a rest

Cause: every report wakes the planning part, so an owner with many waiting tasks planned without a pause; renewals, joins and reports waited behind it.

Change: after a pass the planning part rests for as long as the pass took, 2 to 100 ms.

Short passes are not put off: below 2 ms nothing changes.

--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -23,6 +23,10 @@
 /// How long changes are gathered before they are written; adds little to the store's own time.
 const GATHER: Duration = Duration::from_millis(2);
 
+/// The longest rest after a pass over the waiting tasks, which is as long as the pass took: reports,
+/// renewals and joins need the other half of the host.
+const REST: Duration = Duration::from_millis(100);
+
 /// How long an idle owner sleeps before it looks for tasks that may be tried again.
 const IDLE: Duration = Duration::from_millis(100);
 
@@ -43,14 +47,17 @@
 pub async fn run(host: Arc<Host>, owned: Arc<Owned>) {
     let mut number = 1;
     let mut patience = Patience::new();
+    let mut rest = GATHER;
     while !owned.deposed() {
         if owned.closed() && owned.state().idle() {
             return;
         }
         if timeout(IDLE, owned.work.notified()).await.is_ok() {
-            sleep(GATHER).await;
+            sleep(rest).await;
         }
+        let planned = Instant::now();
         let (orders, questions, batch) = plan(&owned);
+        rest = planned.elapsed().clamp(GATHER, REST);
         owned.dispatch(orders);
         permits::ask_all(&host, &owned, questions);
         if batch.is_empty() {
