--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -66,6 +66,21 @@
     batch: Option<Batch>,
 }
 
+/// What a worker of 32 cores says of itself.
+pub fn listing(address: u16) -> Listing {
+    Listing {
+        service: "s".into(),
+        address: ([10, 0, 0, 1], 1000 + address).into(),
+        data_centre: "d".into(),
+        draining: false,
+        remaining: None,
+        room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
+        labels: vec!["a".into(), format!("r{}", address / 4)],
+        machine: Some(format!("m{address}")),
+        number: 1,
+    }
+}
+
 /// The whole world.
 pub struct World {
     pub now: u64,
@@ -115,17 +130,7 @@
 
     /// Adds a worker life at an address; the same address twice is a reborn worker.
     pub fn add_worker(&mut self, id: &str, address: u16) {
-        let listing = Listing {
-            service: "s".into(),
-            address: ([10, 0, 0, 1], 1000 + address).into(),
-            data_centre: "d".into(),
-            draining: false,
-            remaining: None,
-            room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
-            labels: vec!["a".into(), format!("r{}", address / 4)],
-            machine: Some(format!("m{address}")),
-            number: 1,
-        };
+        let listing = listing(address);
         self.workers.insert(id.into(), FakeWorker::new(listing, self.now));
     }
 
