A pass over the waiting tasks is cut into slices, each of which is written

Cause: Cell::plan walked every open job in one go on the host's only thread; when workers left by the hundred a pass took 1.5 to 6.9 s, joins (membership 1.6 s), renewals and answers waited behind it, the log turned away all that was placed, and the next owner found more waiting: a state that never ended by itself.

Change: a slice looks at 30,000 workers at most over all tasks, is written, and the pass goes on with the jobs that have not had their turn; jobs that come meanwhile are ranked with them. A takeover yields between records.

Ruled out: larger memberships (a pass has no bound, and killed owners would be missed later), planning on another thread (hosts have one core), fewer retries of tasks without a place (the first pass after a cut is as long).

--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -89,8 +89,9 @@
 /// Plans, and gathers what has to go out.
 fn plan(owned: &Owned) -> (Vec<Order>, Vec<Question>, Batch) {
     let mut cell = owned.state();
-    if !owned.closed() {
-        owned.busy.spend(Work::Plan, || cell.plan(now()));
+    if !owned.closed() && owned.busy.spend(Work::Plan, || cell.plan(now())) {
+        // The pass goes on after this slice is written.
+        owned.work.notify_one();
     }
     let batch = owned.busy.spend(Work::Batch, || cell.batch());
     owned.write(!batch.is_empty());
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -26,6 +26,10 @@
 /// The pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(60);
 
+/// Records that are taken in before the host's other parts get a turn: a weak host reads a large cell
+/// for 2 s, and its membership lapses after 1.6 s without a renewal.
+const AT_ONCE: usize = 32;
+
 /// How long a read waits for accepted jobs.
 const WAIT: Duration = Duration::from_millis(2_000);
 
@@ -102,8 +106,12 @@
 async fn load(host: &Host, owned: &Owned) -> Result<(), StoreError> {
     let (progress, _) = pages::<JobId>(host, PROGRESS, owned.cell).await?;
     let (jobs, end) = pages::<Key>(host, JOBS, owned.cell).await?;
-    jobs.iter().for_each(|(key, value)| admit(host, owned, *key, value));
-    for (id, value) in progress {
+    for (count, (key, value)) in jobs.iter().enumerate() {
+        breathe(count).await;
+        admit(host, owned, *key, value);
+    }
+    for (count, (id, value)) in progress.into_iter().enumerate() {
+        breathe(count).await;
         match Progress::read(&value) {
             Ok(progress) => owned.state().inherit(id, progress, now()),
             Err(e) => warn!("event=progress-unread job={id} reason=\"{e}\""),
@@ -116,6 +124,13 @@
     Ok(())
 }
 
+/// Lets the host's other parts have a turn between records.
+async fn breathe(count: usize) {
+    if count.is_multiple_of(AT_ONCE) {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// All newest records of a partition, and the offset from which to go on.
 async fn pages<K: FromStr<Err = BadName>>(
     host: &Host,
--- a/crates/owner/benches/plan.rs
+++ b/crates/owner/benches/plan.rs
@@ -93,7 +93,7 @@
 
 /// Plans, and lets workers start what was placed.
 fn write(cell: &mut Cell, now: u64) -> usize {
-    cell.plan(now);
+    while cell.plan(now) {}
     let batch = cell.batch();
     let starts = cell.committed(batch, now);
     for order in &starts {
@@ -153,7 +153,7 @@
         let (mut cell, mut now) = full();
         b.iter(|| {
             now += 100;
-            cell.plan(now);
+            while cell.plan(now) {}
             black_box(cell.restless())
         });
     });
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -6,6 +6,7 @@
 use myrtle_job::{JobId, Key, State};
 
 use crate::balance::Told;
+use crate::pass::Pass;
 use crate::refused::Refused;
 use crate::usual::Usual;
 use crate::wave::WaveState;
@@ -57,6 +58,8 @@
     pub counts: Counts,
     /// What found no worker in this pass.
     pub(crate) refused: Vec<Refused>,
+    /// Where the pass over the waiting tasks is.
+    pub(crate) pass: Pass,
     /// How much work the jobs of each queue usually are.
     pub(crate) usual: Usual,
     /// When the list of workers could last not be read.
@@ -102,6 +105,7 @@
             harm: Harm::default(),
             swings: Swings::default(),
             refused: Vec::new(),
+            pass: Pass::default(),
             usual: Usual::default(),
             blind: now,
             others: BTreeMap::new(),
--- a/crates/owner/src/fit.rs
+++ b/crates/owner/src/fit.rs
@@ -69,6 +69,7 @@
         now: u64,
     ) -> Option<Arc<str>> {
         let shunned = job.shunned.get(&task).map_or(&[][..], Vec::as_slice);
+        self.pass.look(self.workers.len());
         let mut search = Search::new(self, spec, task, job.waited(now));
         let mut best: Option<(f64, &Arc<str>)> = None;
         for (life, worker) in &self.workers {
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -32,6 +32,7 @@
 mod over;
 mod pace;
 mod part;
+mod pass;
 mod permit;
 mod place;
 mod plan;
--- a/crates/owner/src/place.rs
+++ b/crates/owner/src/place.rs
@@ -16,6 +16,11 @@
         let mut placed = 0;
         let wanted = waiting.len();
         for task in waiting {
+            if self.pass.spent() {
+                self.pass.cut = true;
+                left = true;
+                break;
+            }
             let job = &self.jobs[&id];
             if job.retry.get(&task).is_some_and(|&at| at > now) {
                 left = true;
--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -55,27 +55,48 @@
         }
     }
 
-    /// Finds workers for tasks that wait.
-    pub fn plan(&mut self, now: u64) {
+    /// Finds workers for tasks that wait, in a slice of a pass over all of them; true if the pass
+    /// goes on with the next call.
+    pub fn plan(&mut self, now: u64) -> bool {
         if !self.loaded {
-            return;
+            return false;
         }
         self.foresee(now);
-        self.refused.clear();
-        let open = self.open.iter().filter_map(|id| Some((*id, self.jobs.get(id)?)));
-        let mean = |job: &Job| self.usual.of(&job.submission.policy.queue);
-        let mut ranks: Vec<Rank> = open.map(|(id, job)| rank(id, job, mean(job), now)).collect();
-        ranks.sort_unstable();
-        for rank in ranks {
+        if self.pass.done.is_empty() {
+            self.refused.clear();
+        }
+        self.pass.slice();
+        for rank in self.ranks(now) {
+            if self.pass.spent() {
+                return true;
+            }
             if self.goes_on(rank.id, now) {
+                self.pass.done.insert(rank.id);
                 continue;
             }
-            if self.place_job(rank.id, now) {
+            let waits = self.place_job(rank.id, now);
+            if self.pass.cut {
+                return true;
+            }
+            self.pass.done.insert(rank.id);
+            if waits {
                 self.hand_on_tasks(rank.id, now);
             } else {
                 self.open.remove(&rank.id);
             }
         }
+        self.pass.end();
+        false
+    }
+
+    /// The open jobs that have not had their turn in this pass, the most urgent first.
+    fn ranks(&self, now: u64) -> Vec<Rank> {
+        let due = self.open.difference(&self.pass.done);
+        let due = due.filter_map(|id| Some((*id, self.jobs.get(id)?)));
+        let mean = |job: &Job| self.usual.of(&job.submission.policy.queue);
+        let mut ranks: Vec<Rank> = due.map(|(id, job)| rank(id, job, mean(job), now)).collect();
+        ranks.sort_unstable();
+        ranks
     }
 
     /// Places what can be placed of a job; false if nothing of it waits any more.
