The log tells the next owner where workers are that were given work

Cause: an owner learned where a worker takes orders only from the list, and a worker that leaves without a word is no longer listed while it serves on. The next owner read its runs from the log but could neither hold nor stop anything there: a cancelled job ran on, lasting tasks went all at once when the leases ended (10 s), and their tasks waited for that.

Ruled out: the address in each run (written with each change of a job, for each of its runs; and a change of the format of progress); a record when an entry goes (an owner that dies before it is written leaves the fault); the list's own log (its old records may go at any time).

The next owner holds such workers as it does listed ones, at once and before the list has come, and drops the record once the life is surely over.

Conclusion: runs of a removed owner on a worker without an entry are held, stopped and moved like all others.

--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -14,7 +14,7 @@
 use crate::clock::now;
 use crate::hedge::{Outcome, hedged};
 use crate::host::Host;
-use crate::names::{JOBS, OWNER, PROGRESS};
+use crate::names::{JOBS, OWNER, PROGRESS, worker_key};
 use crate::owned::Owned;
 use crate::patience::Patience;
 use crate::{balance, permits};
@@ -56,7 +56,7 @@
             continue;
         }
         let began = now();
-        for body in bodies(&batch.records) {
+        for body in bodies(&batch) {
             if !append(&host, &owned, number, body, &mut patience).await {
                 return;
             }
@@ -90,14 +90,16 @@
 }
 
 /// Records framed for appends, each below the bound.
-fn bodies(records: &[(JobId, Vec<u8>)]) -> Vec<Bytes> {
+fn bodies(batch: &Batch) -> Vec<Bytes> {
+    let traces = batch.traces.iter().map(|(life, value)| (worker_key(life), value));
+    let records = batch.records.iter().map(|(id, value)| (id.to_string(), value));
     let mut bodies = Vec::new();
     let mut body = BytesMut::new();
-    for (id, value) in records {
+    for (key, value) in traces.chain(records) {
         if body.len() + value.len() > LARGEST {
             bodies.push(body.split().freeze());
         }
-        frame_keyed(&mut body, &id.to_string(), value);
+        frame_keyed(&mut body, &key, value);
     }
     if !body.is_empty() {
         bodies.push(body.freeze());
--- a/crates/front/src/names.rs
+++ b/crates/front/src/names.rs
@@ -3,7 +3,7 @@
 /// Accepted jobs, by their names; a cell's jobs lie in its partition.
 pub const JOBS: &str = "keyed.jobs";
 
-/// The progress of jobs, by their names, written only by the owners of the cells.
+/// The progress of jobs, by their names, and the workers that were given work; written only by the owners of the cells.
 pub const PROGRESS: &str = "keyed.progress";
 
 /// The machines that waves of upkeep have seen through, by the waves' numbers.
@@ -21,6 +21,19 @@
 /// The writer's name of every owner; the fencing token tells them apart.
 pub const OWNER: &str = "owner";
 
+/// What the keys of workers begin with in the topic of progress; no job's name does.
+const WORKER: &str = "worker.";
+
+/// The key of a worker's description beside the progress of jobs.
+pub fn worker_key(life: &str) -> String {
+    format!("{WORKER}{life}")
+}
+
+/// The worker that a key tells of; nothing if it is a job's.
+pub fn worker_of(key: &str) -> Option<&str> {
+    key.strip_prefix(WORKER)
+}
+
 /// The group whose member with the cell's partition owns the cell.
 pub fn group(cell: u32) -> String {
     format!("cell-{cell}")
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -23,6 +23,8 @@
 
 /// Keeps the cell's workers up to date until the cell is another host's.
 pub async fn follow(host: Arc<Host>, owned: Arc<Owned>) {
+    // Those that the log told of need not wait for the list, which may be slow to come.
+    hold_all(&host, &owned);
     let mut from = None;
     while !owned.closed() {
         let step = match from {
@@ -95,13 +97,13 @@
     true
 }
 
-/// Starts to hold workers that are listed and not held yet.
+/// Starts to hold workers that are not held yet.
 fn hold_all(host: &Arc<Host>, owned: &Arc<Owned>) {
-    let listed: Vec<Arc<str>> = {
+    let lives: Vec<Arc<str>> = {
         let cell = owned.state();
-        cell.workers.iter().filter(|(_, w)| w.listed).map(|(id, _)| id.clone()).collect()
+        cell.workers.iter().filter(|(_, w)| w.wants_hold()).map(|(id, _)| id.clone()).collect()
     };
-    for life in listed {
+    for life in lives {
         if owned.hold(&life) {
             let (host, owned) = (host.clone(), owned.clone());
             tokio::spawn(async move { crate::hold::keep(host, owned, life).await });
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -9,13 +9,13 @@
 use log::{info, warn};
 use tokio::time::sleep;
 
-use myrtle_adapter::{StoreError, Writer, unframe_keyed};
+use myrtle_adapter::{Item, StoreError, Writer, unframe_keyed};
 use myrtle_job::{JobId, Progress, Submission, decode};
 use myrtle_owner::Cell;
 
 use crate::clock::{now, wall};
 use crate::host::Host;
-use crate::names::{JOBS, OWNER, PROGRESS};
+use crate::names::{JOBS, OWNER, PROGRESS, worker_of};
 use crate::newest::newest;
 use crate::owned::Owned;
 use crate::{balance, flush, lessons, roster, tick, upkeep};
@@ -99,15 +99,8 @@
 
 /// Reads the jobs of the cell and how far they have come.
 async fn load(host: &Host, owned: &Owned) -> Result<(), StoreError> {
-    let (progress, _) = pages(host, PROGRESS, owned.cell).await?;
+    let mut read = progress(host, owned).await?;
     let (jobs, end) = pages(host, JOBS, owned.cell).await?;
-    let mut read: HashMap<JobId, Progress> = HashMap::new();
-    for (id, value) in progress {
-        match Progress::read(&value) {
-            Ok(p) => drop(read.insert(id, p)),
-            Err(e) => warn!("event=progress-unread job={id} reason=\"{e}\""),
-        }
-    }
     for (id, value) in jobs {
         admit(host, owned, id, &value);
         if let Some(progress) = read.remove(&id) {
@@ -121,6 +114,32 @@
     Ok(())
 }
 
+/// How far jobs have come; workers that were given work are taken in at once.
+async fn progress(host: &Host, owned: &Owned) -> Result<HashMap<JobId, Progress>, StoreError> {
+    let mut read = HashMap::new();
+    let take = |Item { key, value }| {
+        if let Some(life) = worker_of(&key) {
+            return recall(owned, life, &value);
+        }
+        let Ok(id) = key.parse::<JobId>() else {
+            return warn!("event=record-unread topic={PROGRESS} key={key}");
+        };
+        match Progress::read(&value) {
+            Ok(progress) => drop(read.insert(id, progress)),
+            Err(e) => warn!("event=progress-unread job={id} reason=\"{e}\""),
+        }
+    };
+    newest(host, PROGRESS, owned.cell, LIMIT, take).await?;
+    Ok(read)
+}
+
+/// Takes in where a worker is that was given work.
+fn recall(owned: &Owned, life: &str, value: &[u8]) {
+    if let Err(e) = owned.state().recall_worker(life, value, now()) {
+        warn!("event=trace-unread worker={life} reason=\"{e}\"");
+    }
+}
+
 /// All newest records of a partition, and the offset from which to go on.
 async fn pages(
     host: &Host,
--- a/crates/front/tests/whole.rs
+++ b/crates/front/tests/whole.rs
@@ -153,6 +153,29 @@
     assert_eq!(slow.book.doubled(), vec![]);
 });
 
+// Symptom: tasks of a cancelled job ran on until their leases ended.
+// Sequence: the workers' entries go while they serve on, the owner is killed, the job is cancelled.
+// Cause: the next owner learned where workers are only from the list.
+// Settled by: the log holds where each worker is that was given work.
+case!(a_cancelled_job_stops_on_workers_that_the_next_owner_never_saw_listed, site, {
+    let mut slow = Site::start(Duration::from_secs(60)).await;
+    let id = "00000000000000b5";
+    assert_eq!(slow.submit("h1", id, 6).await, 200);
+    until(|| async { slow.book.runs().len() == 6 }).await;
+    for runner in &slow.runners {
+        slow.store.put("keyed.servers", &runner.name, b"");
+    }
+    let first = owner(&slow).await;
+    slow.hosts.remove(&first).unwrap();
+    let other = slow.hosts.keys().next().unwrap().clone();
+    let cancel = async || call(slow.clients(&other), "DELETE", &format!("/p/{id}"), "").await.0;
+    until(|| async { cancel().await == 200 }).await;
+    until(|| async { slow.book.runs().iter().all(|r| r.over.is_some()) }).await;
+    let ends: Vec<_> = slow.book.runs().iter().filter_map(|r| Some(r.over?.1)).collect();
+    assert_eq!(ends, vec!["stopped"; 6]);
+    assert!(site.book.runs().is_empty());
+});
+
 case!(every_host_is_replaced_and_what_was_accepted_is_kept, site, {
     assert_eq!(site.submit("h1", "00000000000000a9", 4).await, 200);
     site.hosts.clear();
--- a/crates/job/src/worker.rs
+++ b/crates/job/src/worker.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 use myrtle_base::Room;
 
 use crate::TaskId;
 
 /// A worker's own description.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
     /// The pool that it belongs to.
     pub service: String,
--- a/crates/job/tests/model.rs
+++ b/crates/job/tests/model.rs
@@ -2,9 +2,10 @@
 
 use rstest::rstest;
 
+use myrtle_base::Room;
 use myrtle_job::{
-    Fault, JobId, JobSpec, Progress, Round, Run, Step, StepSpec, Submission, Task, TaskId, decode,
-    encode,
+    Fault, JobId, JobSpec, Listing, Progress, Round, Run, Step, StepSpec, Submission, Task, TaskId,
+    decode, encode,
 };
 
 fn step(count: u16, estimate: u64, after: &[u16]) -> StepSpec {
@@ -74,6 +75,24 @@
     assert_eq!(decode::<Progress>(&encode(&progress)).unwrap(), progress);
 }
 
+#[test]
+fn a_workers_description_is_read_as_it_was_written() {
+    let listing = Listing {
+        service: "s12".into(),
+        address: ([10, 0, 3, 21], 7001).into(),
+        data_centre: "eu-1a".into(),
+        draining: false,
+        remaining: None,
+        room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
+        labels: vec!["kind-2".into(), "r1-3".into()],
+        machine: Some("m-17".into()),
+        number: 300,
+    };
+    let record = encode(&listing);
+    assert_eq!(decode::<Listing>(&record).unwrap(), listing);
+    assert!(record.len() < 100, "one is written for each life of a worker: {}", record.len());
+}
+
 #[rstest]
 #[case::empty(&[])]
 #[case::version(&[9, 1, 2])]
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -79,6 +79,8 @@
     pub(crate) questions: Vec<Question>,
     /// Jobs that were taken back before they were known, and when.
     pub(crate) barred: HashMap<JobId, u64>,
+    /// Lives of workers whose descriptions the log need not hold any more.
+    pub(crate) untraced: Vec<Arc<str>>,
 }
 
 impl Cell {
@@ -108,6 +110,7 @@
             waves: BTreeMap::new(),
             questions: Vec::new(),
             barred: HashMap::new(),
+            untraced: Vec::new(),
         }
     }
 
--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -4,13 +4,15 @@
 
 use myrtle_job::{JobId, State, TaskId, encode};
 
-use crate::{Cell, Order, Stage};
+use crate::{Cell, Order, Stage, Trace};
 
 /// One append and what waits for it.
 #[derive(Debug, Default)]
 pub struct Batch {
     /// The records: a job's progress by its name; an empty value drops the job.
     pub records: Vec<(JobId, Vec<u8>)>,
+    /// The descriptions of workers that are given work for the first time.
+    pub traces: Vec<Trace>,
     /// Runs to start once the records are in the log.
     starts: Vec<(Arc<str>, TaskId, u32)>,
     /// Ends up to these numbers are told by the records.
@@ -22,7 +24,7 @@
 impl Batch {
     /// Whether there is anything to do.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty() && self.notes.is_empty()
+        self.records.is_empty() && self.traces.is_empty() && self.notes.is_empty()
     }
 }
 
@@ -34,7 +36,7 @@
 
     /// Everything that changed since the last batch.
     pub fn batch(&mut self) -> Batch {
-        let mut batch = Batch::default();
+        let mut batch = Batch { traces: self.traces(), ..Batch::default() };
         for id in std::mem::take(&mut self.dirty) {
             let Some(job) = self.jobs.get(&id) else {
                 batch.records.push((id, Vec::new()));
@@ -55,6 +57,7 @@
 
     /// The batch is in the log: returns the starts that may go out now.
     pub fn committed(&mut self, batch: Batch, now: u64) -> Vec<Order> {
+        self.traced(batch.traces);
         for (life, number) in batch.notes {
             if let Some(worker) = self.workers.get_mut(&life) {
                 worker.noted = worker.noted.max(number);
--- a/crates/owner/src/lease.rs
+++ b/crates/owner/src/lease.rs
@@ -79,7 +79,13 @@
             self.lose(&life, "its lease is over", now);
         }
         let before = self.workers.len();
-        self.workers.retain(|_, w| w.listed || w.life != Life::Gone);
+        self.workers.retain(|life, w| {
+            let kept = w.listed || w.life != Life::Gone;
+            if !kept && w.traced {
+                self.untraced.push(life.clone());
+            }
+            kept
+        });
         if self.workers.len() < before {
             info!("event=workers-forgotten count={}", before - self.workers.len());
         }
--- /dev/null
+++ b/crates/owner/src/trace.rs
@@ -0,0 +1,57 @@
+//! What the log holds of workers, so that the next owner reaches each that was given work.
+//!
+//! A worker that leaves without a word is no longer listed but serves on. An owner that took over
+//! then had no address for it, and its runs went on unheard for up to 10 s, until every lease there
+//! was over. One short record a life of a worker costs less than an address in each run.
+
+use std::sync::Arc;
+
+use myrtle_job::{Listing, RecordError, decode, encode};
+
+use crate::{Cell, Worker};
+
+/// A worker's description for the log; an empty value drops it.
+pub type Trace = (Arc<str>, Vec<u8>);
+
+impl Cell {
+    /// Takes what an earlier owner wrote of a worker that was given work.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no description.
+    pub fn recall_worker(
+        &mut self,
+        life: &str,
+        record: &[u8],
+        now: u64,
+    ) -> Result<(), RecordError> {
+        let listing: Listing = decode(record)?;
+        let worker = self.workers.entry(life.into()).or_insert_with(|| Worker::new(now));
+        worker.listing.get_or_insert(listing);
+        worker.traced = true;
+        Ok(())
+    }
+
+    /// What the log has to hold of workers before the runs go out that are written now.
+    pub(crate) fn traces(&mut self) -> Vec<Trace> {
+        let forgotten = std::mem::take(&mut self.untraced);
+        let mut traces: Vec<_> = forgotten.into_iter().map(|life| (life, Vec::new())).collect();
+        let fresh = self.workers.iter().filter(|(_, w)| !w.traced && !w.flights.is_empty());
+        let fresh = fresh.filter_map(|(life, w)| Some((life.clone(), encode(w.listing.as_ref()?))));
+        traces.extend(fresh);
+        traces
+    }
+
+    /// The log holds these descriptions.
+    pub(crate) fn traced(&mut self, traces: Vec<Trace>) {
+        for (life, record) in traces {
+            let there = !record.is_empty();
+            match self.workers.get_mut(&life) {
+                Some(worker) => worker.traced = there,
+                // It was forgotten while its description was on the way.
+                None if there => self.untraced.push(life),
+                None => {}
+            }
+        }
+    }
+}
--- a/crates/owner/src/worker.rs
+++ b/crates/owner/src/worker.rs
@@ -77,6 +77,8 @@
     pub eased: u64,
     /// Fillers that ended lately.
     pub(crate) faded: Vec<Faded>,
+    /// Whether the log holds its description.
+    pub traced: bool,
     /// Whether it is being emptied for the upkeep of its machine.
     pub closing: bool,
     /// When it leaves, if it said so.
@@ -105,6 +107,7 @@
             outlooks: Vec::new(),
             eased: 0,
             faded: Vec::new(),
+            traced: false,
             closing: false,
             leaves: None,
         }
@@ -145,6 +148,11 @@
         self.listing.as_ref().is_some_and(|l| l.draining)
     }
 
+    /// Whether it is to be held: it can be given work, or may run what it was given.
+    pub fn wants_hold(&self) -> bool {
+        self.listed || self.listing.is_some() && self.life != Life::Gone
+    }
+
     /// Whether new work may go there.
     pub fn open(&self, now: u64) -> bool {
         self.life == Life::Well
--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -69,6 +69,13 @@
         for (id, bytes) in &batch.records {
             self.progress.insert(*id, bytes.clone());
         }
+        for (life, record) in &batch.traces {
+            if record.is_empty() {
+                self.traces.remove(life);
+            } else {
+                self.traces.insert(life.clone(), record.clone());
+            }
+        }
         let starts = owner.cell.committed(batch, now);
         self.send_all(at, starts);
     }
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -78,6 +78,8 @@
     pub permitted: Vec<&'static str>,
     jobs: BTreeMap<JobId, Submission>,
     progress: BTreeMap<JobId, Vec<u8>>,
+    /// What the log holds of workers.
+    pub traces: BTreeMap<Arc<str>, Vec<u8>>,
     fence: u64,
     late: Vec<(u64, u64, u64, Order)>,
     /// Orders that a host keeps: when they are sent, whose they are.
@@ -100,6 +102,7 @@
             permitted: Vec::new(),
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
+            traces: BTreeMap::new(),
             fence: 0,
             late: Vec::new(),
             queued: Vec::new(),
@@ -133,6 +136,9 @@
     pub fn take_over(&mut self) -> usize {
         self.fence += 1;
         let mut cell = Cell::new(Bounds::default(), self.fence, self.now);
+        for (life, record) in &self.traces {
+            cell.recall_worker(life, record, self.now).unwrap();
+        }
         for (&id, submission) in &self.jobs {
             cell.admit(id, submission.clone(), self.now, self.now);
         }
--- a/crates/owner/tests/leaving.rs
+++ b/crates/owner/tests/leaving.rs
@@ -130,3 +130,47 @@
     world.run(STOPPED_WITHIN);
     assert_eq!(world.workers[&leaving].count(), 0);
 });
+
+// As above; the cancellation is answered by the owner that is removed, and its stops were lost.
+case!(a_new_owner_stops_what_the_last_one_could_not_without_an_entry, world, {
+    let mut slow = step(8);
+    slow.estimate = 60_000;
+    let id = world.submit(job(vec![slow]));
+    world.run(500);
+    let leaving = fullest(&world);
+    world.workers.get_mut(&leaving).unwrap().listed = false;
+    let last = world.owners.len() - 1;
+    world.cut(last, &leaving, true);
+    world.cancel(id);
+    world.run(100);
+    succeed(&mut world);
+    world.run(STOPPED_WITHIN - VACANT - 100);
+    assert_eq!(world.workers[&leaving].count(), 0);
+});
+
+// As above, with lasting tasks and no cancellation.
+case!(a_new_owner_empties_a_worker_without_an_entry_one_by_one, world, {
+    world.submit(job(vec![lasting()]));
+    world.run(1_000);
+    let leaving = fullest(&world);
+    world.workers.get_mut(&leaving).unwrap().listed = false;
+    succeed(&mut world);
+    let least = least(&mut world, 12_000);
+    assert!(least >= 7, "{least} of 8 were at work");
+    assert_eq!(world.workers[&leaving].count(), 0);
+});
+
+case!(the_log_holds_no_worker_that_is_gone, world, {
+    world.submit(job(vec![lasting()]));
+    world.run(1_000);
+    let gone = fullest(&world);
+    assert!(world.traces.contains_key(&gone));
+    world.workers.get_mut(&gone).unwrap().crash(&mut world.judge);
+    succeed(&mut world);
+    world.run(500);
+    assert!(!world.traces.contains_key(&gone));
+    let known = |(id, w): (&std::sync::Arc<str>, &common::FakeWorker)| {
+        w.count() == 0 || world.traces.contains_key(id)
+    };
+    assert!(world.workers.iter().all(known));
+});
