Cancelled jobs under random faults: a test that nothing of them runs on

Orders are lost or carried out 2 to 12 s late, owners are replaced, workers lose their entries and serve on while jobs are cancelled. A run of a cancelled job may go on 3.9 s after the cancellation was told, after 3 s since the last disturbance and after 3 s since its own start.

--- a/crates/owner/tests/common/judge.rs
+++ b/crates/owner/tests/common/judge.rs
@@ -13,6 +13,8 @@
 pub struct Judge {
     jobs: BTreeMap<JobId, Submission>,
     running: BTreeMap<TaskId, BTreeSet<Arc<str>>>,
+    /// When the newest run of a task began on a worker.
+    since: BTreeMap<(TaskId, Arc<str>), u64>,
     done: BTreeSet<TaskId>,
     /// When tasks were first noted as done.
     noted: BTreeMap<TaskId, u64>,
@@ -50,6 +52,7 @@
             self.broken.push(format!("{now}: {task} runs on {there:?} and {worker}"));
         }
         there.insert(worker.clone());
+        self.since.insert((task, worker.clone()), now);
         let grace = if spec.copies { COPY_GRACE } else { 0 };
         if self.noted.get(&task).is_some_and(|at| now >= at + grace) {
             self.broken.push(format!("{now}: {task} starts after its end was noted"));
@@ -78,6 +81,12 @@
         self.together = self.together.max(here.count());
     }
 
+    /// The runs that go on, with their workers and when they began.
+    pub fn alive(&self) -> impl Iterator<Item = (TaskId, &Arc<str>, u64)> {
+        let runs = self.running.iter().flat_map(|(&t, on)| on.iter().map(move |w| (t, w)));
+        runs.map(|(task, worker)| (task, worker, self.since[&(task, worker.clone())]))
+    }
+
     /// A run is over.
     pub fn over(&mut self, worker: &Arc<str>, task: TaskId, done: bool) {
         if let Some(there) = self.running.get_mut(&task) {
