An old entry at a worker's address makes the living one seem gone: a failing test

Cause: the whole list is read in the order of the ids, and the entry read last at an address counts as the newer life. A worker that crashed and came back at its address under a lower id is taken for gone as long as its old entry has not lapsed (about three heartbeats), and what runs there is started elsewhere beside it.

--- a/crates/front/tests/whole.rs
+++ b/crates/front/tests/whole.rs
@@ -235,6 +235,31 @@
     assert_eq!(site.book.runs().len(), 10);
 });
 
+// Symptom: a living worker was taken for gone and its runs for over, so that they ran twice.
+// Sequence: a worker crashes and comes back at its address under another id; it is given work while
+// its old entry has not lapsed yet; an owner reads the whole list.
+// Cause: the list was read in the order of the ids, so that the old entry, read last, was taken for
+// the newer life at the address and the living one for gone.
+// Settled by: entries are taken in the order in which they were written.
+case!(an_old_entry_at_the_same_address_says_nothing_of_the_later_life, site, {
+    let mut slow = Site::start(Duration::from_millis(4_000)).await;
+    for runner in &slow.runners {
+        let old = format!("z-{}", runner.name);
+        slow.store.put("keyed.servers", &old, runner.listing().as_bytes());
+        slow.store.put("keyed.servers", &runner.name, runner.listing().as_bytes());
+    }
+    let id = "00000000000000b6";
+    assert_eq!(slow.submit("h1", id, 4).await, 200);
+    until(|| async { slow.book.runs().len() == 4 }).await;
+    let first = owner(&slow).await;
+    slow.hosts.remove(&first).unwrap();
+    let other = slow.hosts.keys().next().unwrap().clone();
+    slow.completed(&other, id).await;
+    assert_eq!(slow.book.runs().len(), 5);
+    assert_eq!(slow.book.doubled(), vec![]);
+    assert!(site.book.runs().is_empty());
+});
+
 case!(workers_back_from_a_long_cut_are_used_again, site, {
     let cut = Site::with(Duration::from_millis(60), 600).await;
     assert_eq!(cut.submit("h1", "00000000000000ad", 4).await, 200);
