Of two lives listed at one address the one written later is the living one

Cause: the life whose entry was read last counted as the newer one; the whole list is read in the order of the ids, and an entry outlasts its worker's crash by some seconds.

Change: a listing holds its offset in the list in place of the running number within its life, which nobody read; an earlier life at an address counts as over only if its entry is older and it does not answer. One that answers is left to its next hold, which the later life refuses. The check of the number in the formats' test is one of the offset now.

Conclusion: an entry that lapses late makes nothing run twice.

--- a/crates/front/src/layout.rs
+++ b/crates/front/src/layout.rs
@@ -175,7 +175,7 @@
 async fn count(host: &Host) -> Result<BTreeMap<String, usize>, StoreError> {
     let mut workers = BTreeMap::new();
     newest(host, topics::WORKERS, 0, LIMIT, |item| {
-        if let Ok(listing) = read_listing(&item.value) {
+        if let Ok(listing) = read_listing(&item.value, item.offset) {
             *workers.entry(listing.data_centre).or_default() += 1;
         }
     })
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -52,7 +52,7 @@
 async fn whole(host: &Host, owned: &Owned) -> Result<u64, StoreError> {
     let mut listed = BTreeSet::new();
     let end = newest(host, topics::WORKERS, 0, LIMIT, |item| {
-        if take(host, owned, &item.key, &item.value) {
+        if take(host, owned, &item.key, &item.value, item.offset) {
             listed.insert(item.key);
         }
     });
@@ -70,10 +70,10 @@
 async fn tail(host: &Host, owned: &Owned, from: u64) -> Result<u64, StoreError> {
     let page = host.store.read(topics::WORKERS, 0, from, Duration::ZERO, LIMIT).await?;
     let next = from + page.records.len() as u64;
-    for record in page.records {
+    for (offset, record) in (from..).zip(page.records) {
         match unframe_keyed(record) {
             Ok(framed) if framed.value.is_empty() => owned.state().unlist(&framed.key, now()),
-            Ok(framed) => drop(take(host, owned, &framed.key, &framed.value)),
+            Ok(framed) => drop(take(host, owned, &framed.key, &framed.value, offset)),
             Err(e) => warn!("event=worker-unread reason=\"{e}\""),
         }
     }
@@ -81,8 +81,8 @@
 }
 
 /// Takes in a description; true if the worker belongs to the cell.
-fn take(host: &Host, owned: &Owned, id: &str, value: &[u8]) -> bool {
-    let listing = match read_listing(value) {
+fn take(host: &Host, owned: &Owned, id: &str, value: &[u8], offset: u64) -> bool {
+    let listing = match read_listing(value, offset) {
         Ok(listing) => listing,
         Err(e) => {
             warn!("event=worker-unread worker={id} reason=\"{e}\"");
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -117,7 +117,7 @@
 /// How far jobs have come; workers that were given work are taken in at once.
 async fn progress(host: &Host, owned: &Owned) -> Result<HashMap<JobId, Progress>, StoreError> {
     let mut read = HashMap::new();
-    let take = |Item { key, value }| {
+    let take = |Item { key, value, .. }| {
         if let Some(life) = worker_of(&key) {
             return recall(owned, life, &value);
         }
--- a/crates/job/src/worker.rs
+++ b/crates/job/src/worker.rs
@@ -28,8 +28,8 @@
     pub labels: Vec<String>,
     /// The machine that it runs on.
     pub machine: Option<String>,
-    /// Rises with every writing of the listing.
-    pub number: u64,
+    /// Where the list holds it; of two lives at one address the later one has the higher offset.
+    pub written: u64,
 }
 
 /// What a worker told of an order.
--- a/crates/job/tests/model.rs
+++ b/crates/job/tests/model.rs
@@ -86,7 +86,7 @@
         room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
         labels: vec!["kind-2".into(), "r1-3".into()],
         machine: Some("m-17".into()),
-        number: 300,
+        written: 300_000,
     };
     let record = encode(&listing);
     assert_eq!(decode::<Listing>(&record).unwrap(), listing);
--- a/crates/owner/src/list.rs
+++ b/crates/owner/src/list.rs
@@ -9,9 +9,12 @@
 impl Cell {
     /// Takes in what a worker says of itself; `life` is the name of this life.
     pub fn list(&mut self, life: &str, listing: Listing, now: u64) {
+        // An entry outlasts its worker's crash by some seconds, so that two may be listed at one
+        // address. One that answers says itself, by its next hold, when it is over.
         let older = self.workers.iter().filter(|(id, w)| {
-            let same = w.listing.as_ref().is_some_and(|l| l.address == listing.address);
-            same && &***id != life && w.life != Life::Gone
+            let at = w.listing.as_ref().filter(|l| l.address == listing.address);
+            let earlier = at.is_some_and(|l| l.written < listing.written);
+            earlier && &***id != life && matches!(w.life, Life::Unmet | Life::Silent)
         });
         let older: Vec<_> = older.map(|(id, _)| id.clone()).collect();
         for id in older {
--- a/crates/owner/tests/balance.rs
+++ b/crates/owner/tests/balance.rs
@@ -33,7 +33,7 @@
             room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
             labels: vec![],
             machine: None,
-            number: 1,
+            written: 1,
         };
         cell.list(&format!("w{n}"), listing, 0);
         let held = myrtle_job::Held { clock: 5, running: vec![], ended: vec![] };
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -127,7 +127,7 @@
             room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
             labels: vec!["a".into(), format!("r{}", address / 4)],
             machine: Some(format!("m{address}")),
-            number: 1,
+            written: self.now,
         };
         self.workers.insert(id.into(), FakeWorker::new(listing, self.now));
     }
--- a/crates/owner/tests/promises.rs
+++ b/crates/owner/tests/promises.rs
@@ -208,6 +208,26 @@
     assert!(world.finish(6_000));
 });
 
+// As its like in the front's tests, with what the log tells of workers: the entry that lapses late is
+// that of the life that crashed.
+case!(an_old_entry_at_the_same_address_says_nothing_of_the_later_life, world, {
+    world.run(200);
+    for n in 0..4 {
+        let old = format!("z{n}");
+        world.add_worker(&old, n);
+        let worker = world.workers.get_mut(&*old).unwrap();
+        worker.listing.written = 1;
+        worker.gone = true;
+    }
+    let mut long = step(4);
+    long.estimate = 4_000;
+    world.submit(job(vec![long]));
+    world.run(300);
+    world.take_over();
+    assert!(world.finish(10_000));
+    assert!(world.judge.starts.values().all(|n| *n == 1), "{:?}", world.judge.starts);
+});
+
 /// A start waits at its host while a copy of its task ends or its job is cancelled.
 #[rstest]
 fn starts_that_a_busy_host_kept_back_go_out_only_if_they_still_stand(
