Stops wait for an append that is under way: a failing test

Cause: orders that need no record (stops of runs that nobody asked for, of cancelled jobs and of moves, and paces) are sent only by the part that writes, between two appends. While the store is away or slow an append goes on and they wait for its end.

--- a/crates/front/tests/whole.rs
+++ b/crates/front/tests/whole.rs
@@ -260,6 +260,28 @@
     assert!(site.book.runs().is_empty());
 });
 
+// Symptom: a run that nobody asked for went on as long as the store was away.
+// Sequence: the store is away while an append is under way; a worker carries out a start of a job
+// that is over by now.
+// Cause: stops and paces, which need no record, were sent only between two appends.
+// Settled by: they go out with every look at the time as well.
+case!(a_run_that_nobody_asked_for_is_stopped_while_the_store_is_away, site, {
+    let slow = Site::start(Duration::from_millis(4_000)).await;
+    let id = "00000000000000b7";
+    assert_eq!(slow.submit("h1", id, 4).await, 200);
+    until(|| async { slow.book.runs().len() == 4 }).await;
+    slow.store.set(StoreMode::Away);
+    // Their ends are to be written, which goes on until the store is back.
+    until(|| async { slow.book.runs().iter().all(|r| r.over.is_some()) }).await;
+    sleep(Duration::from_millis(300)).await;
+    slow.runners[0].carry_out_late("00000000000000ff.0.0.0");
+    until(|| async { slow.book.runs().iter().all(|r| r.over.is_some()) }).await;
+    assert_eq!(slow.book.runs()[4].over.map(|(_, how)| how), Some("stopped"));
+    slow.store.set(StoreMode::Ok);
+    slow.completed("h1", id).await;
+    assert!(site.book.runs().is_empty());
+});
+
 case!(workers_back_from_a_long_cut_are_used_again, site, {
     let cut = Site::with(Duration::from_millis(60), 600).await;
     assert_eq!(cut.submit("h1", "00000000000000ad", 4).await, 200);
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -144,6 +144,13 @@
         self.mute.store(mute, Ordering::Relaxed);
     }
 
+    /// Begins the first run of a task, as an order does that was long under way.
+    pub fn carry_out_late(&self, task: &str) {
+        let mut state = self.state.lock().expect("no holder panics");
+        state.until = state.until.max(self.clock() + HOLD);
+        self.begin(&mut state, task.into(), 1);
+    }
+
     /// What it writes of itself.
     pub fn listing(&self) -> String {
         json!({
@@ -209,12 +216,15 @@
         if there.is_some() || start.run <= barred {
             return self.refuse("old");
         }
+        self.begin(&mut state, start.task, start.run);
+        self.done()
+    }
+
+    fn begin(&self, state: &mut State, task: String, run: u32) {
         let from = Instant::now();
-        state.runs.insert(start.task.clone(), Run { number: start.run, from });
-        let seen =
-            Seen { task: start.task, run: start.run, worker: self.name.clone(), from, over: None };
+        state.runs.insert(task.clone(), Run { number: run, from });
+        let seen = Seen { task, run, worker: self.name.clone(), from, over: None };
         self.book.0.lock().expect("no holder panics").push(seen);
-        self.done()
     }
 
     fn run_stop(&self, ask: &Ask) -> Answer {
