Stops and paces go out while an append is under way

Cause: only the part that writes took the orders that need no record, and it waits for each append, with the store away for as long as that lasts.

Ruled out: to send them where they arise (each answer of a hold, each cancellation and each plan would need the owner's connections); a part of its own (one more timer an owner).

Before: with the store away a run that nobody asked for ends 'done' (2 of 2 runs). After: 'stopped' (2 of 2, and once in the whole file: 27 of 27 pass with two threads).

Conclusion: stops no longer depend on the store.

--- a/crates/front/src/tick.rs
+++ b/crates/front/src/tick.rs
@@ -24,7 +24,7 @@
     while !owned.closed() {
         sleep(EVERY).await;
         looks = looks.wrapping_add(1);
-        let again = {
+        let orders = {
             let mut cell = owned.state();
             cell.lapse(now());
             cell.evacuate(now());
@@ -37,9 +37,13 @@
             if looks.is_multiple_of(TELL_EVERY) {
                 info!("event=cell cell={} {}", owned.cell, cell.gist());
             }
-            cell.repeat(now())
+            let mut orders = cell.repeat(now());
+            // The part that writes sends them too, but not while an append is under way: with the
+            // store away stops and paces would wait for its return.
+            orders.append(&mut cell.orders());
+            orders
         };
-        owned.dispatch(again);
+        owned.dispatch(orders);
         if owned.state().restless() {
             owned.work.notify_one();
         }
