A new owner runs a job whose cancellation was answered before its record came: a failing test

Cause: a cancellation of a job that is not in the log yet is answered with 410 and kept in the owner's memory only; the next owner starts the job when its record comes.

--- a/crates/owner/tests/promises.rs
+++ b/crates/owner/tests/promises.rs
@@ -82,6 +82,23 @@
     assert_eq!(world.owner().cell.state(id), Some(State::Cancelled));
 });
 
+// Symptom: a job ran though its cancellation had been answered.
+// Sequence: a job is cancelled before its record is in the log, which still comes; the owner that
+// answered is replaced before that.
+// Cause: that the job is barred was only in that owner's memory.
+// Settled by: the log holds it, as the progress of a job that is cancelled.
+case!(a_job_cancelled_before_it_is_known_never_runs_at_the_next_owner, world, {
+    let now = world.now;
+    world.owner().cell.bar(JobId(1), now);
+    world.run(50);
+    world.owner().awake = false;
+    world.take_over();
+    let id = world.submit(job(vec![step(1)]));
+    world.judge.cancelled(id);
+    world.run(1_000);
+    assert_eq!(world.owner().cell.state(id), Some(State::Cancelled));
+});
+
 case!(a_failure_told_to_two_owners_counts_once, world, {
     let id = world.submit_as(job(vec![step(1)]), myrtle_job::Policy { attempts: 2, ..policy() });
     world.run(200);
