The log holds that a job was taken back before it came

Cause: a cancellation of a job that is not in the log yet was answered with 410 and kept in memory, so that the next owner started the job when its record came after all (an append without an answer may be done seconds later).

Ruled out: to answer 503 until the record has come (it may never come); to read the log once more before the answer (it was read, the record came later).

Change: the cancellation is written as the progress of a job that is over, and answered once that is in the log; the next owner reads it as a bar. It is dropped when no record can come any more, as long as states are told. An older program passes over it with a line in its log. A repeated cancellation writes nothing more. The bars move from admit.rs to bar.rs.

Before: in the model the job runs at the next owner.

Conclusion: what was answered holds over a takeover.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -99,15 +99,13 @@
     let mut commits = owned.committed.subscribe();
     let known = owned.state().cancel(job, now(), wall());
     if !known {
-        owned.state().bar(job, now());
-        return Seen::Unknown;
+        owned.state().bar(job, now(), wall());
     }
     owned.work.notify_one();
     let written = async {
         loop {
-            let shown = owned.state().state(job);
-            if let Some(state) = shown.filter(|s| s.over()) {
-                return Some(state);
+            if let Some(seen) = taken_back(&owned, job) {
+                return Some(seen);
             }
             if commits.changed().await.is_err() || owned.deposed() {
                 return None;
@@ -115,11 +113,20 @@
         }
     };
     match timeout(CANCEL, written).await {
-        Ok(Some(state)) => Seen::Job(state),
+        Ok(Some(seen)) => seen,
         _ => Seen::Elsewhere,
     }
 }
 
+/// What a client may be told of a cancellation, once it is in the log.
+fn taken_back(owned: &Owned, job: JobId) -> Option<Seen> {
+    let cell = owned.state();
+    match cell.state(job) {
+        Some(state) => state.over().then_some(Seen::Job(state)),
+        None => cell.bar_logged(job).then_some(Seen::Unknown),
+    }
+}
+
 /// How many jobs of each queue have not begun, if this host owns the cell.
 pub fn pending(host: &Host, cell: u32) -> Option<BTreeMap<String, u64>> {
     let owned = host.owned(cell).filter(|o| !o.closed())?;
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -107,8 +107,9 @@
             owned.state().inherit(id, progress, now());
         }
     }
-    for id in read.keys() {
-        warn!("event=progress-without-job job={id}");
+    // Jobs that were taken back before they were known.
+    for (id, progress) in read {
+        owned.state().inherit(id, progress, now());
     }
     owned.read.store(end, Ordering::Relaxed);
     Ok(())
--- a/crates/front/tests/whole.rs
+++ b/crates/front/tests/whole.rs
@@ -260,6 +260,18 @@
     assert!(site.book.runs().is_empty());
 });
 
+case!(a_job_cancelled_before_it_came_never_runs_at_the_next_owner, site, {
+    let id = "00000000000000b8";
+    assert_eq!(call(site.clients("h1"), "DELETE", &format!("/p/{id}"), "").await.0, 410);
+    let first = owner(&site).await;
+    site.hosts.remove(&first).unwrap();
+    let other = site.hosts.keys().next().unwrap().clone();
+    until(|| async { owner(&site).await == other }).await;
+    assert_eq!(site.submit(&other, id, 4).await, 200);
+    until(|| async { site.state(&other, id).await.as_deref() == Some("cancelled") }).await;
+    assert!(site.book.runs().is_empty());
+});
+
 // Symptom: a run that nobody asked for went on as long as the store was away.
 // Sequence: the store is away while an append is under way; a worker carries out a start of a job
 // that is over by now.
--- a/crates/owner/src/admit.rs
+++ b/crates/owner/src/admit.rs
@@ -40,15 +40,10 @@
         }
     }
 
-    /// Takes back a job that is not known: if its record still comes, it is cancelled.
-    pub fn bar(&mut self, id: JobId, now: u64) {
-        self.barred.insert(id, now);
-    }
-
     /// Forgets jobs that have been over for as long as their state has to be told.
     pub fn forget(&mut self, now: u64, wall: u64) {
         let keep = self.bounds.status + self.bounds.status / 2;
-        self.barred.retain(|_, at| now.saturating_sub(*at) < keep);
+        self.expire_bars(keep, now);
         let old = |j: &Job| {
             let ended = j.progress.ended;
             j.progress.state.over() && wall > ended + keep && !j.progress.live()
@@ -63,6 +58,9 @@
     /// Takes what an earlier owner wrote of a job.
     pub fn inherit(&mut self, id: JobId, progress: Progress, now: u64) {
         let Some(job) = self.jobs.get_mut(&id) else {
+            if progress.state == State::Cancelled {
+                return self.recall_bar(id, &progress, now);
+            }
             warn!("event=orphan job={id} reason=\"the log holds its progress but not the job\"");
             return;
         };
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -6,6 +6,7 @@
 use myrtle_job::{JobId, State};
 
 use crate::balance::Told;
+use crate::bar::Bar;
 use crate::refused::Refused;
 use crate::usual::Usual;
 use crate::wave::WaveState;
@@ -77,8 +78,8 @@
     pub(crate) waves: BTreeMap<u64, WaveState>,
     /// Questions to the policy service.
     pub(crate) questions: Vec<Question>,
-    /// Jobs that were taken back before they were known, and when.
-    pub(crate) barred: HashMap<JobId, u64>,
+    /// Jobs that were taken back before they were known.
+    pub(crate) barred: HashMap<JobId, Bar>,
     /// Lives of workers whose descriptions the log need not hold any more.
     pub(crate) untraced: Vec<Arc<str>>,
 }
--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -39,7 +39,7 @@
         let mut batch = Batch { traces: self.traces(), ..Batch::default() };
         for id in std::mem::take(&mut self.dirty) {
             let Some(job) = self.jobs.get(&id) else {
-                batch.records.push((id, Vec::new()));
+                batch.records.push((id, self.bar_record(id)));
                 continue;
             };
             batch.records.push((id, encode(&job.progress)));
@@ -58,6 +58,7 @@
     /// The batch is in the log: returns the starts that may go out now.
     pub fn committed(&mut self, batch: Batch, now: u64) -> Vec<Order> {
         self.traced(batch.traces);
+        self.bars_logged(batch.records.iter().map(|(id, _)| *id));
         for (life, number) in batch.notes {
             if let Some(worker) = self.workers.get_mut(&life) {
                 worker.noted = worker.noted.max(number);
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admit;
 mod balance;
+mod bar;
 mod bounds;
 mod cell;
 mod commit;
--- a/crates/owner/tests/promises.rs
+++ b/crates/owner/tests/promises.rs
@@ -75,7 +75,7 @@
 
 case!(a_job_cancelled_before_it_is_known_never_runs, world, {
     let now = world.now;
-    world.owner().cell.bar(JobId(1), now);
+    world.owner().cell.bar(JobId(1), now, now);
     let id = world.submit(job(vec![step(1)]));
     world.judge.cancelled(id);
     world.run(1_000);
@@ -89,7 +89,7 @@
 // Settled by: the log holds it, as the progress of a job that is cancelled.
 case!(a_job_cancelled_before_it_is_known_never_runs_at_the_next_owner, world, {
     let now = world.now;
-    world.owner().cell.bar(JobId(1), now);
+    world.owner().cell.bar(JobId(1), now, now);
     world.run(50);
     world.owner().awake = false;
     world.take_over();
@@ -99,6 +99,17 @@
     assert_eq!(world.owner().cell.state(id), Some(State::Cancelled));
 });
 
+case!(a_job_that_never_comes_is_dropped_from_the_log_in_the_end, world, {
+    let now = world.now;
+    world.owner().cell.bar(JobId(1), now, now);
+    assert!(!world.owner().cell.bar_logged(JobId(1)));
+    assert_eq!(world.owner().cell.batch().records.len(), 1);
+    let keep = 2 * world.owner().cell.bounds.status;
+    world.owner().cell.forget(now + keep, now + keep);
+    assert_eq!(world.owner().cell.batch().records, vec![(JobId(1), vec![])]);
+    assert!(world.owner().cell.bar_logged(JobId(1)));
+});
+
 case!(a_failure_told_to_two_owners_counts_once, world, {
     let id = world.submit_as(job(vec![step(1)]), myrtle_job::Policy { attempts: 2, ..policy() });
     world.run(200);
