A life that falls silent after a later one was listed waits for its lease: a failing test

Cause: an earlier life at an address is left alone as long as it answers, and whether it is over is asked only when the later one is listed. If that is written once only, and the crash is behind a cut, its runs wait for the lease though they are surely over.

Measured: the life is silent, not gone.

--- a/crates/owner/tests/promises.rs
+++ b/crates/owner/tests/promises.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 
 use myrtle_job::{How, JobId, State, TaskId, Told};
-use myrtle_owner::{Order, Outcome};
+use myrtle_owner::{Life, Order, Outcome};
 
 use common::jobs::ended;
 use common::{Faults, World, case, job, policy, step};
@@ -256,6 +256,23 @@
     assert!(world.judge.starts.values().all(|n| *n == 1), "{:?}", world.judge.starts);
 });
 
+// Symptom: tasks waited for a lease of 10 s though their worker was known to be over.
+// Sequence: a worker crashes behind a cut and comes back there; its later life is listed, once,
+// before the earlier one's hold has failed.
+// Cause: whether a life is over was asked only when a later one was listed.
+// Settled by: it is asked as well when a life falls silent.
+case!(a_life_that_falls_silent_after_a_later_one_was_listed_is_over, world, {
+    world.run(200);
+    let now = world.now;
+    let mut listing = world.workers["w0"].listing.clone();
+    listing.written += 1;
+    let cell = &mut world.owner().cell;
+    cell.list("x0", listing, now);
+    assert_eq!(cell.workers["w0"].life, Life::Well, "it answers");
+    cell.hold_failed(&"w0".into(), false, now);
+    assert_eq!(cell.workers["w0"].life, Life::Gone);
+});
+
 /// A start waits at its host while a copy of its task ends or its job is cancelled.
 #[rstest]
 fn starts_that_a_busy_host_kept_back_go_out_only_if_they_still_stand(
