A life that falls silent is over if a later one is listed at its address

Cause: see the test; the question was asked only when the later one was listed.

Ruled out: to take the list's word also for a life that answers (an entry that is written late would make a living worker seem gone).

Change: it is asked also when a hold fails.

Before: silent until the lease is over. After: gone at once; all tests of the owner pass.

Conclusion: what is known from the list is used as early as before.

--- a/crates/owner/src/held.rs
+++ b/crates/owner/src/held.rs
@@ -53,6 +53,9 @@
         {
             worker.life = Life::Silent;
             warn!("event=worker-silent worker={life} runs={}", worker.flights.len());
+            if self.outlived(life) {
+                self.succeeded(life, now);
+            }
         }
     }
 
--- a/crates/owner/src/list.rs
+++ b/crates/owner/src/list.rs
@@ -40,6 +40,16 @@
         worker.listed = true;
     }
 
+    /// Whether a later life is listed at the address of one.
+    pub(crate) fn outlived(&self, life: &str) -> bool {
+        let Some(own) = self.workers.get(life).and_then(|w| w.listing.as_ref()) else {
+            return false;
+        };
+        let listed = self.workers.values().filter(|w| w.listed);
+        let mut listings = listed.filter_map(|w| w.listing.as_ref());
+        listings.any(|l| l.address == own.address && l.written > own.written)
+    }
+
     /// The list of workers could not be read: entries may lapse meanwhile though their workers live.
     pub fn list_missed(&mut self, now: u64) {
         self.blind = now;
