--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -23,6 +23,8 @@
 
 /// Keeps the cell's workers up to date until the cell is another host's.
 pub async fn follow(host: Arc<Host>, owned: Arc<Owned>) {
+    // Those that the log told of need not wait for the list, which may be slow to come.
+    hold_all(&host, &owned);
     let mut from = None;
     while !owned.closed() {
         let step = match from {
@@ -50,7 +52,7 @@
 async fn whole(host: &Host, owned: &Owned) -> Result<u64, StoreError> {
     let mut listed = BTreeSet::new();
     let end = newest(host, topics::WORKERS, 0, LIMIT, |item| {
-        if take(host, owned, &item.key, &item.value) {
+        if take(host, owned, &item.key, &item.value, item.offset) {
             listed.insert(item.key);
         }
     });
@@ -68,10 +70,10 @@
 async fn tail(host: &Host, owned: &Owned, from: u64) -> Result<u64, StoreError> {
     let page = host.store.read(topics::WORKERS, 0, from, Duration::ZERO, LIMIT).await?;
     let next = from + page.records.len() as u64;
-    for record in page.records {
+    for (offset, record) in (from..).zip(page.records) {
         match unframe_keyed(record) {
             Ok(framed) if framed.value.is_empty() => owned.state().unlist(&framed.key, now()),
-            Ok(framed) => drop(take(host, owned, &framed.key, &framed.value)),
+            Ok(framed) => drop(take(host, owned, &framed.key, &framed.value, offset)),
             Err(e) => warn!("event=worker-unread reason=\"{e}\""),
         }
     }
@@ -79,8 +81,8 @@
 }
 
 /// Takes in a description; true if the worker belongs to the cell.
-fn take(host: &Host, owned: &Owned, id: &str, value: &[u8]) -> bool {
-    let listing = match read_listing(value) {
+fn take(host: &Host, owned: &Owned, id: &str, value: &[u8], offset: u64) -> bool {
+    let listing = match read_listing(value, offset) {
         Ok(listing) => listing,
         Err(e) => {
             warn!("event=worker-unread worker={id} reason=\"{e}\"");
@@ -95,13 +97,13 @@
     true
 }
 
-/// Starts to hold workers that are listed and not held yet.
+/// Starts to hold workers that are not held yet.
 fn hold_all(host: &Arc<Host>, owned: &Arc<Owned>) {
-    let listed: Vec<Arc<str>> = {
+    let lives: Vec<Arc<str>> = {
         let cell = owned.state();
-        cell.workers.iter().filter(|(_, w)| w.listed).map(|(id, _)| id.clone()).collect()
+        cell.workers.iter().filter(|(_, w)| w.wants_hold()).map(|(id, _)| id.clone()).collect()
     };
-    for life in listed {
+    for life in lives {
         if owned.hold(&life) {
             let (host, owned) = (host.clone(), owned.clone());
             tokio::spawn(async move { crate::hold::keep(host, owned, life).await });
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -1,6 +1,5 @@
 //! Takes a cell over: bars earlier owners, reads the log, then acts.
 
-use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,13 +8,13 @@
 use log::{info, warn};
 use tokio::time::sleep;
 
-use myrtle_adapter::{StoreError, Writer, unframe_keyed};
-use myrtle_job::{BadName, JobId, Key, Progress, Submission, decode};
+use myrtle_adapter::{Item, StoreError, Writer, unframe_keyed};
+use myrtle_job::{JobId, Key, Progress, Submission, decode};
 use myrtle_owner::Cell;
 
 use crate::clock::{now, wall};
 use crate::host::Host;
-use crate::names::{JOBS, OWNER, PROGRESS};
+use crate::names::{JOBS, OWNER, PROGRESS, worker_of};
 use crate::newest::newest;
 use crate::owned::Owned;
 use crate::{balance, flush, lessons, roster, tick, upkeep};
@@ -104,18 +103,16 @@
 
 /// Reads the jobs of the cell and how far they have come.
 async fn load(host: &Host, owned: &Owned) -> Result<(), StoreError> {
-    let (progress, _) = pages::<JobId>(host, PROGRESS, owned.cell).await?;
-    let (jobs, end) = pages::<Key>(host, JOBS, owned.cell).await?;
+    let read = progress(host, owned).await?;
+    let (jobs, end) = jobs(host, owned.cell).await?;
     for (count, (key, value)) in jobs.iter().enumerate() {
         breathe(count).await;
         admit(host, owned, *key, value);
     }
-    for (count, (id, value)) in progress.into_iter().enumerate() {
+    // Some are of jobs that were taken back before they were known.
+    for (count, (id, progress)) in read.into_iter().enumerate() {
         breathe(count).await;
-        match Progress::read(&value) {
-            Ok(progress) => owned.state().inherit(id, progress, now()),
-            Err(e) => warn!("event=progress-unread job={id} reason=\"{e}\""),
-        }
+        owned.state().inherit(id, progress, now());
     }
     // The progress that was read may tell of some of the parts that are in the log, or of none.
     let parts = jobs.iter().filter(|(key, _)| !matches!(key, Key::Job(_)));
@@ -131,16 +128,38 @@
     }
 }
 
-/// All newest records of a partition, and the offset from which to go on.
-async fn pages<K: FromStr<Err = BadName>>(
-    host: &Host,
-    topic: &str,
-    cell: u32,
-) -> Result<(Vec<(K, Vec<u8>)>, u64), StoreError> {
+/// How far jobs have come; workers that were given work are taken in at once.
+async fn progress(host: &Host, owned: &Owned) -> Result<Vec<(JobId, Progress)>, StoreError> {
+    let mut read = Vec::new();
+    let take = |Item { key, value, .. }| {
+        if let Some(life) = worker_of(&key) {
+            return recall(owned, life, &value);
+        }
+        let Ok(id) = key.parse::<JobId>() else {
+            return warn!("event=record-unread topic={PROGRESS} key={key}");
+        };
+        match Progress::read(&value) {
+            Ok(progress) => read.push((id, progress)),
+            Err(e) => warn!("event=progress-unread job={id} reason=\"{e}\""),
+        }
+    };
+    newest(host, PROGRESS, owned.cell, LIMIT, take).await?;
+    Ok(read)
+}
+
+/// Takes in where a worker is that was given work.
+fn recall(owned: &Owned, life: &str, value: &[u8]) {
+    if let Err(e) = owned.state().recall_worker(life, value, now()) {
+        warn!("event=trace-unread worker={life} reason=\"{e}\"");
+    }
+}
+
+/// All that is in the log of a cell's jobs, and the offset from which to go on.
+async fn jobs(host: &Host, cell: u32) -> Result<(Vec<(Key, Vec<u8>)>, u64), StoreError> {
     let mut found = Vec::new();
-    let end = newest(host, topic, cell, LIMIT, |item| match item.key.parse() {
-        Ok(id) => found.push((id, item.value)),
-        Err(e) => warn!("event=record-unread topic={topic} reason=\"{e}\""),
+    let end = newest(host, JOBS, cell, LIMIT, |item| match item.key.parse() {
+        Ok(key) => found.push((key, item.value)),
+        Err(e) => warn!("event=record-unread topic={JOBS} reason=\"{e}\""),
     });
     let end = end.await?;
     Ok((found, end))
@@ -153,7 +172,7 @@
             Ok(()) => host.store_reached(),
             Err(StoreError::Gone { first }) => {
                 warn!("event=job-log-cut cell={} first={first}", owned.cell);
-                match pages(&host, JOBS, owned.cell).await {
+                match jobs(&host, owned.cell).await {
                     Ok((jobs, end)) => {
                         jobs.iter().for_each(|(key, value)| admit(&host, &owned, *key, value));
                         owned.read.store(end, Ordering::Relaxed);
--- a/crates/front/src/tick.rs
+++ b/crates/front/src/tick.rs
@@ -29,15 +29,15 @@
         sleep_until(due).await;
         owned.busy.late(due.elapsed());
         looks = looks.wrapping_add(1);
-        let again = owned.busy.spend(Work::Look, || look(&owned, looks));
-        owned.dispatch(again);
+        let orders = owned.busy.spend(Work::Look, || look(&owned, looks));
+        owned.dispatch(orders);
         if owned.state().restless() {
             owned.work.notify_one();
         }
     }
 }
 
-/// One look; returns what is to be told again.
+/// One look; returns what is to be told.
 fn look(owned: &Owned, looks: u32) -> Vec<Order> {
     let mut cell = owned.state();
     cell.lapse(now());
@@ -51,5 +51,9 @@
     if looks.is_multiple_of(TELL_EVERY) {
         info!("event=cell cell={} {} {}", owned.cell, cell.gist(), owned.busy.take());
     }
-    cell.repeat(now())
+    let mut orders = cell.repeat(now());
+    // The part that writes sends them too, but not while an append is under way: with the store away
+    // stops and paces would wait for its return.
+    orders.append(&mut cell.orders());
+    orders
 }
--- a/crates/job/src/worker.rs
+++ b/crates/job/src/worker.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 use myrtle_base::Room;
 
 use crate::TaskId;
 
 /// A worker's own description.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
     /// The pool that it belongs to.
     pub service: String,
@@ -27,8 +28,8 @@
     pub labels: Vec<String>,
     /// The machine that it runs on.
     pub machine: Option<String>,
-    /// Rises with every writing of the listing.
-    pub number: u64,
+    /// Where the list holds it; of two lives at one address the later one has the higher offset.
+    pub written: u64,
 }
 
 /// What a worker told of an order.
--- a/crates/owner/benches/plan.rs
+++ b/crates/owner/benches/plan.rs
@@ -39,7 +39,7 @@
             room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
             labels: vec!["a".into(), format!("r{}", n / 8)],
             machine: None,
-            number: 1,
+            written: 1,
         };
         cell.list(&name(n), listing, 1_000);
         let held = Held { clock: 1_000, running: vec![], ended: vec![] };
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admit;
 mod balance;
+mod bar;
 mod bounds;
 mod cell;
 mod commit;
@@ -44,6 +45,7 @@
 mod step;
 mod swing;
 mod told;
+mod trace;
 mod usual;
 mod waits;
 mod wave;
@@ -63,5 +65,6 @@
 pub use permit::Question;
 pub use sine::Guess;
 pub use swing::Swings;
+pub use trace::Trace;
 pub use wave::{Upkeep, Wave};
 pub use worker::{Life, Worker};
--- a/crates/owner/src/part.rs
+++ b/crates/owner/src/part.rs
@@ -59,7 +59,7 @@
     /// A job of which tasks were taken over is over; if they still come, they are not started.
     pub fn take_back(&mut self, id: JobId, now: u64, wall: u64) {
         if !self.cancel(id, now, wall) {
-            self.bar(id, now);
+            self.bar(id, now, wall);
         }
     }
 
--- a/crates/owner/tests/cells/mod.rs
+++ b/crates/owner/tests/cells/mod.rs
@@ -66,7 +66,7 @@
         room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
         labels: vec![],
         machine: None,
-        number: 1,
+        written: 1,
     }
 }
 
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -77,7 +77,7 @@
         room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
         labels: vec!["a".into(), format!("r{}", address / 4)],
         machine: Some(format!("m{address}")),
-        number: 1,
+        written: 1,
     }
 }
 
@@ -93,6 +93,8 @@
     pub permitted: Vec<&'static str>,
     jobs: BTreeMap<JobId, Submission>,
     progress: BTreeMap<JobId, Vec<u8>>,
+    /// What the log holds of workers.
+    pub traces: BTreeMap<Arc<str>, Vec<u8>>,
     fence: u64,
     late: Vec<(u64, u64, u64, Order)>,
     /// Orders that a host keeps: when they are sent, whose they are.
@@ -115,6 +117,7 @@
             permitted: Vec::new(),
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
+            traces: BTreeMap::new(),
             fence: 0,
             late: Vec::new(),
             queued: Vec::new(),
@@ -130,7 +133,7 @@
 
     /// Adds a worker life at an address; the same address twice is a reborn worker.
     pub fn add_worker(&mut self, id: &str, address: u16) {
-        let listing = listing(address);
+        let listing = Listing { written: self.now, ..listing(address) };
         self.workers.insert(id.into(), FakeWorker::new(listing, self.now));
     }
 
@@ -138,6 +141,9 @@
     pub fn take_over(&mut self) -> usize {
         self.fence += 1;
         let mut cell = Cell::new(Bounds::default(), self.fence, self.now);
+        for (life, record) in &self.traces {
+            cell.recall_worker(life, record, self.now).unwrap();
+        }
         for (&id, submission) in &self.jobs {
             cell.admit(id, submission.clone(), self.now, self.now);
         }
--- a/crates/owner/tests/leaving.rs
+++ b/crates/owner/tests/leaving.rs
@@ -95,3 +95,82 @@
     assert!(world.finish(30_000));
     assert!(world.judge.starts.values().all(|n| *n == 1), "{:?}", world.judge.starts);
 });
+
+/// The platform's bound from a cancellation's answer to the end of the last run, in milliseconds.
+const STOPPED_WITHIN: u64 = 3_900;
+
+/// How long a cell is without an owner when its host is gone, in milliseconds.
+const VACANT: u64 = 2_000;
+
+/// Gives the cell to another owner; the last one never acts again.
+fn succeed(world: &mut World) {
+    world.owner().awake = false;
+    world.run(VACANT);
+    world.take_over();
+}
+
+// Symptom: tasks of a cancelled job ran on for seconds after the cancellation was answered, and
+// lasting tasks all went at once with their leases where one may be away.
+// Sequence: a worker's entry goes and it serves on; its owner's host is removed; the next owner
+// reads the runs there from the log, but neither log nor list tells the worker's address; the job
+// is cancelled.
+// Cause: an owner learned addresses only from the list, so it could neither hold nor stop anything
+// there until every lease was over.
+// Settled by: the log holds where each worker is that was given work.
+case!(a_new_owner_stops_a_cancelled_job_on_a_worker_without_an_entry, world, {
+    let mut slow = step(8);
+    slow.estimate = 60_000;
+    let id = world.submit(job(vec![slow]));
+    world.run(500);
+    let leaving = fullest(&world);
+    world.workers.get_mut(&leaving).unwrap().listed = false;
+    succeed(&mut world);
+    world.run(500);
+    world.cancel(id);
+    world.run(STOPPED_WITHIN);
+    assert_eq!(world.workers[&leaving].count(), 0);
+});
+
+// As above; the cancellation is answered by the owner that is removed, and its stops were lost.
+case!(a_new_owner_stops_what_the_last_one_could_not_without_an_entry, world, {
+    let mut slow = step(8);
+    slow.estimate = 60_000;
+    let id = world.submit(job(vec![slow]));
+    world.run(500);
+    let leaving = fullest(&world);
+    world.workers.get_mut(&leaving).unwrap().listed = false;
+    let last = world.owners.len() - 1;
+    world.cut(last, &leaving, true);
+    world.cancel(id);
+    world.run(100);
+    succeed(&mut world);
+    world.run(STOPPED_WITHIN - VACANT - 100);
+    assert_eq!(world.workers[&leaving].count(), 0);
+});
+
+// As above, with lasting tasks and no cancellation.
+case!(a_new_owner_empties_a_worker_without_an_entry_one_by_one, world, {
+    world.submit(job(vec![lasting()]));
+    world.run(1_000);
+    let leaving = fullest(&world);
+    world.workers.get_mut(&leaving).unwrap().listed = false;
+    succeed(&mut world);
+    let least = least(&mut world, 12_000);
+    assert!(least >= 7, "{least} of 8 were at work");
+    assert_eq!(world.workers[&leaving].count(), 0);
+});
+
+case!(the_log_holds_no_worker_that_is_gone, world, {
+    world.submit(job(vec![lasting()]));
+    world.run(1_000);
+    let gone = fullest(&world);
+    assert!(world.traces.contains_key(&gone));
+    world.workers.get_mut(&gone).unwrap().crash(&mut world.judge);
+    succeed(&mut world);
+    world.run(500);
+    assert!(!world.traces.contains_key(&gone));
+    let known = |(id, w): (&std::sync::Arc<str>, &common::FakeWorker)| {
+        w.count() == 0 || world.traces.contains_key(id)
+    };
+    assert!(world.workers.iter().all(known));
+});
