A failing test: a link between hosts goes silent

Symptom: no call on the link is ever answered again. Cause: a call without an answer leaves the connection in place, since late answers are usual.

--- /dev/null
+++ b/crates/peer/tests/common/mod.rs
@@ -0,0 +1,102 @@
+//! A peer that can be slow, reached by way of a relay.
+
+#[path = "../../../../platform/tests/common/mod.rs"]
+mod relay;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tarpc::context::Context;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use myrtle_job::{JobId, Load};
+use myrtle_peer::{
+    FrontPeer, FrontPeerClient, FrontPeerRequest, FrontPeerResponse, Link, Passed, Seen, Wired,
+    listen, run,
+};
+
+pub use relay::Relay;
+
+/// Far above what a call takes.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// How long a call may take that is to find a connection silent.
+pub const SHORT: Duration = Duration::from_millis(300);
+
+/// A peer that answers a question for a cell after as many milliseconds as the cell's number.
+#[derive(Clone, Default)]
+pub struct Peer {
+    asked: Arc<AtomicU64>,
+}
+
+impl Peer {
+    /// How many questions have come.
+    #[allow(dead_code)]
+    pub fn asked(&self) -> u64 {
+        self.asked.load(Ordering::SeqCst)
+    }
+}
+
+impl FrontPeer for Peer {
+    async fn state(self, _: Context, cell: u32, _: JobId) -> Seen {
+        self.asked.fetch_add(1, Ordering::SeqCst);
+        sleep(Duration::from_millis(u64::from(cell))).await;
+        Seen::Unknown
+    }
+
+    async fn cancel(self, _: Context, _: u32, _: JobId) -> Seen {
+        Seen::Unknown
+    }
+
+    async fn pending(self, _: Context, _: u32) -> Option<BTreeMap<String, u64>> {
+        None
+    }
+
+    async fn pass(self, _: Context, _: u32, _: JobId, _: Vec<u8>) -> Passed {
+        Passed::Kept
+    }
+
+    async fn relieve(self, _: Context, _: u32) {}
+
+    async fn load(self, _: Context, _: u32) -> Option<Load> {
+        None
+    }
+
+    async fn explain(self, _: Context, _: u32, _: JobId) -> Vec<String> {
+        Vec::new()
+    }
+}
+
+/// A peer behind a relay, and a link to it.
+pub async fn peer() -> (Peer, Relay, Link<FrontPeerClient>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at: SocketAddr = listener.local_addr().unwrap();
+    let peer = Peer::default();
+    let served = peer.clone();
+    tokio::spawn(async move {
+        let run = |channel: Wired<FrontPeerRequest, FrontPeerResponse>| {
+            run!(channel, served.clone().serve());
+        };
+        listen(listener, run).await
+    });
+    let relay = Relay::to(at).await;
+    let link = Link::new(relay.at);
+    (peer, relay, link)
+}
+
+/// Asks a question that is answered after as many milliseconds.
+pub async fn ask(link: &Link<FrontPeerClient>, ms: u32, limit: Duration) -> Option<Seen> {
+    let job = JobId(1);
+    link.call(limit, |c, context| async move { c.state(context, ms, job).await }).await
+}
+
+/// Passes a record of so many bytes on.
+#[allow(dead_code)]
+pub async fn pass(link: &Link<FrontPeerClient>, size: usize, limit: Duration) -> Option<Passed> {
+    let (job, record) = (JobId(1), vec![0; size]);
+    link.call(limit, |c, context| async move { c.pass(context, 0, job, record).await }).await
+}
