Links between hosts notice a silent connection, and no socket is kept for ever

Cause: a call without an answer left the connection in place, since late answers are usual, so a silent one was kept for good. A call that could not be sent any more, because what was sent before filled the connection up, had no time limit at all: tarpc counts the time of what is sent (the test did not end in 20 s). The accepting side kept a silent peer's socket for ever, and without descriptors it asked for the next connection over and over. Ruled out: a new connection after each call without an answer; a peer that stands still would find hundreds when it wakes, and with a slow store each pass would make one. Change: the judgement of the kept connections to the platform (moved to base) holds for links too: a call that waits four times as long as late answers took (140 ms at least), with nothing heard since it was sent, puts the connection in doubt; the next call makes a new one, and answers on the old one are still taken. One without any answer so far is kept for 3 s; many callers make one together; one unused for 20 s is made anew. A call ends with its limit whatever happens. Before: no answer any more.

--- a/platform/src/path.rs
+++ b/crates/base/src/doubt.rs
@@ -1,13 +1,11 @@
-//! What is known of the way to an address: which kept connections may have gone silent.
+//! Doubt about the kept connections to an address, any of which may have gone silent.
 //!
 //! A connection can go silent for good, without a reset, while new ones work. A call that waits far
 //! longer than answers take casts doubt on every connection that was last heard of before it began;
 //! an answer on a connection made since then shows that the way is well and those are silent.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
-
-use tokio::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The shortest wait that casts doubt; many times a usual answer of 5 ms.
 const SHORTEST: Duration = Duration::from_millis(140);
@@ -22,9 +20,9 @@
 /// What an answer leaves of the slowest one before it.
 const FADE: f64 = 0.97;
 
-/// What is known of the way to an address.
+/// What the calls to an address say of the connections there.
 #[derive(Debug)]
-pub struct Path {
+pub struct Doubt {
     patience: Duration,
     waiting: BTreeMap<u64, Waiting>,
     next: u64,
@@ -47,14 +45,14 @@
     }
 }
 
-impl Default for Path {
+impl Default for Doubt {
     fn default() -> Self {
         Self::new()
     }
 }
 
-impl Path {
-    /// Nothing is known.
+impl Doubt {
+    /// No call was made yet.
     pub fn new() -> Self {
         Self {
             patience: SHORTEST,
@@ -109,7 +107,7 @@
     }
 
     /// Connections last heard of before this moment must not be used any more.
-    pub fn doubted(&self, now: Instant) -> Option<Instant> {
+    pub fn before(&self, now: Instant) -> Option<Instant> {
         let waiting = self.waiting.values().filter(|w| w.overdue(self.patience, now));
         waiting.map(|w| w.began).chain(self.given_up).max()
     }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,6 +1,7 @@
 //! Words shared by every part: kinds of error, time, room, ownership hashing and events.
 
 mod clock;
+mod doubt;
 mod event;
 mod kind;
 mod pick;
@@ -8,6 +9,7 @@
 mod span;
 
 pub use clock::{Clock, Stamp};
+pub use doubt::Doubt;
 pub use event::{Event, Ring};
 pub use kind::{Kind, Ran};
 pub use pick::{rank, winner};
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -79,9 +79,7 @@
     let run = |channel: Wired<FrontPeerRequest, FrontPeerResponse>| {
         myrtle_peer::run!(channel, Server(host.clone()).serve());
     };
-    if let Err(e) = myrtle_peer::listen(listener, run).await {
-        warn!("event=peers-not-answered reason=\"{e}\"");
-    }
+    myrtle_peer::listen(listener, run).await;
 }
 
 /// Says what a changed settings file holds; the figures in force stay until the next start.
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -122,7 +122,8 @@
 
 async fn ask_view(tables: &Tables, link: &Link<SchedPeerClient>, mark: u64) -> Option<GateView> {
     let known = Known { config: tables.view.load().version, mark };
-    link.call(VIEW, |c: SchedPeerClient, x| async move { c.view(x, known, WAIT).await }).await
+    let call = |c: SchedPeerClient, x| async move { c.view(x, known, WAIT).await };
+    link.call_waiting(WAIT.std(), VIEW, call).await
 }
 
 /// Takes in a view; false if it is older than what is known.
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -12,7 +12,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use log::{info, warn};
+use log::info;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -91,9 +91,7 @@
         let run = |channel: Wired<GatePeerRequest, GatePeerResponse>| {
             myrtle_peer::run!(channel, server.clone().serve());
         };
-        if let Err(e) = myrtle_peer::listen(peer, run).await {
-            warn!("gate: cannot answer peers: {e}");
-        }
+        myrtle_peer::listen(peer, run).await;
     });
     let (list, settings) = (&tables.list, &tables.settings);
     announce(list, settings, Role::Gate, http_at, peer_at).await;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,64 +1,68 @@
-//! A connection to one peer that is made again when it breaks.
+//! A connection to one peer that is made again when it breaks or goes silent.
 
-use std::future::ready;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use futures::StreamExt;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use tarpc::client::{Config, RpcError};
+use tarpc::client::RpcError;
 use tarpc::context::{self, Context};
-use tarpc::serde_transport::{Transport, tcp};
-use tarpc::server::BaseChannel;
-use tarpc::tokio_serde::formats::Bincode;
-use tarpc::{ClientMessage, Response};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout_at;
 
-/// How long a connection may take.
-const CONNECT: Duration = Duration::from_millis(500);
+use myrtle_base::Doubt;
 
-/// The largest message, in bytes; a whole state fits.
-const MAX_FRAME: usize = 32 << 20;
+use crate::wire::Connect;
 
-/// The transport of a client, with its messages still to be named.
-pub type Wire<Item, Out> = Transport<TcpStream, Item, Out, Bincode<Item, Out>>;
+/// How long a connection may go unused before it is not trusted any more; below the time after
+/// which the other side closes it.
+const UNUSED: Duration = Duration::from_secs(20);
 
-/// A generated client that can be made for an address.
-pub trait Connect: Clone + Send + Sync + 'static {
-    /// Connects to a peer.
-    fn connect(at: SocketAddr) -> impl Future<Output = std::io::Result<Self>> + Send;
-}
-
-macro_rules! connect {
-    ($client:ty) => {
-        impl Connect for $client {
-            async fn connect(at: SocketAddr) -> std::io::Result<Self> {
-                let mut dial = tcp::connect(at, Bincode::default);
-                dial.config_mut().max_frame_length(MAX_FRAME);
-                let wire = tokio::time::timeout(CONNECT, dial).await??;
-                Ok(<$client>::new(Config::default(), wire).spawn())
-            }
-        }
-    };
-}
-
-connect!(crate::SchedPeerClient);
-connect!(crate::GatePeerClient);
-connect!(crate::FrontPeerClient);
+/// How long a connection without any answer is kept: a peer that stands still must not find many of
+/// them when it wakes.
+const FRESH: Duration = Duration::from_secs(3);
 
 /// One peer's connection, shared by all who call it.
+///
+/// A connection that is in doubt is not used for new calls; answers on it are still taken.
 #[derive(Debug)]
 pub struct Link<C> {
     at: SocketAddr,
-    client: Mutex<Option<C>>,
+    line: Mutex<Option<Line<C>>>,
+    doubt: Mutex<Doubt>,
+    /// Held while a connection is made; the last one that failed did so at this moment.
+    connecting: tokio::sync::Mutex<Option<Instant>>,
+}
+
+/// A connection.
+#[derive(Debug, Clone)]
+struct Line<C> {
+    client: C,
+    opened: Instant,
+    heard: Option<Instant>,
+}
+
+impl<C> Line<C> {
+    fn last(&self) -> Instant {
+        self.heard.unwrap_or(self.opened)
+    }
+}
+
+/// A call that waits; dropped without an answer it casts doubt on the connection.
+struct Mark<'a> {
+    doubt: &'a Mutex<Doubt>,
+    number: u64,
+}
+
+impl Drop for Mark<'_> {
+    fn drop(&mut self) {
+        lock(self.doubt).given_up(self.number, Instant::now());
+    }
 }
 
 impl<C: Connect> Link<C> {
     /// A link to the peer at `at`, connected at the first call.
     pub fn new(at: SocketAddr) -> Self {
-        Self { at, client: Mutex::new(None) }
+        let connecting = tokio::sync::Mutex::default();
+        Self { at, line: Mutex::new(None), doubt: Mutex::default(), connecting }
     }
 
     /// Where the peer listens.
@@ -68,10 +72,10 @@
 
     /// Whether there is a connection to the peer, or one can be made.
     pub async fn reach(&self) -> bool {
-        self.client().await.is_some()
+        self.line().await.is_some()
     }
 
-    /// Calls the peer; after an error the next call connects again.
+    /// Calls the peer; after an error the next call connects again, and after a long silence too.
     ///
     /// Returns nothing if the peer could not be reached or did not answer within `limit`.
     pub async fn call<T, F, R>(&self, limit: Duration, call: F) -> Option<T>
@@ -79,60 +83,83 @@
         F: FnOnce(C, Context) -> R,
         R: Future<Output = Result<T, RpcError>>,
     {
-        let client = self.client().await?;
+        self.call_waiting(Duration::ZERO, limit, call).await
+    }
+
+    /// Calls the peer, which is asked to wait so long with its answer.
+    pub async fn call_waiting<T, F, R>(&self, wait: Duration, limit: Duration, call: F) -> Option<T>
+    where
+        F: FnOnce(C, Context) -> R,
+        R: Future<Output = Result<T, RpcError>>,
+    {
+        let Line { client, opened, heard } = self.line().await?;
+        let sent = Instant::now();
+        // Without an answer on a new connection it is the peer that is slow.
+        let kept = heard.is_some() || sent > opened + FRESH;
+        let number = lock(&self.doubt).sent(wait, true, kept, sent);
+        let mark = Mark { doubt: &self.doubt, number };
         let mut context = context::current();
-        context.deadline = Instant::now() + limit;
-        match call(client, context).await {
-            Ok(value) => Some(value),
-            Err(e) => {
-                // A late answer says nothing against the connection.
-                if !matches!(e, RpcError::DeadlineExceeded) {
-                    self.client.lock().expect("no holder panics").take();
-                }
+        context.deadline = sent + limit;
+        // The deadline holds only for what is sent; a connection that takes in no more would hold
+        // the call for ever.
+        match timeout_at(context.deadline.into(), call(client, context)).await {
+            Ok(Ok(value)) => {
+                let now = Instant::now();
+                lock(&self.doubt).answered(mark.number, opened, now);
+                self.change(opened, |line| line.heard = Some(now));
+                Some(value)
+            }
+            // A late answer says nothing against the connection.
+            Err(_) | Ok(Err(RpcError::DeadlineExceeded)) => None,
+            Ok(Err(_)) => {
+                let mut held = lock(&self.line);
+                held.take_if(|line| line.opened == opened);
                 None
             }
         }
     }
 
-    async fn client(&self) -> Option<C> {
-        if let Some(client) = self.client.lock().expect("no holder panics").clone() {
-            return Some(client);
+    /// Changes what is known of a connection, if it is still in use.
+    fn change(&self, opened: Instant, change: impl FnOnce(&mut Line<C>)) {
+        let mut held = lock(&self.line);
+        if let Some(line) = held.as_mut().filter(|line| line.opened == opened) {
+            change(line);
         }
-        let client = C::connect(self.at).await.ok()?;
-        *self.client.lock().expect("no holder panics") = Some(client.clone());
-        Some(client)
     }
-}
 
-/// A server's side of one connection.
-pub type Wired<Req, Resp> = BaseChannel<Req, Resp, Wire<ClientMessage<Req>, Response<Resp>>>;
+    /// The connection, unless it is in doubt.
+    fn trusted(&self) -> Option<Line<C>> {
+        let now = Instant::now();
+        let before = lock(&self.doubt).before(now);
+        let line = lock(&self.line).clone()?;
+        let doubted = before.is_some_and(|before| line.last() < before);
+        (!doubted && now < line.last() + UNUSED).then_some(line)
+    }
 
-/// Accepts peers on a bound port and gives each connection to `run`, until the future is dropped.
-///
-/// `run` spawns the generated service, whose futures are known to be sendable only there.
-pub async fn listen<Req, Resp>(
-    listener: TcpListener,
-    run: impl Fn(Wired<Req, Resp>),
-) -> std::io::Result<()>
-where
-    Req: DeserializeOwned + Send + 'static,
-    Resp: Serialize + Send + 'static,
-{
-    let mut incoming = tcp::listen_on(listener, Bincode::default).await?;
-    incoming.config_mut().max_frame_length(MAX_FRAME);
-    let mut incoming = incoming.filter_map(|c| ready(c.ok()));
-    while let Some(wire) = incoming.next().await {
-        run(BaseChannel::with_defaults(wire));
+    /// The connection, made first if need be; many who wait for it make one.
+    async fn line(&self) -> Option<Line<C>> {
+        if let Some(line) = self.trusted() {
+            return Some(line);
+        }
+        let asked = Instant::now();
+        let mut failed = self.connecting.lock().await;
+        if let Some(line) = self.trusted() {
+            return Some(line);
+        }
+        if failed.is_some_and(|at| at > asked) {
+            return None;
+        }
+        let opened = Instant::now();
+        let Ok(client) = C::connect(self.at).await else {
+            *failed = Some(Instant::now());
+            return None;
+        };
+        let line = Line { client, opened, heard: None };
+        *lock(&self.line) = Some(line.clone());
+        Some(line)
     }
-    Ok(())
 }
 
-/// Runs a generated service on one connection.
-#[macro_export]
-macro_rules! run {
-    ($channel:expr, $service:expr) => {{
-        use $crate::reexport::{Channel, StreamExt};
-        let calls = $channel.execute($service);
-        tokio::spawn(calls.for_each_concurrent(None, |call| call));
-    }};
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder panics")
 }
--- a/crates/peer/tests/common/mod.rs
+++ b/crates/peer/tests/common/mod.rs
@@ -6,17 +6,18 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tarpc::context::Context;
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use myrtle_job::{JobId, Load};
 use myrtle_peer::{
     FrontPeer, FrontPeerClient, FrontPeerRequest, FrontPeerResponse, Link, Passed, Seen, Wired,
-    listen, run,
+    listen_while,
+    reexport::{Channel, StreamExt},
 };
 
 pub use relay::Relay;
@@ -30,20 +31,18 @@
 /// A peer that answers a question for a cell after as many milliseconds as the cell's number.
 #[derive(Clone, Default)]
 pub struct Peer {
-    asked: Arc<AtomicU64>,
+    open: Arc<AtomicUsize>,
 }
 
 impl Peer {
-    /// How many questions have come.
-    #[allow(dead_code)]
-    pub fn asked(&self) -> u64 {
-        self.asked.load(Ordering::SeqCst)
+    /// How many connections to it are open.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
     }
 }
 
 impl FrontPeer for Peer {
     async fn state(self, _: Context, cell: u32, _: JobId) -> Seen {
-        self.asked.fetch_add(1, Ordering::SeqCst);
         sleep(Duration::from_millis(u64::from(cell))).await;
         Seen::Unknown
     }
@@ -73,15 +72,26 @@
 
 /// A peer behind a relay, and a link to it.
 pub async fn peer() -> (Peer, Relay, Link<FrontPeerClient>) {
+    peer_that_is_quiet_for(3 * LONG).await
+}
+
+/// A peer that closes connections on which nothing has come for so long.
+pub async fn peer_that_is_quiet_for(quiet: Duration) -> (Peer, Relay, Link<FrontPeerClient>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at: SocketAddr = listener.local_addr().unwrap();
     let peer = Peer::default();
     let served = peer.clone();
     tokio::spawn(async move {
         let run = |channel: Wired<FrontPeerRequest, FrontPeerResponse>| {
-            run!(channel, served.clone().serve());
+            let (open, served) = (served.open.clone(), served.clone());
+            open.fetch_add(1, Ordering::SeqCst);
+            let calls = channel.execute(served.serve());
+            tokio::spawn(async move {
+                calls.for_each_concurrent(None, |call| call).await;
+                open.fetch_sub(1, Ordering::SeqCst);
+            });
         };
-        listen(listener, run).await
+        listen_while(listener, quiet, run).await
     });
     let relay = Relay::to(at).await;
     let link = Link::new(relay.at);
@@ -95,8 +105,17 @@
 }
 
 /// Passes a record of so many bytes on.
-#[allow(dead_code)]
 pub async fn pass(link: &Link<FrontPeerClient>, size: usize, limit: Duration) -> Option<Passed> {
     let (job, record) = (JobId(1), vec![0; size]);
     link.call(limit, |c, context| async move { c.pass(context, 0, job, record).await }).await
 }
+
+/// Waits until a check holds.
+pub async fn until(check: impl Fn() -> bool) {
+    let wait = async {
+        while !check() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(LONG, wait).await.expect("it never came to pass");
+}
--- a/crates/sched/src/run.rs
+++ b/crates/sched/src/run.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use log::{info, warn};
+use log::info;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -53,9 +53,7 @@
         let run = |channel: Wired<SchedPeerRequest, SchedPeerResponse>| {
             myrtle_peer::run!(channel, server.clone().serve());
         };
-        if let Err(e) = myrtle_peer::listen(peer, run).await {
-            warn!("sched: cannot answer peers: {e}");
-        }
+        myrtle_peer::listen(peer, run).await;
     });
     let shared = tables.clone();
     parts.spawn(serve(http, move |ask| admin::handle(shared.clone(), ask)));
