A cancellation on a silent connection does not take its client's time

Cause: an owner is given 2.8 s of a client's 3 s to answer a cancellation, since that waits for the log; on a silent connection, or with an owner that lost power, all of it was spent on the first call. Change: a second call is made beside the first after 700 ms, on a new connection if the old one is in doubt; if that finds nobody, both end and the owner is looked for again. Before: 2.8 s; after: 0.7 s and an answer, or 1.2 s (tests in virtual time).

--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -8,6 +8,7 @@
 use myrtle_job::{JobId, State};
 use myrtle_peer::Seen;
 
+use crate::hedge::beside;
 use crate::host::Host;
 use crate::peers;
 
@@ -62,14 +63,20 @@
         }
         if let Some(at) = host.owners.find(host, cell).await.filter(|at| *at != host.peer()) {
             let most = if take_back { 4 * ASK } else { ASK };
-            let limit = most.min(left(end));
-            let call = host.owners.call(at, limit, |c, context| async move {
-                match take_back {
-                    true => c.cancel(context, cell, job).await,
-                    false => c.state(context, cell, job).await,
-                }
-            });
-            match call.await {
+            let call = || {
+                host.owners.call(at, most.min(left(end)), |c, context| async move {
+                    match take_back {
+                        true => c.cancel(context, cell, job).await,
+                        false => c.state(context, cell, job).await,
+                    }
+                })
+            };
+            // A commit may take long; a connection that went silent must not take the client's time.
+            let answer = match take_back {
+                true => beside(ASK, call).await,
+                false => call().await,
+            };
+            match answer {
                 Some(Seen::Elsewhere) | None => {}
                 seen => return seen,
             }
--- a/crates/front/src/hedge.rs
+++ b/crates/front/src/hedge.rs
@@ -5,9 +5,11 @@
 //! slow answers are waited for, on their own connections, beside a new try. The call must be one
 //! that does no harm when it is carried out twice.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use futures::StreamExt;
+use futures::future::{Either, select};
 use futures::stream::FuturesUnordered;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -95,3 +97,22 @@
         }
     }
 }
+
+/// Makes a call again beside the first one if that has no answer after a while; the first answer
+/// counts.
+pub async fn beside<T, F>(after: Duration, call: impl Fn() -> F) -> Option<T>
+where
+    F: Future<Output = Option<T>>,
+{
+    let mut first = pin!(call());
+    if let Ok(answer) = timeout(after, &mut first).await {
+        return answer;
+    }
+    let second = pin!(call());
+    match select(first, second).await {
+        Either::Left((Some(answer), _)) | Either::Right((Some(answer), _)) => Some(answer),
+        Either::Left((None, rest)) => rest.await,
+        // It has met somebody who is gone, and so has the first.
+        Either::Right((None, _)) => None,
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -35,7 +35,7 @@
 mod watch;
 
 pub use capacity::Capacity;
-pub use hedge::{Outcome, Seen, hedged};
+pub use hedge::{Outcome, Seen, beside, hedged};
 pub use layout::Layout;
 pub use names::group as cell_group;
 pub use owners::{address as member_address, carries as member_carries};
--- a/crates/front/tests/hedge.rs
+++ b/crates/front/tests/hedge.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant, sleep};
 
 use myrtle_adapter::StoreError;
-use myrtle_front::{Outcome, Patience, hedged};
+use myrtle_front::{Outcome, Patience, beside, hedged};
 
 /// What one try comes to, and after how many milliseconds.
 #[derive(Clone, Copy)]
@@ -81,3 +81,40 @@
     assert_eq!(took, 3_000);
     assert_eq!(tries, 3);
 }
+
+/// Makes a call beside which another one is made after 700 ms; each try ends after its time, or
+/// never, and one whose time is odd finds nobody.
+async fn side_by_side(tries: &[Option<u64>]) -> (Option<usize>, u64, usize) {
+    let made = Cell::new(0);
+    let began = Instant::now();
+    let one = || {
+        let number = made.replace(made.get() + 1);
+        let millis = tries[number];
+        async move {
+            match millis {
+                Some(millis) => sleep(Duration::from_millis(millis)).await,
+                None => std::future::pending().await,
+            }
+            millis.is_some_and(|m| m % 2 == 0).then_some(number)
+        }
+    };
+    let answer = beside(Duration::from_millis(700), one).await;
+    (answer, began.elapsed().as_millis() as u64, made.get())
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_on_a_silent_connection_is_answered_on_the_next_one() {
+    assert_eq!(side_by_side(&[None, Some(4)]).await, (Some(1), 704, 2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_that_is_slow_to_be_written_is_answered_by_its_first_call() {
+    assert_eq!(side_by_side(&[Some(900), Some(900)]).await, (Some(0), 900, 2));
+    assert_eq!(side_by_side(&[Some(600), Some(4)]).await, (Some(0), 600, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_ends_once_its_owner_is_known_to_be_gone() {
+    assert_eq!(side_by_side(&[None, Some(501)]).await, (None, 1_201, 2));
+    assert_eq!(side_by_side(&[Some(3), Some(4)]).await, (None, 3, 1));
+}
