A failing test: silent checks keep their connections

Symptom: a check that went silent holds a descriptor until the host ends; 4,100 are all there are. Cause: connections of checks have no limit at all; those of clients are closed by the limit on heads, also while they are idle.

--- a/crates/front/tests/silence.rs
+++ b/crates/front/tests/silence.rs
@@ -9,6 +9,10 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use common::{Site, call, configuration, owner, status, until};
 
@@ -63,3 +67,23 @@
     until(|| async { site.book.runs().iter().all(|r| r.over.is_some()) }).await;
     assert_eq!(site.book.doubled(), vec![]);
 }
+
+/// Symptom: a host had no descriptors left. Sequence: those who check its readiness went silent with
+/// connections open, again and again. Cause: a check's connection was kept until its maker closed
+/// it. What settled it: a connection on which nothing comes, and one with half a request, were still
+/// open after 30 s.
+#[rstest]
+#[case::of_a_client(false, "")]
+#[case::of_a_client_with_half_a_request(false, "GET /p/ HTTP/1.1\r\nhost: q")]
+#[case::of_a_check(true, "")]
+#[case::of_a_check_with_half_a_request(true, "GET /api/readiness HTTP/1.1\r\nhost: q")]
+#[tokio::test]
+async fn a_connection_on_which_nothing_comes_is_closed(#[case] check: bool, #[case] half: &str) {
+    let site = Site::start(Duration::from_millis(60)).await;
+    let at = if check { site.hosts["h1"].checks } else { site.clients("h1") };
+    let mut stream = TcpStream::connect(at).await.unwrap();
+    stream.write_all(half.as_bytes()).await.unwrap();
+    let mut rest = Vec::new();
+    let closed = timeout(Duration::from_secs(30), stream.read_to_end(&mut rest)).await;
+    assert!(closed.is_ok(), "it is still open");
+}
