--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -25,10 +25,15 @@
 /// The smallest buffer of a connection; hyper takes no smaller one.
 const SMALLEST: usize = 8 << 10;
 
+/// How long a checker's connection may be idle; one that went silent would be kept for good.
+const CHECK_WAIT: Duration = Duration::from_secs(10);
+
 /// The pause after the system could not give a connection.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Accepts clients until told to close; connections finish what they have begun.
+///
+/// The limit on heads also ends connections that are idle, and so those that went silent.
 pub async fn clients(
     host: Arc<Host>,
     listener: TcpListener,
@@ -87,7 +92,10 @@
                 let answer = check(&host, request.uri().path());
                 async move { Ok::<Answer, Infallible>(answer) }
             });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(CHECK_WAIT)
+                .serve_connection(TokioIo::new(stream), service);
             if let Err(e) = connection.await {
                 debug!("event=check-broken reason=\"{e}\"");
             }
