Callers give up all kept connections to an address that did not answer

Cause: the kept connections to an address go silent together, and only the one that a call had waited on was given up. Ruled out: a new client for all addresses; a dead worker would then cost the kept connections to all others. Change: the kept connections belong to their address, and a call without an answer in its time lets go of those there; calls in flight on them go on.

--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -1,6 +1,8 @@
 //! One HTTP call with a bound on its time.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -35,20 +37,13 @@
 
 impl std::error::Error for Failure {}
 
+/// The kept connections to one address.
+type Ways = Client<HttpConnector, Full<Bytes>>;
+
 /// Makes calls over kept connections.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Caller {
-    client: Client<HttpConnector, Full<Bytes>>,
-}
-
-impl Default for Caller {
-    fn default() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_secs(1)));
-        let client = Client::builder(TokioExecutor::new()).build(connector);
-        Self { client }
-    }
+    ways: Arc<Mutex<HashMap<SocketAddr, Ways>>>,
 }
 
 impl Caller {
@@ -66,8 +61,13 @@
             .uri(format!("http://{at}{path}"))
             .body(Full::from(body))
             .map_err(|e| Failure::Garbage(e.to_string()))?;
-        let answer = tokio::time::timeout(limit, self.exchange(at, request)).await;
-        answer.unwrap_or(Err(Failure::Lost(at)))
+        let ways = self.ways().entry(at).or_insert_with(ways).clone();
+        let answer = tokio::time::timeout(limit, exchange(ways, at, request)).await;
+        answer.unwrap_or_else(|_| {
+            // The other kept connections may have gone silent at the same time.
+            self.ways().remove(&at);
+            Err(Failure::Lost(at))
+        })
     }
 
     /// Gets a JSON value.
@@ -94,24 +94,35 @@
         read_json(&bytes)
     }
 
-    async fn exchange(
-        &self,
-        at: SocketAddr,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Bytes, Failure> {
-        let answer = self.client.request(request).await.map_err(|e| match e.is_connect() {
-            true => Failure::Connect(at),
-            false => Failure::Lost(at),
-        })?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
-        let bytes = body.map_err(|_| Failure::Lost(at))?.to_bytes();
-        if !status.is_success() {
-            let text = String::from_utf8_lossy(&bytes).into_owned();
-            return Err(Failure::Status(status.as_u16(), text));
-        }
-        Ok(bytes)
+    fn ways(&self) -> MutexGuard<'_, HashMap<SocketAddr, Ways>> {
+        self.ways.lock().expect("no holder panics")
+    }
+}
+
+fn ways() -> Ways {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_secs(1)));
+    Client::builder(TokioExecutor::new()).build(connector)
+}
+
+async fn exchange(
+    ways: Ways,
+    at: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Bytes, Failure> {
+    let answer = ways.request(request).await.map_err(|e| match e.is_connect() {
+        true => Failure::Connect(at),
+        false => Failure::Lost(at),
+    })?;
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
+    let bytes = body.map_err(|_| Failure::Lost(at))?.to_bytes();
+    if !status.is_success() {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        return Err(Failure::Status(status.as_u16(), text));
     }
+    Ok(bytes)
 }
 
 fn read_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Failure> {
