--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 /// The largest request body that is taken in, in bytes.
 const MAX_BODY: usize = 8 << 20;
@@ -20,6 +21,9 @@
 /// How long a caller may take to send its head.
 const HEAD: Duration = Duration::from_secs(5);
 
+/// How long a caller may take to send its body; one that went silent would be kept for good.
+const BODY: Duration = Duration::from_secs(10);
+
 /// A whole request.
 #[derive(Debug, Clone)]
 pub struct Ask {
@@ -95,8 +99,12 @@
     R: Future<Output = Answer>,
 {
     let (head, body) = request.into_parts();
-    let Ok(body) = Limited::new(body, MAX_BODY).collect().await else {
-        return Ok(text(413, format!("the body is larger than {MAX_BODY} bytes or was cut")));
+    let body = match timeout(BODY, Limited::new(body, MAX_BODY).collect()).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(_)) => {
+            return Ok(text(413, format!("the body is larger than {MAX_BODY} bytes or was cut")));
+        }
+        Err(_) => return Ok(text(408, "the body came too slowly")),
     };
     let path = head.uri.path().to_string();
     let query = head.uri.query().unwrap_or_default().to_string();
