--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 
 mod call;
+#[path = "../../../../platform/tests/common/mod.rs"]
+mod relay;
 mod text;
 
 use std::collections::BTreeMap;
@@ -22,6 +24,7 @@
 use myrtle_standin::{Book, Runner, Store};
 
 pub use call::{call, status};
+pub use relay::Relay;
 pub use text::{configuration, settings};
 
 /// The exit code of a host that can't listen; docs/OPERATIONS.md.
@@ -39,6 +42,8 @@
     pub runners: Vec<Arc<Runner>>,
     /// The longest lease of a worker, in milliseconds.
     hold: u64,
+    /// The ways of the hosts to the store and to the workers.
+    relays: Vec<Relay>,
 }
 
 /// A front host, which is a process of its own.
@@ -80,7 +85,7 @@
 
     /// A site whose workers hold leases of up to `hold` milliseconds.
     pub async fn with(work: Duration, hold: u64) -> Self {
-        let mut site = Self::without_hosts(work, hold, ["d"; 4]).await;
+        let mut site = Self::build(work, hold, ["d"; 4], false).await;
         site.host("h1").await;
         site.host("h2").await;
         site
@@ -88,7 +93,7 @@
 
     /// A site of two data centres, each with a host, two workers and a cell of its own.
     pub async fn of_two_centres(work: Duration) -> Self {
-        let mut site = Self::without_hosts(work, 10_000, ["d", "d", "e", "e"]).await;
+        let mut site = Self::build(work, 10_000, ["d", "d", "e", "e"], false).await;
         for (name, centre) in [("h1", "d"), ("h2", "e")] {
             let edit = |text: String| {
                 let text = text.replace("data_centre: d\n", &format!("data_centre: {centre}\n"));
@@ -99,10 +104,23 @@
         site
     }
 
+    /// A site whose connections to the store and to the workers can go silent.
+    pub async fn relayed(work: Duration) -> Self {
+        let mut site = Self::build(work, 10_000, ["d"; 4], true).await;
+        site.host("h1").await;
+        site.host("h2").await;
+        site
+    }
+
+    /// Silences all open connections to the store and to the workers, without a reset.
+    pub fn hush(&self) {
+        self.relays.iter().for_each(Relay::hush);
+    }
+
     /// A site of four workers in these data centres, still without hosts.
-    async fn without_hosts(work: Duration, hold: u64, centres: [&str; 4]) -> Self {
+    async fn build(work: Duration, hold: u64, centres: [&str; 4], relayed: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let store_at = listener.local_addr().unwrap();
+        let mut store_at = listener.local_addr().unwrap();
         let store = Arc::new(Store::default());
         let served = store.clone();
         tokio::spawn(serve(listener, move |ask| {
@@ -110,15 +128,24 @@
             async move { store.handle(ask).await }
         }));
         let book = Arc::new(Book::default());
-        let mut runners = Vec::new();
+        let (mut runners, mut relays) = (Vec::new(), Vec::new());
+        if relayed {
+            relays.push(Relay::to(store_at).await);
+            store_at = relays[0].at;
+        }
         for (n, centre) in centres.into_iter().enumerate() {
             let runner = Runner::start(&format!("i-{n}"), work, book.clone()).await.unwrap();
-            let listing = runner.listing_as(centre, "ready");
+            let mut listing = runner.listing_as(centre, "ready");
+            if relayed {
+                let relay = Relay::to(runner.at).await;
+                listing = listing.replace(&runner.at.to_string(), &relay.at.to_string());
+                relays.push(relay);
+            }
             store.put("keyed.servers", &runner.name, listing.as_bytes());
             runners.push(runner);
         }
         store.put("keyed.op", "config", configuration(1).to_string().as_bytes());
-        Self { store, store_at, book, hosts: BTreeMap::new(), runners, hold }
+        Self { store, store_at, book, hosts: BTreeMap::new(), runners, hold, relays }
     }
 
     /// Starts a host and waits until it is ready.
