A run whose job is forgotten goes on: a failing test

Cause: a run that is known at its worker but whose job is not known any more is neither stopped nor ended. No sequence of today leads there (a job with runs is not forgotten, and only jobs that have not begun are handed on); one that hands begun jobs on would.

--- a/crates/owner/tests/promises.rs
+++ b/crates/owner/tests/promises.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 use rstest::rstest;
 
-use myrtle_job::{How, JobId, State, TaskId, Told};
+use myrtle_job::{How, JobId, State, StepSpec, TaskId, Told};
 use myrtle_owner::{Life, Order, Outcome};
 
 use common::jobs::ended;
@@ -256,6 +256,18 @@
     assert!(world.judge.starts.values().all(|n| *n == 1), "{:?}", world.judge.starts);
 });
 
+// Symptom: a run of a job that was forgotten would go on for good, its lease renewed by each hold.
+// Sequence: a job leaves the owner's memory while a run of it is still at work.
+// Cause: the run was known at its worker, so that it did not count as one that nobody asked for.
+// Settled by: a run whose job is not known is stopped like one of a job that is over.
+case!(a_run_whose_job_is_forgotten_is_stopped, world, {
+    let id = world.submit(job(vec![StepSpec { lasting: true, ..step(2) }]));
+    world.run(1_000);
+    world.owner().cell.jobs.remove(&id);
+    world.run(1_000);
+    assert!(world.workers.values().all(|w| w.count() == 0));
+});
+
 // Symptom: tasks waited for a lease of 10 s though their worker was known to be over.
 // Sequence: a worker crashes behind a cut and comes back there; its later life is listed, once,
 // before the earlier one's hold has failed.
