A run whose job is not known is stopped, also one that its worker's owner knows

Cause: the run was passed over where its job was missing.

Ruled out: to keep jobs longer (they are kept as long as they have runs in their progress, which is not the same as runs at workers).

Change: it is told to stop like a run of a job that is over.

Before: both runs of the model go on. After: none; all tests of the owner pass.

Conclusion: nothing goes on that no job asks for.

--- a/crates/owner/src/held.rs
+++ b/crates/owner/src/held.rs
@@ -82,7 +82,7 @@
             worker.figured = now;
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
+            return self.halt(life, *task, *run, now);
         };
         if !saved.is_empty()
             && let Some(record) = job.progress.task_mut(*task)
