Attempts on silent connections to upstreams come to an end

Cause: an attempt that nobody waits for holds its slot until the upstream is through; on a silent connection that is never, and each request took another silent one of the idle connections. Ruled out: to free the slot at once; a slow upstream still works on the request. Change: the wait for the head of an answer ends 30 s after the caller's time, as that for the body does, and idle connections in doubt are closed, by the judgement that holds for the kept connections of hosts. Left open: a watch has no deadline and so no end on a silent connection.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -132,8 +132,15 @@
 
 /// Sends a request and takes in the answer; the slot is held until the upstream is through.
 ///
-/// Runs to its end even if nobody waits for it, since the upstream does too.
-pub async fn run(slot: Slot, head: Arc<Parts>, payload: Payload, watch: bool) -> Outcome {
+/// Runs to its end even if nobody waits for it, since the upstream does too; but no longer than
+/// [`ABANDONED`] beyond `limit`, since a connection that went silent would hold the slot for good.
+pub async fn run(
+    slot: Slot,
+    head: Arc<Parts>,
+    payload: Payload,
+    limit: Duration,
+    watch: bool,
+) -> Outcome {
     let Some((at, idle)) = slot.place() else { return Outcome::NotRun };
     let tables = slot.tables.clone();
     let mut pooled = tables.pool(|p| p.take(at));
@@ -149,7 +156,14 @@
             return Outcome::NotRun;
         };
         let request = request(&head, payload);
-        match connection.try_send_request(request).await {
+        let number = tables.pool(|p| p.sent(at, reused));
+        let sent = timeout(limit + ABANDONED, connection.try_send_request(request)).await;
+        tables.pool(|p| p.over(at, number, matches!(sent, Ok(Ok(_)))));
+        let Ok(sent) = sent else {
+            slot.failed(Fault::Broken);
+            return Outcome::Unknown;
+        };
+        match sent {
             Ok(answer) => return take_answer(slot, connection, at, idle, answer, watch).await,
             Err(mut e) => {
                 let Some(unsent) = e.take_message() else {
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -145,7 +145,8 @@
         self.attempts += 1;
         self.newest = slot.upstream();
         let payload = Payload::Whole(self.body.clone());
-        let run = attempt::run(slot, self.head.clone(), payload, false);
+        let left = self.deadline.saturating_sub(self.tables.now());
+        let run = attempt::run(slot, self.head.clone(), payload, left, false);
         self.running.push(tokio::spawn(run));
         Ok(())
     }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -150,7 +150,7 @@
     deadline: Duration,
 ) -> Result<Reply, Refusal> {
     let slot = slot(tables, call, deadline, None).await?;
-    let run = attempt::run(slot, Arc::new(head), Payload::Stream(body), true);
+    let run = attempt::run(slot, Arc::new(head), Payload::Stream(body), call.limit, true);
     match run.await {
         Outcome::Stream(answer, slot) => {
             let (mut head, body) = answer.into_parts();
