Scheds and their stand-ins keep tokio's time

Cause: the sched's clock, the log's, the host list's and the record's were the system's, so a test of leases and outages could only judge wall time. Change: they read tokio's clock, which is the same one unless a test pauses it; the log's time is the wall time at its start and tokio's since. Ruled out: changing what any test judges; cells.rs has the same cases and bounds.

--- a/crates/sched/src/tables.rs
+++ b/crates/sched/src/tables.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 use myrtle_base::{Millis, Ring};
 use myrtle_cell::{Cell, Promise, Read, Verdicts};
--- a/crates/sched/tests/cells.rs
+++ b/crates/sched/tests/cells.rs
@@ -1,108 +1,15 @@
 //! Scheds and workers while everything fails; the stand-ins' record is the judge.
 
-use std::sync::Arc;
+mod common;
+
 use std::time::Duration;
 
 use rstest::rstest;
 use serde_json::Value;
 
-use myrtle_config::hash_token;
+use common::{CENTRE, LIMIT, Site, desired, job, plan};
 use myrtle_platform::{Caller, RunState};
-use myrtle_sched::Sched;
-use myrtle_standin::{Control, LogMode, Plan, Run, Summary, WorkerMode, World, until};
-
-const CENTRE: &str = "attiki-a";
-
-/// How long an operator waits for an answer.
-const LIMIT: Duration = Duration::from_secs(20);
-
-/// A cell of three scheds.
-struct Site {
-    world: Arc<World>,
-    scheds: Vec<Sched>,
-}
-
-impl Site {
-    async fn start(plan: &Plan, jobs: &str) -> Self {
-        let world = World::start(plan).await.unwrap();
-        world.apply(&desired(jobs), 0).await;
-        let mut site = Self { world, scheds: Vec::new() };
-        for n in 0..3 {
-            site.add(&format!("s{n}")).await;
-        }
-        site
-    }
-
-    async fn add(&mut self, name: &str) {
-        let settings = self.world.settings(name, CENTRE);
-        self.scheds.push(myrtle_sched::start(settings).await.unwrap());
-    }
-
-    fn order(&self, control: Control) {
-        self.world.control(control).unwrap();
-    }
-
-    fn worker(&self, n: usize, mode: WorkerMode) {
-        self.order(Control::Worker(format!("{CENTRE}-w{n:02}"), mode));
-    }
-
-    fn runs(&self) -> Vec<Run> {
-        self.world.record.runs()
-    }
-
-    fn running(&self) -> usize {
-        self.runs().iter().filter(|r| r.to.is_none()).count()
-    }
-
-    fn done(&self) -> usize {
-        self.runs().iter().filter(|r| r.end == Some(RunState::Done)).count()
-    }
-
-    async fn ask(&self, sched: usize, path: &str) -> Value {
-        Caller::default().get(self.scheds[sched].http, path, LIMIT).await.unwrap()
-    }
-
-    async fn post(&self, sched: usize, path: &str, body: &Value) -> Value {
-        Caller::default().post(self.scheds[sched].http, path, body, LIMIT).await.unwrap()
-    }
-
-    /// Nothing ran or ended twice, no worker was given too much, no confirmed work was lost.
-    fn judge(&self) -> Summary {
-        let seen = self.world.record.summary();
-        assert_eq!(seen.doubled_tasks, Vec::<String>::new());
-        assert_eq!(seen.done_twice, Vec::<String>::new());
-        assert_eq!(seen.lost_work, Vec::<String>::new());
-        assert_eq!(seen.overcommits, Vec::<String>::new());
-        seen
-    }
-}
-
-fn desired(jobs: &str) -> String {
-    let token = hash_token("t");
-    format!(
-        "scope: platform\ndata_centres:\n  {CENTRE}:\n    region: attiki\n    \
-         hosts: [s0, s1, s2]\nservices:\n  nomgate:\n    slots: 8\n    connections: 64\n    \
-         target: 150ms\nclasses:\n  dear:\n    price: 9\n    deadline: 2s\n  cheap:\n    \
-         price: 1\n    deadline: 2s\nparties:\n  helios:\n    token_sha256: {token}\n    \
-         rate: 100\n    classes: [dear, cheap]\njobs:\n{jobs}"
-    )
-}
-
-fn job(name: &str, class: &str, tasks: u32, cores: u32, run_time: &str) -> String {
-    let run_time = match run_time {
-        "" => "watcher: true".to_string(),
-        time => format!("run_time: {time}"),
-    };
-    format!(
-        "  {name}:\n    party: helios\n    class: {class}\n    kind: {name}\n    \
-         data_centre: {CENTRE}\n    tasks: {tasks}\n    cores: {cores}\n    memory: 1GB\n    \
-         {run_time}\n"
-    )
-}
-
-fn plan(workers: usize) -> Plan {
-    Plan { workers, ..Plan::default() }
-}
+use myrtle_standin::{Control, LogMode, Plan, WorkerMode, until};
 
 macro_rules! case {
     ($name:ident, $workers:literal, $jobs:expr, $site:ident => $body:block) => {
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use myrtle_platform::{Answer, Ask, Host, Part, Role, json, text};
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -6,6 +6,7 @@
 
 use serde::Deserialize;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use myrtle_base::Millis;
 use myrtle_platform::{Answer, Ask, Entry, Page, answer, json, text};
@@ -37,6 +38,7 @@
 pub struct Log {
     streams: Mutex<BTreeMap<String, Stream>>,
     mode: Mutex<LogMode>,
+    began: (Millis, Instant),
     kept: usize,
     grown: Notify,
     appends: Mutex<(u64, u64)>,
@@ -48,6 +50,7 @@
         Self {
             streams: Mutex::default(),
             mode: Mutex::default(),
+            began: (wall(), Instant::now()),
             kept,
             grown: Notify::new(),
             appends: Mutex::default(),
@@ -84,7 +87,8 @@
     }
 
     fn now(&self) -> Millis {
-        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().into()
+        let (wall, at) = self.began;
+        wall + at.elapsed().into()
     }
 
     fn append(&self, name: &str, ask: &Ask) -> Answer {
@@ -111,13 +115,13 @@
     async fn read(&self, name: &str, ask: &Ask) -> Answer {
         let number = |key| ask.param(key).and_then(|v| v.parse::<u64>().ok()).unwrap_or_default();
         let (from, wait) = (number("from"), Duration::from_millis(number("wait_ms")));
-        let end = tokio::time::Instant::now() + wait;
+        let end = Instant::now() + wait;
         loop {
             let grown = self.grown.notified();
             match self.page(name, from) {
                 Err(first) => return text(410, first.to_string()),
                 Ok(page) if !page.entries.is_empty() => return bytes(&page),
-                Ok(page) if tokio::time::Instant::now() >= end => return bytes(&page),
+                Ok(page) if Instant::now() >= end => return bytes(&page),
                 Ok(_) => {}
             }
             let _ = tokio::time::timeout_at(end, grown).await;
@@ -148,6 +152,10 @@
     }
 }
 
+fn wall() -> Millis {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().into()
+}
+
 fn bytes(page: &Page) -> Answer {
     answer(200, "application/octet-stream", postcard::to_stdvec(page).unwrap_or_default())
 }
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Mutex;
-use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 use myrtle_base::Millis;
 use myrtle_platform::RunState;
