A request without a token waits while its party's share grows

Cause: a gate holds a sixteenth of a quiet party's rate. What came faster than that was refused as over_limit until the next ask raised the share, though the keeper had the rest unlent; demand was looked at every 0.2 s only, and an ask may take 0.1 s and more beside busy processors. Ruled out: late answers, full upstreams, moving keepers (refusals within 0.2 ms of the request, 429 over_limit with 7 to 75 ms to wait, 0.48 to 0.83 s after the first request). Change: a request that finds no token asks the keeper at once and waits for one while its share grows (the keeper has not answered the new want, gave all that was wanted, or lent half as much again within the last second), at most 1 s and half of its time, and at most as many as a second's rate; a burst counts as demand before the 0.2 s are over. A share that the keeper has said is all there is still refuses at once. Requests with a key and watches take the same way.

--- a/crates/gate/src/borrow.rs
+++ b/crates/gate/src/borrow.rs
@@ -13,7 +13,7 @@
 
 use crate::core::Core;
 use crate::tables::Tables;
-use crate::view::View;
+use crate::view::{Party, View};
 
 /// The time between two rounds when nothing presses.
 const ROUND: Duration = Duration::from_millis(100);
@@ -133,16 +133,20 @@
         if !kept(&unit) {
             continue;
         }
-        let demand = core.rates.entry(party.name.clone()).or_default().demand(now);
-        let want = (demand * MORE).ceil() as u32;
-        let least = (party.rate / QUIET_PART).max(1);
-        // Coarse steps, so that small changes of demand cost no message.
-        let want = want.max(least).next_multiple_of(least).min(party.rate);
-        wants.insert(unit, (0, want));
+        wants.insert(unit, (0, want_of(core, party, now)));
     }
     wants
 }
 
+/// What is wanted of a party's rate.
+pub fn want_of(core: &mut Core, party: &Party, now: Duration) -> u32 {
+    let demand = core.rates.entry(party.name.clone()).or_default().demand(now);
+    let want = (demand * MORE).ceil() as u32;
+    let least = (party.rate / QUIET_PART).max(1);
+    // Coarse steps, so that small changes of demand cost no message.
+    want.max(least).next_multiple_of(least).min(party.rate)
+}
+
 fn take_reply(tables: &Tables, sent: Duration, reply: LendReply) {
     let now = tables.now();
     let bound = sent + reply.bound.std();
@@ -155,6 +159,7 @@
             core.dispatch(now);
         }
     });
+    tables.lent.notify_waiters();
     shrink_pool(tables);
 }
 
--- a/crates/gate/src/keyed.rs
+++ b/crates/gate/src/keyed.rs
@@ -18,8 +18,9 @@
 
 use crate::call::Call;
 use crate::exchange::exchange;
+use crate::rate::take_rate;
 use crate::refusal::RAN;
-use crate::serve::{Refusal, Reply, take_rate, whole};
+use crate::serve::{Refusal, Reply, whole};
 use crate::tables::{Tables, wall};
 
 /// How long a keeper is looked for; a bucket changes hands within it.
@@ -60,7 +61,7 @@
         Begin::Replay(saved) => Ok(replay(saved)),
         Begin::Refuse(kind) => Err(kind.into()),
         Begin::Run => {
-            let result = match take_rate(tables, call) {
+            let result = match take_rate(tables, call, deadline).await {
                 Ok(()) => exchange(tables, call, &Arc::new(head), &body, deadline).await,
                 Err(refusal) => Err(refusal),
             };
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -15,6 +15,7 @@
 mod keyed;
 mod life;
 mod pool;
+mod rate;
 mod rebalance;
 mod refusal;
 mod rpc;
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -20,15 +20,13 @@
 use crate::attempt::{self, Outcome, Payload, Slot, passed};
 use crate::call::{Call, Fault};
 use crate::exchange::exchange;
+use crate::rate::take_rate;
 use crate::refusal::{RAN, refusal};
 use crate::tables::Tables;
 
 /// How long a caller may take to send its body.
 const BODY: Duration = Duration::from_secs(5);
 
-/// When to come back to a gate that no keeper lends to.
-const SHARELESS: Duration = Duration::from_secs(1);
-
 /// An answer to a caller: whole, or passed on as it comes.
 pub type Reply = Response<Either<Full<Bytes>, Passing>>;
 
@@ -132,7 +130,7 @@
         // so that "not run" is true of the key and not only of this sending.
         return crate::keyed::serve(tables, call, head, body, deadline, key).await;
     }
-    take_rate(tables, call)?;
+    take_rate(tables, call, deadline).await?;
     if call.watch {
         return watch(tables, call, head, body, deadline).await;
     }
@@ -192,22 +190,6 @@
     Ok(Slot::new(tables.clone(), &call.service, ticket))
 }
 
-/// Takes one request out of the party's share, which is nothing while no keeper lends.
-pub fn take_rate(tables: &Tables, call: &Call) -> Result<(), Refusal> {
-    let now = tables.now();
-    let unit = myrtle_cell::Unit::Party(call.party.clone()).to_string();
-    let taken = tables.core(|cores| {
-        let Some(core) = cores.get_mut(&call.service) else { return Ok(()) };
-        let share = core.shares.usable(&unit, now);
-        let taken = core.rates.entry(call.party.clone()).or_default().take(share, now);
-        taken.map_err(|after| match share {
-            0 => (Kind::NotReady, SHARELESS),
-            _ => (Kind::OverLimit, after),
-        })
-    });
-    taken.map_err(|(kind, after)| Refusal::after(kind, after))
-}
-
 async fn read_body(call: &Call, body: Incoming) -> Result<Bytes, Refusal> {
     let limited = Limited::new(body, call.max_body as usize).collect();
     match timeout(BODY.min(call.limit), limited).await {
--- a/crates/gate/src/tables.rs
+++ b/crates/gate/src/tables.rs
@@ -51,6 +51,8 @@
     pub stop: Notify,
     /// Wakes the borrower when more slots are needed.
     pub needy: Notify,
+    /// Wakes requests that wait for a token when a keeper has lent.
+    pub lent: Notify,
     start: Instant,
     boot: AtomicU64,
     lease: AtomicU64,
@@ -88,6 +90,7 @@
             view: ArcSwap::default(),
             stop: Notify::new(),
             needy: Notify::new(),
+            lent: Notify::new(),
             start: Instant::now(),
             boot: AtomicU64::new(wall().0),
             lease: AtomicU64::new(0),
--- a/crates/route/src/rate.rs
+++ b/crates/route/src/rate.rs
@@ -5,6 +5,9 @@
 /// Tokens that can be saved up, in seconds of the rate.
 const BURST: f64 = 1.0;
 
+/// The time over which demand is measured.
+const LOOK: Duration = Duration::from_millis(200);
+
 /// A bucket that fills at the share's rate.
 #[derive(Debug, Clone, Default)]
 pub struct Rate {
@@ -14,6 +17,8 @@
     asked: u32,
     looked: Duration,
     recent: f64,
+    /// Requests that wait for a token.
+    waiting: u32,
 }
 
 impl Rate {
@@ -22,6 +27,11 @@
     /// Returns the wait after which there will be one if there is none now.
     pub fn take(&mut self, share: u32, now: Duration) -> Result<(), Duration> {
         self.asked += 1;
+        self.again(share, now)
+    }
+
+    /// Takes a token for a request that was counted when it asked first.
+    pub fn again(&mut self, share: u32, now: Duration) -> Result<(), Duration> {
         let rate = f64::from(share);
         let passed = now.saturating_sub(self.filled).as_secs_f64();
         self.filled = now;
@@ -34,10 +44,24 @@
         Err(Duration::from_secs_f64(wait))
     }
 
+    /// Lets one more request wait for a token unless `most` wait; [`Rate::waited`] ends its wait.
+    pub fn wait(&mut self, most: u32) -> bool {
+        let free = self.waiting < most;
+        self.waiting += u32::from(free);
+        free
+    }
+
+    /// Notes that a request waits no longer.
+    pub fn waited(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
     /// The requests a second that callers asked for lately.
     pub fn demand(&mut self, now: Duration) -> f64 {
         let passed = now.saturating_sub(self.looked).as_secs_f64();
-        if passed < 0.2 {
+        if passed < LOOK.as_secs_f64() {
+            // A burst shows before the time is over, or it would be refused meanwhile.
+            self.recent = self.recent.max(f64::from(self.asked) / LOOK.as_secs_f64());
             return self.recent;
         }
         let fresh = f64::from(self.asked) / passed;
--- a/crates/route/src/shares.rs
+++ b/crates/route/src/shares.rs
@@ -5,6 +5,9 @@
 
 use crate::{Ask, LOAN, Offer};
 
+/// How long after a share grew by half it counts as growing: its tokens take that long to fill.
+const FILLS: Duration = Duration::from_secs(1);
+
 /// What a gate holds of one unit.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Share {
@@ -14,6 +17,10 @@
     pub fair: u32,
     /// What it asked for last.
     pub want: u32,
+    /// What it asked for when the keeper answered last.
+    pub told: u32,
+    /// When it grew by half or more.
+    pub grew: Option<Duration>,
     /// When the loan ends, by this gate's clock.
     pub until: Duration,
 }
@@ -49,8 +56,12 @@
     /// `bound` is the time until which the keeper itself may lend.
     pub fn offer(&mut self, unit: &str, offer: Offer, sent: Duration, bound: Duration) {
         let share = self.all.entry(unit.into()).or_default();
+        if offer.lent > share.lent + share.lent / 2 {
+            share.grew = Some(sent);
+        }
         share.lent = offer.lent;
         share.fair = offer.fair;
+        share.told = share.want;
         share.until = (sent + LOAN).min(bound);
     }
 
@@ -61,6 +72,14 @@
         soon && (want > 0 || share.lent > 0) || share.want != want || share.lent > share.fair
     }
 
+    /// Whether the share grew just now or the keeper may lend more: it has not heard of `want`, or
+    /// gave all that was wanted.
+    pub fn growing(&self, unit: &str, want: u32, limit: u32, now: Duration) -> bool {
+        let Some(share) = self.all.get(unit) else { return false };
+        let grew = share.grew.is_some_and(|at| now.saturating_sub(at) < FILLS);
+        grew || share.lent < limit && (want > share.told || share.lent >= want)
+    }
+
     /// Forgets units that are no longer configured.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.all.retain(|unit, _| keep(unit));
