What waits out an outage of the log gets into it soon after

Cause: an append that was refused was followed by 1.5 s of looking for its batch in the log, so the next one came up to 1.6 s after the log was back; the first read after the outage waited up to 0.8 s for a record. Beyond 2 s it came when a proposal gave up after its 4 s meanwhile: the ends then waited for the next exchange with the worker (time line: 15.07 s and 16.08 s). Change: a refused append is repeated after 0.35 s; after a lost answer the batch is looked for as before. The first read after an outage waits for no record. A batch whose callers are all gone is not appended first, and verdicts of repeats are forgotten.

--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -10,6 +10,7 @@
 use myrtle_base::{Millis, winner};
 use myrtle_cell::{Batch, Op, Record, Verdicts};
 use myrtle_peer::{Proposal, SchedPeerClient};
+use myrtle_platform::Failure;
 
 use crate::tables::Tables;
 
@@ -78,6 +79,10 @@
     let mut seq = 0;
     let mut next = Instant::now();
     while let Some(first) = orders.recv().await {
+        // A batch for nobody would hold up those that somebody waits for.
+        if first.reply.is_closed() {
+            continue;
+        }
         sleep_until(next.max(Instant::now() + LINGER)).await;
         let waiting = gather(first, &mut orders);
         seq += 1;
@@ -112,11 +117,14 @@
     let record = Record::Batch(Batch { writer: tables.writer, seq, expires, stamp, ops });
     let bytes = record.encode();
     tables.meter.count("myrtle_log_appends", "cell");
+    // Repeats of earlier batches may have left what nobody asks for.
+    tables.cell(|c| c.verdicts.clear());
     loop {
-        if let Err(e) = tables.log.append(&tables.stream(), bytes.clone()).await {
+        let appended = tables.log.append(&tables.stream(), bytes.clone()).await;
+        if let Err(e) = &appended {
             warn!("log: append {seq} failed or its answer was lost: {e}");
         }
-        if let Some(verdicts) = read_back(tables, seq).await {
+        if let Some(verdicts) = read_back(tables, seq, patience(&appended)).await {
             return hand_out(waiting, verdicts);
         }
         if tables.cell(|c| c.cell.now > expires) || waiting.iter().all(|o| o.reply.is_closed()) {
@@ -126,7 +134,16 @@
     }
 }
 
-async fn read_back(tables: &Tables, seq: u64) -> Option<Verdicts> {
+/// How long to look for a batch in the log before it is appended again.
+fn patience(appended: &Result<u64, Failure>) -> Duration {
+    match appended {
+        // It was most likely not taken in: looking for long would go on when the log is back.
+        Err(Failure::Connect(_) | Failure::Status(..)) => GAP,
+        _ => READ_BACK,
+    }
+}
+
+async fn read_back(tables: &Tables, seq: u64, patience: Duration) -> Option<Verdicts> {
     let mut changed = tables.changed.subscribe();
     let wait = async {
         loop {
@@ -138,7 +155,7 @@
             }
         }
     };
-    timeout(READ_BACK, wait).await.ok()
+    timeout(patience, wait).await.ok()
 }
 
 fn hand_out(waiting: Vec<Order>, verdicts: Verdicts) {
--- a/crates/sched/src/follow.rs
+++ b/crates/sched/src/follow.rs
@@ -33,7 +33,9 @@
     loop {
         let from = tables.cell(|c| c.cell.next);
         let sent = tables.now();
-        match tables.log.read(&stream, from, WAIT).await {
+        // The first read after an outage waits for no record, or it would tell late that it is over.
+        let wait = if contact { WAIT } else { Duration::ZERO };
+        match tables.log.read(&stream, from, wait).await {
             Ok(page) => {
                 tables.note_contact(&mut contact, true, "the log");
                 take_page(&tables, sent, page);
