Whole-path tests: each process has an address of its own

Change: hosts listen on a loopback address made from the process id, on ports that the process gives out once.

--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -12,6 +12,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use nix::sys::signal::{Signal, kill};
@@ -25,7 +26,7 @@
 
 pub use call::{call, status};
 pub use relay::Relay;
-pub use text::{configuration, settings};
+pub use text::{configuration, own_ip, settings};
 
 /// The exit code of a host that can't listen; docs/OPERATIONS.md.
 const NO_PORT: i32 = 3;
@@ -71,10 +72,10 @@
     }
 }
 
-/// A port of loopback that is free now.
-async fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap().port()
+/// A port of the process's own address that no test of it was given before.
+fn next_port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(10_000);
+    NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
 impl Site {
@@ -170,7 +171,7 @@
 
     /// Starts a host on ports that were free; false if one of them has been taken since.
     async fn try_host(&mut self, name: &str, edit: &impl Fn(String) -> String) -> bool {
-        let ports = [free_port().await, free_port().await, free_port().await];
+        let ports = [next_port(), next_port(), next_port()];
         let file = format!("myrtle-{}-{}.yaml", std::process::id(), ports[0]);
         let path = std::env::temp_dir().join(file);
         let text = edit(settings(name, self.store_at, ports, self.hold));
@@ -180,7 +181,7 @@
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let at = |port| SocketAddr::from((own_ip(), port));
         let (clients, checks) = (at(ports[0]), at(ports[1]));
         let mut host = Host { clients, checks, process, settings: path };
         loop {
--- a/crates/front/tests/common/text.rs
+++ b/crates/front/tests/common/text.rs
@@ -1,6 +1,6 @@
 //! The operator's configuration and the hosts' settings.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 
 use serde_json::{Value, json};
 
@@ -15,6 +15,12 @@
         "limits": { "max_body_bytes": 4096 } })
 }
 
+/// A loopback address that only this process uses, so that no other test takes its hosts' ports.
+pub fn own_ip() -> Ipv4Addr {
+    let [_, a, b, c] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 + a % 64, b, c)
+}
+
 /// The settings of a host.
 pub fn settings(
     name: &str,
@@ -22,9 +28,10 @@
     [clients, checks, peer]: [u16; 3],
     hold: u64,
 ) -> String {
+    let ip = own_ip();
     format!(
-        "name: {name}\ndata_centre: d\ndata_centres: [d]\nclients: 127.0.0.1:{clients}\n\
-         checks: 127.0.0.1:{checks}\nip: 127.0.0.1\npeer_port: {peer}\nstore: {store}\n\
+        "name: {name}\ndata_centre: d\ndata_centres: [d]\nclients: {ip}:{clients}\n\
+         checks: {ip}:{checks}\nip: {ip}\npeer_port: {peer}\nstore: {store}\n\
          member_ttl: 1000\nbounds: {{hold: {hold}, stop: 900, gang: 3000, harm: 4000, far: 1.5, \
          status: 120, notice: 4500, save: 0.5, grace: 6, contact: 3000}}\n"
     )
