--- a/crates/owner/tests/cells/mod.rs
+++ b/crates/owner/tests/cells/mod.rs
@@ -47,6 +47,12 @@
     leaving: Vec<Arc<str>>,
     /// Deliveries that arrive later.
     late: Vec<(u64, Delivery)>,
+    /// Where the deliveries of a moment come from, while each takes its time.
+    slow: Option<ChaCha8Rng>,
+    /// Deliveries that take their time: when they arrive, their cell and its fencing token.
+    under_way: Vec<(u64, usize, u64, Delivery)>,
+    /// Cells whose owners die as soon as they have written.
+    dying: Vec<usize>,
     fence: u64,
 }
 
@@ -84,16 +90,20 @@
     cell
 }
 
-/// A job of 16 tasks that last and fill four workers of 32 cores.
-fn submission() -> Submission {
-    let step = StepSpec {
+/// A step of 16 tasks that last and fill four workers of 32 cores.
+pub fn step() -> StepSpec {
+    StepSpec {
         count: 16,
         room: Room { cpu: 8_000, mem: 1_000, accel: 0 },
         estimate: 1_000,
         lasting: true,
         ..StepSpec::default()
-    };
-    let spec = JobSpec { body: "b".into(), steps: vec![step], repeat: None };
+    }
+}
+
+/// A job of some steps.
+fn submission(steps: Vec<StepSpec>) -> Submission {
+    let spec = JobSpec { body: "b".into(), steps, repeat: None };
     let policy =
         Policy { queue: "q".into(), service: "s".into(), attempts: 3, ..Policy::default() };
     Submission { policy, spec, taken: 0 }
@@ -120,6 +130,14 @@
 impl Cells {
     /// So many cells, the first of them full with one job.
     pub fn full(count: usize) -> Self {
+        let mut cells = Self::of(count, vec![step()]);
+        assert_eq!(starts(&cells.orders[0]).len(), 16);
+        cells.deaf = false;
+        cells
+    }
+
+    /// So many cells that tell each other nothing yet; the first has a job of these steps.
+    pub fn of(count: usize, steps: Vec<StepSpec>) -> Self {
         let mut cells = Self {
             now: 1_000,
             lossy: false,
@@ -131,14 +149,15 @@
             workers: BTreeMap::new(),
             leaving: vec![],
             late: vec![],
+            slow: None,
+            under_way: vec![],
+            dying: vec![],
             fence: 1,
         };
         cells.now += 2_000;
-        cells.give(0, Key::Job(JOB), myrtle_job::encode(&submission()));
+        cells.give(0, Key::Job(JOB), myrtle_job::encode(&submission(steps)));
         // The last ones wait for a moment before they take room that is kept for short tasks.
         cells.run(2_000);
-        assert_eq!(starts(&cells.orders[0]).len(), 16);
-        cells.deaf = false;
         cells
     }
 
@@ -164,6 +183,28 @@
         self.leaving.push(name(cell, worker));
     }
 
+    /// A run of a task ends well.
+    pub fn finish(&mut self, task: TaskId) {
+        for worker in self.workers.values_mut() {
+            if let Some((run, saved)) = worker.runs.remove(&task) {
+                worker.told += 1;
+                worker.ended.push(Ended { number: worker.told, task, run, how: How::Done, saved });
+            }
+        }
+    }
+
+    /// The home's job is taken back.
+    pub fn cancel_home(&mut self) {
+        let now = self.now;
+        assert!(self.owners[0].cancel(JOB, now, now));
+        self.run(1_000);
+    }
+
+    /// One more job comes to the first cell.
+    pub fn give_job(&mut self, id: JobId) {
+        self.give(0, Key::Job(id), myrtle_job::encode(&submission(vec![step()])));
+    }
+
     /// A worker that was to leave stays.
     pub fn stay(&mut self, cell: usize, worker: u16) {
         let now = self.now;
@@ -238,6 +279,37 @@
         self.run(6_000);
     }
 
+    /// As `chaos`, but every delivery takes its time, in any order, also those of owners that have
+    /// died; owners die between writing and acting; the job is taken back at step `cancel`.
+    pub fn slow_chaos(&mut self, seed: u64, cancel: Option<u64>) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        self.slow = Some(ChaCha8Rng::seed_from_u64(seed + 1));
+        for at in 0..80 {
+            let cell = rng.random_range(0..self.owners.len());
+            match rng.random_range(0..10) {
+                0 if self.leaving.len() < 4 => {
+                    let worker = rng.random_range(0..WORKERS);
+                    if !self.leaving.contains(&name(cell, worker)) {
+                        self.leave(cell, worker);
+                    }
+                }
+                1 => self.take_over(cell),
+                2 => self.dying.push(cell),
+                3 => self.repeat_a_delivery(&mut rng),
+                _ => {}
+            }
+            if cancel == Some(at) {
+                self.owners[0].cancel(JOB, self.now, self.now);
+                // A client is told only once that is written; it asks again until then.
+                self.dying.clear();
+            }
+            self.step();
+        }
+        self.dying.clear();
+        // No more owners come that would read the logs anew.
+        self.run(12_000);
+    }
+
     /// Lets every worker of a cell tell the ends of what it has stopped.
     pub fn confirm_stops(&mut self, cell: usize) {
         self.hold(cell);
@@ -263,12 +335,16 @@
         self.late = rest;
         let due: Vec<(u64, Delivery)> = due;
         due.into_iter().for_each(|(_, d)| self.give(d.to as usize, d.key, d.record));
+        self.arrive();
         for cell in 0..self.owners.len() {
             self.hold(cell);
             self.owners[cell].evacuate(now);
             self.owners[cell].plan(now);
             self.write(cell);
         }
+        let mut tasks: Vec<_> = self.workers.values().flat_map(|w| w.runs.keys()).collect();
+        tasks.sort_unstable();
+        assert!(tasks.windows(2).all(|pair| pair[0] != pair[1]), "a task runs twice at {now}");
     }
 
     /// Every worker of a cell answers a hold.
@@ -303,6 +379,11 @@
                 false => drop(self.progress[cell].insert(*id, value.clone())),
             }
         }
+        if self.dying.contains(&cell) {
+            self.dying.retain(|c| *c != cell);
+            return self.take_over(cell);
+        }
+        let owner = &mut self.owners[cell];
         orders.extend(owner.committed(batch, now));
         let deliveries = owner.deliveries();
         orders.into_iter().for_each(|order| self.carry_out(cell, order));
@@ -335,6 +416,12 @@
         if self.lossy {
             return;
         }
+        if let Some(rng) = &mut self.slow {
+            let (now, fence) = (self.now, self.owners[cell].fence);
+            let slow =
+                deliveries.into_iter().map(|d| (now + rng.random_range(0..2_500), cell, fence, d));
+            return self.under_way.extend(slow);
+        }
         for delivery in deliveries {
             let Delivery { key, to, record } = delivery;
             self.give(to as usize, key, record);
@@ -342,6 +429,21 @@
         }
     }
 
+    /// Deliveries that took their time are in the logs now; a dead owner does not learn of it.
+    fn arrive(&mut self) {
+        let now = self.now;
+        let (due, rest) =
+            std::mem::take(&mut self.under_way).into_iter().partition(|(at, ..)| *at <= now);
+        self.under_way = rest;
+        let due: Vec<(u64, usize, u64, Delivery)> = due;
+        for (_, cell, fence, Delivery { key, to, record }) in due {
+            self.give(to as usize, key, record);
+            if self.owners[cell].fence == fence {
+                self.owners[cell].delivered(key);
+            }
+        }
+    }
+
     /// Puts a record into a cell's log, and its owner reads it.
     fn give(&mut self, cell: usize, key: Key, record: Vec<u8>) {
         self.jobs[cell].retain(|(k, _)| *k != key);
