A pass over waiting tasks that never ends: three failing tests

Cause: Cell::plan returns at a cut without taking the job into pass.done (plan.rs:92), and place_job begins again with the job's first step; with 600 workers 50 looks fill a slice (LOOKS 30,000). Copies that find nothing, gangs and choosy steps are kept in no memo (refused.rs), so the next slice looks for the same in vain, is spent, and cuts at the same place. Nothing behind that job is placed, and pass.done is never cleared. Ruled out: steps of one kind without spread, label or advice: the memo covers them.

--- a/crates/owner/tests/slices.rs
+++ b/crates/owner/tests/slices.rs
@@ -14,8 +14,8 @@
 use std::sync::Arc;
 
 use myrtle_base::Room;
-use myrtle_job::{Held, JobId, StepSpec, Submission};
-use myrtle_owner::{Bounds, Cell};
+use myrtle_job::{Held, JobId, Policy, StepSpec, Submission};
+use myrtle_owner::{Bounds, Cell, Life};
 
 use common::{job, listing, policy, step};
 
@@ -89,3 +89,72 @@
     cell.plan(3_000);
     assert_eq!(placed(&cell), usize::from(TASKS));
 }
+
+/// Symptom: a pass never ends and owners plan all the time; jobs behind one job are never started, and
+/// no new pass looks again for those before it.
+/// Sequence: one job's looks that find nothing fill a slice: copies of its runs on silent workers, a
+/// gang, or many steps that are choosy; the next slice begins with the same looks.
+/// Cause: what a cut job has looked for in vain is not remembered within the pass.
+/// Settled by: `plan` asks to be called again 20 times in a row with nothing placed between.
+///
+/// The slices that a pass over the cells below may take at most.
+const SLICES: usize = 20;
+
+/// Whether a small job behind `first` gets its turn, and the pass an end.
+fn ends_with_a_small_job_behind(cell: &mut Cell, now: u64) {
+    let before = placed(cell);
+    let behind = Policy { priority: 1, ..policy() };
+    let submission = Submission { policy: behind, spec: job(vec![step(1)]), taken: 0 };
+    cell.admit(JobId(1_000), submission, now, now);
+    let ends = (0..SLICES).any(|_| !cell.plan(now));
+    assert!(placed(cell) > before, "the job behind never had its turn");
+    assert!(ends, "the pass never ends");
+}
+
+/// Hands in a job that came long ago, so that its turn is first.
+fn admit_steps(cell: &mut Cell, id: u64, steps: Vec<StepSpec>) {
+    let submission = Submission { policy: policy(), spec: job(steps), taken: 0 };
+    cell.admit(JobId(id), submission, 1_000, 1_000);
+}
+
+#[test]
+fn steps_that_find_no_place_do_not_keep_others_from_theirs() {
+    let mut cell = owner();
+    let room = Room::new(33.0, 100, 0);
+    let steps = (0..60).map(|_| StepSpec { room, spread: 1, estimate: 1, ..step(1) }).collect();
+    admit_steps(&mut cell, 1, steps);
+    ends_with_a_small_job_behind(&mut cell, 1_100);
+}
+
+#[test]
+fn a_gang_that_finds_no_place_does_not_keep_others_from_theirs() {
+    let mut cell = owner();
+    let spread =
+        |count, cores| StepSpec { room: Room::new(cores, 100, 0), spread: 1, ..step(count) };
+    admit_steps(&mut cell, 1, vec![spread(WORKERS - 80, 20.0)]);
+    while cell.plan(1_050) {}
+    assert_eq!(placed(&cell), usize::from(WORKERS) - 80);
+    let gang = StepSpec { gang: true, estimate: 1, ..spread(100, 20.0) };
+    let after = StepSpec { estimate: 1, ..spread(1, 33.0) };
+    admit_steps(&mut cell, 2, vec![gang, after]);
+    ends_with_a_small_job_behind(&mut cell, 1_100);
+}
+
+#[test]
+fn copies_that_find_no_place_do_not_keep_others_from_theirs() {
+    let mut cell = owner();
+    let room = Room::new(30.0, 100, 0);
+    let late = StepSpec { room, copies: true, estimate: 1, ..step(WORKERS) };
+    admit_steps(&mut cell, 1, vec![late]);
+    while cell.plan(1_050) {}
+    assert_eq!(placed(&cell), usize::from(WORKERS));
+    let batch = cell.batch();
+    cell.committed(batch, 1_100);
+    // A data centre with 100 of the workers is cut off.
+    for worker in cell.workers.values_mut().take(100) {
+        worker.life = Life::Silent;
+        worker.heard = 1_000;
+    }
+    cell.look_for_copies(2_000);
+    ends_with_a_small_job_behind(&mut cell, 2_000);
+}
