A pass looks for each task in vain only once

Cause: a job that is cut began the next slice with the looks that had found nothing, and these filled it again: the pass never ended and nothing behind the job was placed. Ruled out: to take a cut job as done (its other tasks would wait for a pass), more looks a slice (any bound is met by some job). Change: tasks that found no worker are kept until the pass ends and passed over in its later slices. Conclusion: every slice looks for tasks that had no look in this pass, so a pass ends.

--- a/crates/owner/src/pass.rs
+++ b/crates/owner/src/pass.rs
@@ -8,7 +8,7 @@
 use std::cell::Cell as Count;
 use std::collections::BTreeSet;
 
-use myrtle_job::JobId;
+use myrtle_job::{JobId, TaskId};
 
 /// How many workers a slice looks at, over all tasks: 3 ms on a whole core, 10 to 25 ms on hosts that
 /// own cells.
@@ -19,6 +19,9 @@
 pub(crate) struct Pass {
     /// The jobs that have had their turn.
     pub(crate) done: BTreeSet<JobId>,
+    /// Tasks that found no worker: a job that is cut looks for them once a pass, else looks that found
+    /// nothing would fill every slice, and neither the job nor those behind it would get further.
+    pub(crate) nowhere: BTreeSet<TaskId>,
     /// Whether the last job was left before all of its tasks had their turn.
     pub(crate) cut: bool,
     /// The workers looked at in this slice.
@@ -35,6 +38,7 @@
     /// Ends the pass.
     pub(crate) fn end(&mut self) {
         self.done.clear();
+        self.nowhere.clear();
     }
 
     /// Counts workers that were looked at.
--- a/crates/owner/src/place.rs
+++ b/crates/owner/src/place.rs
@@ -27,7 +27,13 @@
                 continue;
             }
             let copy = job.progress.task(task).is_some_and(|t| !t.waits());
-            let fit = self.seek(task, copy, now);
+            let fit = match self.pass.nowhere.contains(&task) {
+                true => None,
+                false => self.seek(task, copy, now),
+            };
+            if fit.is_none() {
+                self.pass.nowhere.insert(task);
+            }
             if copy && fit.is_none() {
                 // The run that is there may still end.
                 continue;
@@ -75,7 +81,9 @@
         let members: Vec<TaskId> = (0..tasks.len())
             .map(|index| TaskId { job: id, round, step, index: index as u16 })
             .collect();
-        if members.iter().any(|t| job.retry.get(t).is_some_and(|&at| at > now)) {
+        if members.iter().any(|t| job.retry.get(t).is_some_and(|&at| at > now))
+            || self.pass.nowhere.contains(&members[0])
+        {
             return true;
         }
         for (at, &task) in members.iter().enumerate() {
@@ -85,6 +93,7 @@
                 for &placed in &members[..at] {
                     self.unassign(placed, number);
                 }
+                self.pass.nowhere.insert(members[0]);
                 self.ask(task, now);
                 self.stuck(task, now);
                 return true;
