--- a/crates/owner/tests/cells/mod.rs
+++ b/crates/owner/tests/cells/mod.rs
@@ -1,5 +1,7 @@
 //! Several cells in virtual time, each with its log, its owner and four workers that do as told.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
