The wait of a job ends with the last task that waits

Cause: only a step placed as a whole, or a short run, ended it; tasks that are handed on or taken back are neither, so a task stopped a minute later was 60 s old at once: handed on in the next 100 ms, and patient, so that it took of the room kept for short tasks. Ruled out: to end it in hand_on_tasks (those that found no cell have waited on). Change: a job of which nothing waits after its turn waits no more. Conclusion: each wait counts from its own first look.

--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -83,6 +83,7 @@
                 self.hand_on_tasks(rank.id, now);
             } else {
                 self.open.remove(&rank.id);
+                self.unstick(rank.id);
             }
         }
         self.pass.end();
--- a/crates/owner/src/waits.rs
+++ b/crates/owner/src/waits.rs
@@ -2,7 +2,7 @@
 
 use log::info;
 
-use myrtle_job::TaskId;
+use myrtle_job::{JobId, TaskId};
 
 use crate::{Cell, Job};
 
@@ -19,6 +19,14 @@
         }
     }
 
+    /// Notes that nothing of a job waits; else tasks that wait later would count as having waited since
+    /// then, go to another cell at once and take of room that is kept.
+    pub(crate) fn unstick(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.stuck = None;
+        }
+    }
+
     /// Why no worker takes a task now.
     fn why_not(&self, job: &Job, task: TaskId, now: u64) -> &'static str {
         let spec = job.step(task.step);
