--- a/crates/owner/src/part.rs
+++ b/crates/owner/src/part.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 
-use log::info;
+use log::{Level, info, log};
 
 use myrtle_job::{Free, Handed, JobId, Part, PartId, Progress, Round, State, Taken, TaskId};
 
@@ -47,7 +47,9 @@
             }
             job.turn_has_come(task.task);
         }
-        info!("event=tasks-taken job={} tasks={} from={}", id.job, tasks.len(), id.from);
+        // A takeover reads old parts again.
+        let level = if self.loaded { Level::Info } else { Level::Debug };
+        log!(level, "event=tasks-taken job={} tasks={} from={}", id.job, tasks.len(), id.from);
         let tasks = tasks.into_iter().map(|t| t.task).collect();
         let turn = job.progress.turn();
         job.progress.taken.push(Taken { part: id, tasks, turn });
--- a/crates/owner/tests/cancelled.rs
+++ b/crates/owner/tests/cancelled.rs
@@ -13,7 +13,7 @@
 /// From a cancellation's answer to the end of the last run, in milliseconds.
 const STOPPED_WITHIN: u64 = 3_900;
 
-/// How long after a disturbance that counts, and after a start that was carried out late, in
+/// How long after trouble that counts, and after a start that was carried out late, in
 /// milliseconds.
 const IN_TOUCH: u64 = 3_000;
 
--- /dev/null
+++ b/crates/owner/tests/cells/act.rs
@@ -0,0 +1,128 @@
+//! What workers, owners and logs do in a step.
+
+use rand::RngExt;
+
+use myrtle_job::{Ended, Held, How, Key, Running, Told, decode};
+use myrtle_owner::{Delivery, Order, Outcome};
+
+use super::given::name;
+use super::{Cells, WORKERS};
+
+impl Cells {
+    /// Every worker of a cell answers a hold.
+    pub(super) fn hold(&mut self, cell: usize) {
+        let now = self.now;
+        for n in 0..WORKERS {
+            let id = name(cell, n);
+            let worker = self.workers.entry(id.clone()).or_default();
+            let seen = self.owners[cell].hold_args(&id, now).map_or(0, |args| args.seen);
+            worker.ended.retain(|end| end.number > seen);
+            let running = worker.runs.iter().map(|(&task, (run, saved))| Running {
+                task,
+                run: *run,
+                saved: saved.clone(),
+                percent: 100.0,
+                figure: None,
+            });
+            let held = Held { clock: now, running: running.collect(), ended: worker.ended.clone() };
+            self.owners[cell].held(&id, held, now, now, now);
+        }
+    }
+
+    /// The owner writes; orders and deliveries go out.
+    pub(super) fn write(&mut self, cell: usize) {
+        let now = self.now;
+        let owner = &mut self.owners[cell];
+        let mut orders = owner.orders();
+        let batch = owner.batch();
+        for (id, value) in &batch.records {
+            match value.is_empty() {
+                true => drop(self.progress[cell].remove(id)),
+                false => drop(self.progress[cell].insert(*id, value.clone())),
+            }
+        }
+        if self.dying.contains(&cell) {
+            self.dying.retain(|c| *c != cell);
+            return self.take_over(cell);
+        }
+        let owner = &mut self.owners[cell];
+        orders.extend(owner.committed(batch, now));
+        let deliveries = owner.deliveries();
+        orders.into_iter().for_each(|order| self.carry_out(cell, order));
+        self.deliver(cell, deliveries);
+    }
+
+    pub(super) fn carry_out(&mut self, cell: usize, order: Order) {
+        let now = self.now;
+        let worker = self.workers.entry(order.worker().clone()).or_default();
+        let told = Outcome::Told(Told::Done);
+        match &order {
+            Order::Start { worker: life, task, run, .. } => {
+                worker.runs.insert(*task, (*run, format!("saved-{}", task.index)));
+                self.owners[cell].start_told(life, *task, *run, told, now);
+            }
+            Order::Stop { worker: life, task, run } => {
+                if let Some((run, saved)) = worker.runs.remove(task) {
+                    worker.told += 1;
+                    let (number, how) = (worker.told, How::Stopped);
+                    worker.ended.push(Ended { number, task: *task, run, how, saved });
+                }
+                self.owners[cell].stop_told(life, *task, *run, told, now);
+            }
+            Order::Pace { .. } => {}
+        }
+        self.orders[cell].push(order);
+    }
+
+    pub(super) fn deliver(&mut self, cell: usize, deliveries: Vec<Delivery>) {
+        if self.lossy {
+            return;
+        }
+        if let Some(rng) = &mut self.slow {
+            let (now, fence) = (self.now, self.owners[cell].fence);
+            let slow =
+                deliveries.into_iter().map(|d| (now + rng.random_range(0..2_500), cell, fence, d));
+            return self.under_way.extend(slow);
+        }
+        for delivery in deliveries {
+            let Delivery { key, to, record } = delivery;
+            self.give(to as usize, key, record);
+            self.owners[cell].delivered(key);
+        }
+    }
+
+    /// Deliveries that took their time are in the logs now; a dead owner does not learn of it.
+    pub(super) fn arrive(&mut self) {
+        let now = self.now;
+        let (due, rest) =
+            std::mem::take(&mut self.under_way).into_iter().partition(|(at, ..)| *at <= now);
+        self.under_way = rest;
+        let due: Vec<(u64, usize, u64, Delivery)> = due;
+        for (_, cell, fence, Delivery { key, to, record }) in due {
+            self.give(to as usize, key, record);
+            if self.owners[cell].fence == fence {
+                self.owners[cell].delivered(key);
+            }
+        }
+    }
+
+    /// Puts a record into a cell's log, and its owner reads it.
+    pub(super) fn give(&mut self, cell: usize, key: Key, record: Vec<u8>) {
+        self.jobs[cell].retain(|(k, _)| *k != key);
+        self.jobs[cell].push((key, record.clone()));
+        self.admit(cell, key, &record);
+    }
+
+    pub(super) fn admit(&mut self, cell: usize, key: Key, record: &[u8]) {
+        let now = self.now;
+        let owner = &mut self.owners[cell];
+        match key {
+            Key::Job(id) => {
+                owner.admit(id, decode(record).unwrap(), now, now);
+                owner.settle(id, self.home);
+            }
+            Key::Part(id) => owner.take_part(id, decode(record).unwrap(), now, now),
+            Key::Recall(id) => owner.take_back(id.job, now, now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/tests/cells/given.rs
@@ -0,0 +1,83 @@
+//! What the cells of the tests are made of, and orders as tests look at them.
+
+use std::sync::Arc;
+
+use myrtle_base::Room;
+use myrtle_job::{Held, JobId, JobSpec, Listing, Policy, StepSpec, Submission, TaskId};
+use myrtle_owner::{Bounds, Cell, Order};
+
+use super::WORKERS;
+
+/// The job that fills the first cell.
+pub const JOB: JobId = JobId(7);
+
+/// The name of a worker.
+pub fn name(cell: usize, worker: u16) -> Arc<str> {
+    format!("w{cell}-{worker}").into()
+}
+
+/// What a worker of 32 cores says of itself.
+pub fn listing(cell: usize, worker: u16, draining: bool) -> Listing {
+    Listing {
+        service: "s".into(),
+        address: ([10, 0, cell as u8, 1], 1000 + worker).into(),
+        data_centre: format!("d{cell}"),
+        draining,
+        remaining: None,
+        room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
+        labels: vec![],
+        machine: None,
+        written: 1,
+    }
+}
+
+/// An owner of a cell of four workers, which is one of several cells.
+pub fn owner(number: u32, fence: u64, now: u64) -> Cell {
+    let mut cell = Cell::new(Bounds::default(), fence, now);
+    cell.number = number;
+    cell.alone = false;
+    cell.loaded = true;
+    for worker in 0..WORKERS {
+        cell.list(&name(number as usize, worker), listing(number as usize, worker, false), now);
+        let held = Held { clock: now, running: vec![], ended: vec![] };
+        cell.held(&name(number as usize, worker), held, now, now, now);
+    }
+    cell
+}
+
+/// A step of 16 tasks that last and fill four workers of 32 cores.
+pub fn step() -> StepSpec {
+    StepSpec {
+        count: 16,
+        room: Room { cpu: 8_000, mem: 1_000, accel: 0 },
+        estimate: 1_000,
+        lasting: true,
+        ..StepSpec::default()
+    }
+}
+
+/// A job of some steps.
+pub fn submission(steps: Vec<StepSpec>) -> Submission {
+    let spec = JobSpec { body: "b".into(), steps, repeat: None };
+    let policy =
+        Policy { queue: "q".into(), service: "s".into(), attempts: 3, ..Policy::default() };
+    Submission { policy, spec, taken: 0 }
+}
+
+/// The starts among some orders: task, run, checkpoint.
+pub fn starts(orders: &[Order]) -> Vec<(TaskId, u32, String)> {
+    let starts = orders.iter().filter_map(|order| match order {
+        Order::Start { task, run, saved, .. } => Some((*task, *run, saved.clone())),
+        _ => None,
+    });
+    starts.collect()
+}
+
+/// The stops among some orders: task and run.
+pub fn stops(orders: &[Order]) -> Vec<(TaskId, u32)> {
+    let stops = orders.iter().filter_map(|order| match order {
+        Order::Stop { task, run, .. } => Some((*task, *run)),
+        _ => None,
+    });
+    stops.collect()
+}
--- a/crates/owner/tests/cells/mod.rs
+++ b/crates/owner/tests/cells/mod.rs
@@ -1,22 +1,22 @@
 //! Several cells in virtual time, each with its log, its owner and four workers that do as told.
 
-#![allow(dead_code, reason = "each test file uses a part of it")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
+
+mod act;
+mod chaos;
+mod given;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use myrtle_base::Room;
-use myrtle_job::{
-    Ended, Held, How, JobId, JobSpec, Key, Listing, Policy, Progress, Running, StepSpec,
-    Submission, TaskId, Told, decode,
-};
-use myrtle_owner::{Bounds, Cell, Delivery, Order, Outcome};
+use myrtle_job::{Ended, How, JobId, Key, Progress, StepSpec, TaskId};
+use myrtle_owner::{Cell, Delivery, Order};
+
+pub use given::{JOB, listing, owner, starts, step, stops};
 
-/// The job that fills the first cell.
-pub const JOB: JobId = JobId(7);
+use given::{name, submission};
 
 /// The time between two steps, in milliseconds.
 const STEP: u64 = 100;
@@ -60,77 +60,6 @@
     fence: u64,
 }
 
-/// The name of a worker.
-fn name(cell: usize, worker: u16) -> Arc<str> {
-    format!("w{cell}-{worker}").into()
-}
-
-/// What a worker of 32 cores says of itself.
-pub fn listing(cell: usize, worker: u16, draining: bool) -> Listing {
-    Listing {
-        service: "s".into(),
-        address: ([10, 0, cell as u8, 1], 1000 + worker).into(),
-        data_centre: format!("d{cell}"),
-        draining,
-        remaining: None,
-        room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
-        labels: vec![],
-        machine: None,
-        written: 1,
-    }
-}
-
-/// An owner of a cell of four workers, which is one of several cells.
-pub fn owner(number: u32, fence: u64, now: u64) -> Cell {
-    let mut cell = Cell::new(Bounds::default(), fence, now);
-    cell.number = number;
-    cell.alone = false;
-    cell.loaded = true;
-    for worker in 0..WORKERS {
-        cell.list(&name(number as usize, worker), listing(number as usize, worker, false), now);
-        let held = Held { clock: now, running: vec![], ended: vec![] };
-        cell.held(&name(number as usize, worker), held, now, now, now);
-    }
-    cell
-}
-
-/// A step of 16 tasks that last and fill four workers of 32 cores.
-pub fn step() -> StepSpec {
-    StepSpec {
-        count: 16,
-        room: Room { cpu: 8_000, mem: 1_000, accel: 0 },
-        estimate: 1_000,
-        lasting: true,
-        ..StepSpec::default()
-    }
-}
-
-/// A job of some steps.
-fn submission(steps: Vec<StepSpec>) -> Submission {
-    let spec = JobSpec { body: "b".into(), steps, repeat: None };
-    let policy =
-        Policy { queue: "q".into(), service: "s".into(), attempts: 3, ..Policy::default() };
-    Submission { policy, spec, taken: 0 }
-}
-
-/// The starts among some orders: task, run, checkpoint.
-pub fn starts(orders: &[Order]) -> Vec<(TaskId, u32, String)> {
-    let starts = orders.iter().filter_map(|order| match order {
-        Order::Start { task, run, saved, .. } => Some((*task, *run, saved.clone())),
-        _ => None,
-    });
-    starts.collect()
-}
-
-/// The stops among some orders: task and run.
-pub fn stops(orders: &[Order]) -> Vec<(TaskId, u32)> {
-    let stops = orders.iter().filter_map(|order| match order {
-        Order::Stop { task, run, .. } => Some((*task, *run)),
-        _ => None,
-    });
-    stops.collect()
-}
-
 impl Cells {
     /// So many cells, the first of them full with one job.
     pub fn full(count: usize) -> Self {
@@ -270,75 +199,12 @@
         }
     }
 
-    /// Workers leave, owners die, deliveries are late or repeated; then all is quiet.
-    pub fn chaos(&mut self, seed: u64) {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        for _ in 0..60 {
-            match rng.random_range(0..12) {
-                0 if self.leaving.len() < 4 => {
-                    let cell = rng.random_range(0..2);
-                    let worker = rng.random_range(0..WORKERS);
-                    if !self.leaving.contains(&name(cell, worker)) {
-                        self.leave(cell, worker);
-                    }
-                }
-                1 => self.take_over(rng.random_range(0..self.owners.len())),
-                2 => self.lossy = rng.random(),
-                3 => self.repeat_a_delivery(&mut rng),
-                _ => {}
-            }
-            self.step();
-        }
-        self.lossy = false;
-        (0..self.owners.len()).for_each(|cell| self.take_over(cell));
-        self.run(6_000);
-    }
-
-    /// As `chaos`, but every delivery takes its time, in any order, also those of owners that have
-    /// died; owners die between writing and acting; the job is taken back at step `cancel`.
-    pub fn slow_chaos(&mut self, seed: u64, cancel: Option<u64>) {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        self.slow = Some(ChaCha8Rng::seed_from_u64(seed + 1));
-        for at in 0..80 {
-            let cell = rng.random_range(0..self.owners.len());
-            match rng.random_range(0..10) {
-                0 if self.leaving.len() < 4 => {
-                    let worker = rng.random_range(0..WORKERS);
-                    if !self.leaving.contains(&name(cell, worker)) {
-                        self.leave(cell, worker);
-                    }
-                }
-                1 => self.take_over(cell),
-                2 => self.dying.push(cell),
-                3 => self.repeat_a_delivery(&mut rng),
-                _ => {}
-            }
-            if cancel == Some(at) {
-                self.owners[0].cancel(JOB, self.now, self.now);
-                // A client is told only once that is written; it asks again until then.
-                self.dying.clear();
-            }
-            self.step();
-        }
-        self.dying.clear();
-        // No more owners come that would read the logs anew.
-        self.run(12_000);
-    }
-
     /// Lets every worker of a cell tell the ends of what it has stopped.
     pub fn confirm_stops(&mut self, cell: usize) {
         self.hold(cell);
         self.write(cell);
     }
 
-    fn repeat_a_delivery(&mut self, rng: &mut impl Rng) {
-        let cell = rng.random_range(0..self.jobs.len());
-        if let Some((key, record)) = self.jobs[cell].last().cloned() {
-            let delivery = Delivery { key, to: cell as u32, record };
-            self.late.push((self.now + rng.random_range(100..3_000), delivery));
-        }
-    }
-
     fn step(&mut self) {
         self.now += STEP;
         if !self.deaf {
@@ -361,121 +227,4 @@
         tasks.sort_unstable();
         assert!(tasks.windows(2).all(|pair| pair[0] != pair[1]), "a task runs twice at {now}");
     }
-
-    /// Every worker of a cell answers a hold.
-    fn hold(&mut self, cell: usize) {
-        let now = self.now;
-        for n in 0..WORKERS {
-            let id = name(cell, n);
-            let worker = self.workers.entry(id.clone()).or_default();
-            let seen = self.owners[cell].hold_args(&id, now).map_or(0, |args| args.seen);
-            worker.ended.retain(|end| end.number > seen);
-            let running = worker.runs.iter().map(|(&task, (run, saved))| Running {
-                task,
-                run: *run,
-                saved: saved.clone(),
-                percent: 100.0,
-                figure: None,
-            });
-            let held = Held { clock: now, running: running.collect(), ended: worker.ended.clone() };
-            self.owners[cell].held(&id, held, now, now, now);
-        }
-    }
-
-    /// The owner writes; orders and deliveries go out.
-    fn write(&mut self, cell: usize) {
-        let now = self.now;
-        let owner = &mut self.owners[cell];
-        let mut orders = owner.orders();
-        let batch = owner.batch();
-        for (id, value) in &batch.records {
-            match value.is_empty() {
-                true => drop(self.progress[cell].remove(id)),
-                false => drop(self.progress[cell].insert(*id, value.clone())),
-            }
-        }
-        if self.dying.contains(&cell) {
-            self.dying.retain(|c| *c != cell);
-            return self.take_over(cell);
-        }
-        let owner = &mut self.owners[cell];
-        orders.extend(owner.committed(batch, now));
-        let deliveries = owner.deliveries();
-        orders.into_iter().for_each(|order| self.carry_out(cell, order));
-        self.deliver(cell, deliveries);
-    }
-
-    fn carry_out(&mut self, cell: usize, order: Order) {
-        let now = self.now;
-        let worker = self.workers.entry(order.worker().clone()).or_default();
-        let told = Outcome::Told(Told::Done);
-        match &order {
-            Order::Start { worker: life, task, run, .. } => {
-                worker.runs.insert(*task, (*run, format!("saved-{}", task.index)));
-                self.owners[cell].start_told(life, *task, *run, told, now);
-            }
-            Order::Stop { worker: life, task, run } => {
-                if let Some((run, saved)) = worker.runs.remove(task) {
-                    worker.told += 1;
-                    let (number, how) = (worker.told, How::Stopped);
-                    worker.ended.push(Ended { number, task: *task, run, how, saved });
-                }
-                self.owners[cell].stop_told(life, *task, *run, told, now);
-            }
-            Order::Pace { .. } => {}
-        }
-        self.orders[cell].push(order);
-    }
-
-    fn deliver(&mut self, cell: usize, deliveries: Vec<Delivery>) {
-        if self.lossy {
-            return;
-        }
-        if let Some(rng) = &mut self.slow {
-            let (now, fence) = (self.now, self.owners[cell].fence);
-            let slow =
-                deliveries.into_iter().map(|d| (now + rng.random_range(0..2_500), cell, fence, d));
-            return self.under_way.extend(slow);
-        }
-        for delivery in deliveries {
-            let Delivery { key, to, record } = delivery;
-            self.give(to as usize, key, record);
-            self.owners[cell].delivered(key);
-        }
-    }
-
-    /// Deliveries that took their time are in the logs now; a dead owner does not learn of it.
-    fn arrive(&mut self) {
-        let now = self.now;
-        let (due, rest) =
-            std::mem::take(&mut self.under_way).into_iter().partition(|(at, ..)| *at <= now);
-        self.under_way = rest;
-        let due: Vec<(u64, usize, u64, Delivery)> = due;
-        for (_, cell, fence, Delivery { key, to, record }) in due {
-            self.give(to as usize, key, record);
-            if self.owners[cell].fence == fence {
-                self.owners[cell].delivered(key);
-            }
-        }
-    }
-
-    /// Puts a record into a cell's log, and its owner reads it.
-    fn give(&mut self, cell: usize, key: Key, record: Vec<u8>) {
-        self.jobs[cell].retain(|(k, _)| *k != key);
-        self.jobs[cell].push((key, record.clone()));
-        self.admit(cell, key, &record);
-    }
-
-    fn admit(&mut self, cell: usize, key: Key, record: &[u8]) {
-        let now = self.now;
-        let owner = &mut self.owners[cell];
-        match key {
-            Key::Job(id) => {
-                owner.admit(id, decode(record).unwrap(), now, now);
-                owner.settle(id, self.home);
-            }
-            Key::Part(id) => owner.take_part(id, decode(record).unwrap(), now, now),
-            Key::Recall(id) => owner.take_back(id.job, now, now),
-        }
-    }
 }
