--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -6,7 +6,7 @@
 
 use tarpc::client::RpcError;
 use tarpc::context::{self, Context};
-use tokio::time::timeout_at;
+use tokio::time::timeout;
 
 use myrtle_base::Doubt;
 
@@ -102,7 +102,7 @@
         context.deadline = sent + limit;
         // The deadline holds only for what is sent; a connection that takes in no more would hold
         // the call for ever.
-        match timeout_at(context.deadline.into(), call(client, context)).await {
+        match timeout(limit, call(client, context)).await {
             Ok(Ok(value)) => {
                 let now = Instant::now();
                 lock(&self.doubt).answered(mark.number, opened, now);
