--- a/crates/front/tests/whole.rs
+++ b/crates/front/tests/whole.rs
@@ -153,29 +153,6 @@
     assert_eq!(slow.book.doubled(), vec![]);
 });
 
-// Symptom: tasks of a cancelled job ran on until their leases ended.
-// Sequence: the workers' entries go while they serve on, the owner is killed, the job is cancelled.
-// Cause: the next owner learned where workers are only from the list.
-// Settled by: the log holds where each worker is that was given work.
-case!(a_cancelled_job_stops_on_workers_that_the_next_owner_never_saw_listed, site, {
-    let mut slow = Site::start(Duration::from_secs(60)).await;
-    let id = "00000000000000b5";
-    assert_eq!(slow.submit("h1", id, 6).await, 200);
-    until(|| async { slow.book.runs().len() == 6 }).await;
-    for runner in &slow.runners {
-        slow.store.put("keyed.servers", &runner.name, b"");
-    }
-    let first = owner(&slow).await;
-    slow.hosts.remove(&first).unwrap();
-    let other = slow.hosts.keys().next().unwrap().clone();
-    let cancel = async || call(slow.clients(&other), "DELETE", &format!("/p/{id}"), "").await.0;
-    until(|| async { cancel().await == 200 }).await;
-    until(|| async { slow.book.runs().iter().all(|r| r.over.is_some()) }).await;
-    let ends: Vec<_> = slow.book.runs().iter().filter_map(|r| Some(r.over?.1)).collect();
-    assert_eq!(ends, vec!["stopped"; 6]);
-    assert!(site.book.runs().is_empty());
-});
-
 case!(every_host_is_replaced_and_what_was_accepted_is_kept, site, {
     assert_eq!(site.submit("h1", "00000000000000a9", 4).await, 200);
     site.hosts.clear();
@@ -235,65 +212,6 @@
     assert_eq!(site.book.runs().len(), 10);
 });
 
-// Symptom: a living worker was taken for gone and its runs for over, so that they ran twice.
-// Sequence: a worker crashes and comes back at its address under another id; it is given work while
-// its old entry has not lapsed yet; an owner reads the whole list.
-// Cause: the list was read in the order of the ids, so that the old entry, read last, was taken for
-// the newer life at the address and the living one for gone.
-// Settled by: entries are taken in the order in which they were written.
-case!(an_old_entry_at_the_same_address_says_nothing_of_the_later_life, site, {
-    let mut slow = Site::start(Duration::from_millis(4_000)).await;
-    for runner in &slow.runners {
-        let old = format!("z-{}", runner.name);
-        slow.store.put("keyed.servers", &old, runner.listing().as_bytes());
-        slow.store.put("keyed.servers", &runner.name, runner.listing().as_bytes());
-    }
-    let id = "00000000000000b6";
-    assert_eq!(slow.submit("h1", id, 4).await, 200);
-    until(|| async { slow.book.runs().len() == 4 }).await;
-    let first = owner(&slow).await;
-    slow.hosts.remove(&first).unwrap();
-    let other = slow.hosts.keys().next().unwrap().clone();
-    slow.completed(&other, id).await;
-    assert_eq!(slow.book.runs().len(), 5);
-    assert_eq!(slow.book.doubled(), vec![]);
-    assert!(site.book.runs().is_empty());
-});
-
-case!(a_job_cancelled_before_it_came_never_runs_at_the_next_owner, site, {
-    let id = "00000000000000b8";
-    assert_eq!(call(site.clients("h1"), "DELETE", &format!("/p/{id}"), "").await.0, 410);
-    let first = owner(&site).await;
-    site.hosts.remove(&first).unwrap();
-    let other = site.hosts.keys().next().unwrap().clone();
-    until(|| async { owner(&site).await == other }).await;
-    assert_eq!(site.submit(&other, id, 4).await, 200);
-    until(|| async { site.state(&other, id).await.as_deref() == Some("cancelled") }).await;
-    assert!(site.book.runs().is_empty());
-});
-
-// Symptom: a run that nobody asked for went on as long as the store was away.
-// Sequence: the store is away while an append is under way; a worker carries out a start of a job
-// that is over by now.
-// Cause: stops and paces, which need no record, were sent only between two appends.
-// Settled by: they go out with every look at the time as well.
-case!(a_run_that_nobody_asked_for_is_stopped_while_the_store_is_away, site, {
-    let slow = Site::start(Duration::from_millis(4_000)).await;
-    let id = "00000000000000b7";
-    assert_eq!(slow.submit("h1", id, 4).await, 200);
-    until(|| async { slow.book.runs().len() == 4 }).await;
-    slow.store.set(StoreMode::Away);
-    // Their ends are to be written, which goes on until the store is back.
-    until(|| async { slow.book.runs().iter().all(|r| r.over.is_some()) }).await;
-    sleep(Duration::from_millis(300)).await;
-    slow.runners[0].carry_out_late("00000000000000ff.0.0.0");
-    until(|| async { slow.book.runs().iter().all(|r| r.over.is_some()) }).await;
-    assert_eq!(slow.book.runs()[4].over.map(|(_, how)| how), Some("stopped"));
-    slow.store.set(StoreMode::Ok);
-    slow.completed("h1", id).await;
-    assert!(site.book.runs().is_empty());
-});
-
 case!(workers_back_from_a_long_cut_are_used_again, site, {
     let cut = Site::with(Duration::from_millis(60), 600).await;
     assert_eq!(cut.submit("h1", "00000000000000ad", 4).await, 200);
