Late culprits: failing tests for each of the three causes

A run that is being stopped when its worker crashes is not counted (seed 15: another of its gang was lost first, at a takeover); copies crash a second worker before the first loss is known, 3 s later (seeds 24, 31, 137, 202); losses that fall together with others, at ages that differ by more than 120 ms, are not counted (seeds 39, 44, 55, 59, 69, 70, 90). Ruled out: the guess that losses neither fresh nor alone are all there is.

--- a/crates/owner/tests/crash_courses.rs
+++ b/crates/owner/tests/crash_courses.rs
@@ -45,8 +45,10 @@
     wronged: usize,
     /// Those that failed under as many losses as end any job.
     unlucky: usize,
-    /// Jobs of culprits that never ended.
+    /// Jobs of culprits that were not given up.
     endless: usize,
+    /// Those of them that crashed some worker; a late culprit may be done before it does.
+    spared: usize,
 }
 
 /// Draws when what happens.
@@ -116,11 +118,14 @@
         let crashes = &cell.jobs[id].progress.crashes;
         crashes.values().any(|c| u32::from(c.seen) >= LIMIT)
     });
-    let endless = culprits.iter().filter(|(id, _)| cell.state(*id) != Some(State::Failed)).count();
+    let going = culprits.iter().filter(|(id, _)| cell.state(*id) != Some(State::Failed));
+    let going: Vec<TaskId> = going.map(|(_, task)| *task).collect();
+    let endless = going.len();
+    let spared = going.iter().filter(|t| world.crashes.contains_key(t)).count();
     let crashes =
         culprits.iter().map(|(_, t)| world.crashes.get(t).copied().unwrap_or(0)).collect();
     let (sound, wronged, unlucky) = (sound.len(), wronged.len(), unlucky.len());
-    Course { crashes, sound, wronged, unlucky, endless }
+    Course { crashes, sound, wronged, unlucky, endless, spared }
 }
 
 /// Lets something happen.
@@ -156,14 +161,19 @@
     lost.iter().for_each(|id| world.crash(id));
 }
 
-/// Plays courses and judges them; tells what came of all.
-fn judge(seeds: std::ops::Range<u64>) {
-    let (mut all, mut over, mut sound, mut unlucky) = (0, 0, 0, 0);
+/// Plays courses whose culprits act after one of these delays, and judges them; tells what came of all.
+fn judge(seeds: std::ops::Range<u64>, delays: [u64; 6]) {
+    let (mut all, mut over, mut sound, mut unlucky, mut wronged) = (0, 0, 0, 0, 0);
+    let mut broken = Vec::new();
     for seed in seeds {
-        let course = play(seed, SOON);
-        assert_eq!(course.endless, 0, "seed {seed}: {course:?}");
-        assert!(course.crashes.iter().all(|&c| c <= LIMIT), "seed {seed}: {course:?}");
-        assert_eq!(course.wronged, 0, "seed {seed}: {course:?}");
+        let course = play(seed, delays);
+        if course.crashes.iter().any(|&c| c > LIMIT) || course.spared > 0 {
+            broken.push(seed);
+        }
+        if delays == SOON {
+            assert_eq!(course.endless, 0, "seed {seed}: {course:?}");
+            assert_eq!(course.wronged, 0, "seed {seed}: {course:?}");
+        }
         if course.unlucky > 0 {
             println!("seed {seed}: {course:?}");
         }
@@ -171,26 +181,62 @@
         over += course.crashes.iter().filter(|&&c| c > 3).count();
         sound += course.sound;
         unlucky += course.unlucky;
+        wronged += course.wronged;
     }
     println!("{all} culprits, {over} of them took more than three workers along");
-    println!("{sound} sound jobs, {unlucky} of them failed after five losses of workers");
+    println!("{sound} sound jobs, {unlucky} failed after five losses, {wronged} after fewer");
+    assert_eq!(broken, Vec::<u64>::new(), "a culprit took too many workers or was spared");
 }
 
 #[test]
 fn in_ten_courses_only_culprits_are_given_up() {
-    judge(0..10);
+    judge(0..10, SOON);
+}
+
+#[test]
+fn in_ten_courses_late_culprits_are_given_up() {
+    judge(0..10, LATE);
 }
 
 #[test]
 #[ignore = "by hand: cargo test -p myrtle-owner --test crash_courses -- --ignored --nocapture"]
 fn in_two_hundred_courses_only_culprits_are_given_up() {
-    judge(10..210);
+    judge(10..210, SOON);
 }
 
-/// Of 200 courses with late culprits twelve lose more workers to one task than the platform allows, and two
-/// give up a sound job: what had just begun beside a late culprit is doubted in its place.
 #[test]
-fn a_late_culprit_takes_no_more_workers_than_the_platform_allows() {
-    let course = play(15, LATE);
-    assert!(course.crashes.iter().all(|&c| c <= LIMIT), "{course:?}");
+#[ignore = "by hand: cargo test -p myrtle-owner --test crash_courses -- --ignored --nocapture"]
+fn in_two_hundred_courses_late_culprits_are_given_up() {
+    judge(10..210, LATE);
 }
+
+/// Names a course with late culprits none of which may take more workers along than the platform allows.
+macro_rules! late {
+    ($(#[$doc:meta])* $name:ident, $seed:literal) => {
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let course = play($seed, LATE);
+            assert!(course.crashes.iter().all(|&c| c <= LIMIT), "{course:?}");
+        }
+    };
+}
+
+late!(
+    /// The third crash falls on a takeover: another member of the gang is lost first, so the culprit's run
+    /// is being stopped when its worker is known to be gone, and the loss was not counted.
+    a_late_culprit_takes_no_more_workers_than_the_platform_allows,
+    15
+);
+
+late!(
+    /// A worker is known to have crashed 3 s later; meanwhile a copy of the run crashes another one.
+    a_late_culprit_and_its_copies_take_no_more_than_that,
+    24
+);
+
+late!(
+    /// Crashes that fall together with others at ages that differ were not counted.
+    a_late_culprit_among_other_losses_takes_no_more_than_that,
+    39
+);
