--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -103,6 +103,24 @@
         Self::of_centres(work, None).await
     }
 
+    /// A site of two data centres that share a cell, each with a host and two workers.
+    pub async fn of_shared_centres(work: Duration) -> Self {
+        let mut site = Self::build(work, 10_000, ["d", "d", "e", "e"], false).await;
+        for (name, centre) in [("h1", "d"), ("h2", "e")] {
+            site.host_of(name, centre, "").await;
+        }
+        site
+    }
+
+    /// Starts a host of one of the data centres `d` and `e` and waits until it is ready.
+    pub async fn host_of(&mut self, name: &str, centre: &str, more: &str) {
+        let edit = |text: String| {
+            let text = text.replace("data_centre: d\n", &format!("data_centre: {centre}\n"));
+            text.replace("[d]", "[d, e]") + more
+        };
+        self.host_with(name, edit).await;
+    }
+
     /// The same, with ways between its hosts that can go silent.
     pub async fn of_linked_centres(work: Duration) -> Self {
         Self::of_centres(work, Some(Links::default())).await
@@ -112,11 +130,7 @@
         let mut site = Self::build(work, 10_000, ["d", "d", "e", "e"], false).await;
         site.links = links;
         for (name, centre) in [("h1", "d"), ("h2", "e")] {
-            let edit = |text: String| {
-                let text = text.replace("data_centre: d\n", &format!("data_centre: {centre}\n"));
-                text.replace("[d]", "[d, e]") + "cells: data_centre\n"
-            };
-            site.host_with(name, edit).await;
+            site.host_of(name, centre, "cells: data_centre\n").await;
         }
         site
     }
