Data centres that the operator empties: nothing starts there until it is taken back

Cause: nothing read the operator's record. Now the host keeps which data centres are being emptied (emptied.rs), tells the cells it owns, and a new owner plans only once the operator's records have been read (for as long as a host counts as in touch). In the owner a worker there is not open to new work, so first starts, next steps, repeats, copies, gangs, timed and lasting rounds, handed-on tasks and tickets all pass it by; a start that waited for its record or at its host is withdrawn, of a gang all of it. What runs there goes on. A record that can't be read asks all the same; one that nothing knows is told once and counted.

--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -12,12 +12,14 @@
 use myrtle_meter::Meter;
 
 use crate::clock::now;
+use crate::emptied::Emptied;
 use crate::hedge::Seen;
 use crate::intake::Intake;
 use crate::layout::Layout;
 use crate::owned::Owned;
 use crate::owners::Owners;
 use crate::settings::Settings;
+use crate::strange::Strange;
 
 /// How long the store may give no good answer before it counts as lost, in milliseconds.
 const LOST_AFTER: u64 = 500;
@@ -41,6 +43,10 @@
     pub meter: Meter,
     /// Who owns which cell.
     pub owners: Owners,
+    /// Records of the operator's that nothing here knows.
+    pub strange: Strange,
+    /// Which data centres the operator empties.
+    pub emptied: Emptied,
     waves: Mutex<BTreeMap<u64, WaveOrder>>,
     configuration: Mutex<Option<Arc<Configuration>>>,
     owned: Mutex<HashMap<u32, Arc<Owned>>>,
@@ -60,6 +66,8 @@
         Self {
             store: Store::new(settings.store),
             owners: Owners::new(),
+            emptied: Emptied::default(),
+            strange: Strange::default(),
             tickets: settings.tickets.map(Tickets::new),
             machines: settings.machines.map(Machines::new),
             settings,
@@ -110,6 +118,11 @@
         self.owned.lock().expect("no holder panics").get(&cell).cloned()
     }
 
+    /// The cells that this host owns.
+    pub fn all_owned(&self) -> Vec<Arc<Owned>> {
+        self.owned.lock().expect("no holder panics").values().cloned().collect()
+    }
+
     /// How many cells this host owns.
     pub fn owned_count(&self) -> usize {
         self.owned.lock().expect("no holder panics").len()
--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -1,5 +1,6 @@
-//! Follows what the operator writes: the configuration and waves of upkeep.
+//! Follows what the operator writes: the configuration, data centres that are to be emptied, waves of upkeep.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 
 use crate::host::Host;
 use crate::newest::newest;
+use crate::owned::Owned;
 
 /// How long a read waits for news; a cut that swallows the answer is noticed soon after.
 const WAIT: Duration = Duration::from_millis(1_500);
@@ -48,9 +50,22 @@
     }
 }
 
-/// Reads the newest configuration and waves.
+/// Reads the newest record of each key.
+///
+/// What it no longer shows was taken back while this host did not hear of it.
 async fn whole(host: &Host) -> Result<u64, StoreError> {
-    newest(host, topics::OPERATOR, 0, NEWEST, |item| take(host, &item.key, &item.value)).await
+    let mut emptied = BTreeSet::new();
+    let end = newest(host, topics::OPERATOR, 0, NEWEST, |item| {
+        match item.key.strip_prefix(topics::EMPTIED) {
+            Some(centre) => drop(emptied.insert(centre.to_string())),
+            None => take(host, &item.key, &item.value),
+        }
+    });
+    let end = end.await?;
+    if host.emptied.replace(emptied, &host.settings.data_centres) {
+        tell_owned(host);
+    }
+    Ok(end)
 }
 
 /// Reads what the operator has written since; waits for it if there is nothing.
@@ -66,8 +81,15 @@
     Ok(next)
 }
 
-/// Takes in a record of the operator's.
+/// Takes in a record of the operator's; one that nothing here knows is told once.
 fn take(host: &Host, key: &str, value: &[u8]) {
+    if let Some(centre) = key.strip_prefix(topics::EMPTIED) {
+        // Whatever the record holds, it asks; only its removal takes that back.
+        if host.emptied.set(centre, !value.is_empty(), &host.settings.data_centres) {
+            tell_owned(host);
+        }
+        return;
+    }
     if value.is_empty() {
         return;
     }
@@ -76,11 +98,28 @@
             Ok(wave) => host.add_wave(wave),
             Err(e) => warn!("event=wave-unread key={key} reason=\"{e}\""),
         }
-    }
-    if key == topics::CONFIGURATION {
+    } else if key == topics::CONFIGURATION {
         match read_configuration(value) {
             Ok(configuration) => host.configure(configuration),
             Err(e) => warn!("event=configuration-unread reason=\"{e}\""),
         }
+    } else if host.strange.first(key) {
+        host.meter.count("myrtle_operator_records_unknown", "");
+        warn!("event=operator-record-unknown key={key} bytes={}", value.len());
     }
 }
+
+/// Tells the cells that this host owns which data centres are being emptied.
+fn tell_owned(host: &Host) {
+    for owned in host.all_owned() {
+        empty(host, &owned);
+    }
+}
+
+/// Tells a cell which data centres are being emptied.
+pub fn empty(host: &Host, owned: &Owned) {
+    let centres = host.emptied.centres();
+    host.meter.level("myrtle_data_centres_emptied", "", centres.len() as i64);
+    owned.state().empty_centres(&centres);
+    owned.work.notify_one();
+}
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -17,7 +17,7 @@
 use crate::names::{JOBS, OWNER, PROGRESS, worker_of};
 use crate::newest::newest;
 use crate::owned::Owned;
-use crate::{balance, flush, lessons, roster, tick, upkeep};
+use crate::{balance, flush, lessons, operator, roster, tick, upkeep};
 
 /// How long the store may take for an append or a page during a takeover.
 const LIMIT: Duration = Duration::from_millis(2_000);
@@ -43,6 +43,8 @@
     state.alone = host.layout().is_none_or(|layout| layout.count() < 2);
     let owned = Arc::new(Owned::new(cell, fence, state));
     host.own(cell, owned.clone());
+    // After it is known as owned, so that nothing that comes meanwhile is missed.
+    operator::empty(host, &owned);
     tokio::spawn(take(host.clone(), owned.clone()));
     owned
 }
@@ -66,6 +68,7 @@
         return;
     }
     lessons::recall(&host, &owned).await;
+    operator_known(&host).await;
     let jobs = {
         let mut cell = owned.state();
         cell.loaded = true;
@@ -84,6 +87,15 @@
     tail(host, owned).await;
 }
 
+/// Waits until the operator's records have been read, so that nothing starts in a data centre that is being
+/// emptied; a host that cannot read them for so long is not in touch.
+async fn operator_known(host: &Host) {
+    let end = now() + host.settings.bounds.contact;
+    while !host.emptied.known() && now() < end {
+        sleep(PAUSE).await;
+    }
+}
+
 /// Bars every earlier owner from the log; false if a later one has come.
 async fn bar(host: &Host, owned: &Owned) -> bool {
     while !owned.closed() {
--- a/crates/front/tests/emptied.rs
+++ b/crates/front/tests/emptied.rs
@@ -7,9 +7,10 @@
 
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
 use tokio::time::sleep;
 
-use common::Site;
+use common::{Site, owner};
 
 /// How long the operator's record may take to be in force; the platform gives 5 s.
 const IN_FORCE: Duration = Duration::from_millis(1_500);
@@ -48,3 +49,66 @@
     site.completed("h2", "00000000000000c2").await;
     assert_eq!(started(&site), 0);
 });
+
+case!(work_comes_back_once_it_is_taken_back, site, {
+    empty(&site, "e", true);
+    sleep(IN_FORCE).await;
+    empty(&site, "e", false);
+    sleep(IN_FORCE).await;
+    assert_eq!(site.submit("h1", "00000000000000c1", 48).await, 200);
+    site.completed("h1", "00000000000000c1").await;
+    assert!(started(&site) > 0);
+});
+
+case!(the_next_owner_and_hosts_that_begin_anew_know_of_it, site, {
+    empty(&site, "e", true);
+    sleep(IN_FORCE).await;
+    let first = owner(&site).await;
+    site.hosts[&first].signal(Signal::SIGKILL);
+    site.hosts.remove(&first);
+    let other = site.hosts.keys().next().unwrap().clone();
+    assert_eq!(site.submit(&other, "00000000000000c1", 8).await, 200);
+    site.completed(&other, "00000000000000c1").await;
+    site.hosts[&other].signal(Signal::SIGKILL);
+    site.hosts.clear();
+    site.host_of("h3", "e", "").await;
+    assert_eq!(site.submit("h3", "00000000000000c2", 8).await, 200);
+    site.completed("h3", "00000000000000c2").await;
+    assert_eq!(started(&site), 0);
+});
+
+case!(jobs_wait_where_all_is_emptied_and_none_is_lost, site, {
+    empty(&site, "d", true);
+    empty(&site, "e", true);
+    sleep(IN_FORCE).await;
+    assert_eq!(site.submit("h1", "00000000000000c1", 8).await, 200);
+    sleep(IN_FORCE).await;
+    assert_eq!(site.state("h2", "00000000000000c1").await.as_deref(), Some("queued"));
+    assert_eq!(site.book.runs().len(), 0);
+    empty(&site, "d", false);
+    site.completed("h1", "00000000000000c1").await;
+    assert_eq!(started(&site), 0);
+});
+
+case!(a_record_that_makes_no_sense_or_names_no_data_centre_does_no_harm, site, {
+    site.store.put("keyed.op", "evacuate/e", b"\xff{");
+    site.store.put("keyed.op", "evacuate/", b"{}");
+    site.store.put("keyed.op", "evacuate/elsewhere", b"[1]");
+    site.store.put("keyed.op", "tune/e", b"{}");
+    sleep(IN_FORCE).await;
+    assert_eq!(site.submit("h1", "00000000000000c1", 48).await, 200);
+    site.completed("h1", "00000000000000c1").await;
+    assert_eq!(started(&site), 0, "whatever the record holds, it asks");
+    let metrics = common::call(site.hosts["h1"].checks, "GET", "/metrics", "").await.1;
+    assert!(metrics.contains("myrtle_operator_records_unknown"), "{metrics}");
+});
+
+case!(what_was_taken_back_while_the_history_went_is_noticed, site, {
+    empty(&site, "e", true);
+    sleep(IN_FORCE).await;
+    site.store.put_unread("keyed.op", "evacuate/e", b"");
+    sleep(IN_FORCE).await;
+    assert_eq!(site.submit("h1", "00000000000000c1", 48).await, 200);
+    site.completed("h1", "00000000000000c1").await;
+    assert!(started(&site) > 0);
+});
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -61,6 +61,8 @@
     pub swings: Swings,
     /// How often something happened.
     pub counts: Counts,
+    /// Data centres that the operator empties.
+    pub(crate) emptied: BTreeSet<String>,
     /// Workers that went silent lately.
     pub(crate) silences: Vec<Silence>,
     /// Tasks that have crashed too many workers, until their jobs are ended.
@@ -117,6 +119,7 @@
             workers: BTreeMap::new(),
             harm: Harm::default(),
             swings: Swings::default(),
+            emptied: BTreeSet::new(),
             silences: Vec::new(),
             doomed: BTreeSet::new(),
             refused: Vec::new(),
--- a/crates/owner/src/gist.rs
+++ b/crates/owner/src/gist.rs
@@ -10,7 +10,7 @@
     "jobs={jobs} open={open} waiting={waiting} workers={workers} silent={silent} serving={serving} \
      fillers={fillers} slowed={slowed} others={others} over={over} cores={cores:.0} \
      spare={spare:.0} filled={filled:.0} claimed={claimed:.2} \
-     given_up={given_up}"
+     given_up={given_up} emptied={emptied}"
 )]
 pub struct Gist {
     /// Jobs that are not over.
@@ -43,6 +43,8 @@
     pub claimed: f64,
     /// Jobs that this owner has given up since a task of theirs crashed its workers.
     pub given_up: u64,
+    /// Workers in data centres that are being emptied.
+    pub emptied: usize,
 }
 
 impl Cell {
@@ -58,6 +60,7 @@
             gist.waiting += job.waiting(*id);
         }
         for worker in self.workers.values() {
+            gist.emptied += usize::from(worker.emptied);
             if worker.life != Life::Well {
                 gist.silent += usize::from(worker.listed);
                 continue;
--- a/crates/owner/src/jobs/balance.rs
+++ b/crates/owner/src/jobs/balance.rs
@@ -64,7 +64,7 @@
         let lasting = here.filter(|(_, j)| !j.progress.state.over() && j.submission.spec.lasts());
         let stays =
             |w: &&Worker| w.listed && !w.draining() && matches!(w.life, Life::Well | Life::Unmet);
-        let size = self.workers.values().filter(stays).map(Worker::size).sum();
+        let size = self.workers.values().filter(stays).map(Worker::offered).sum();
         let claimed = lasting.map(|(id, job)| claim(id, job)).sum();
         Load { claimed, size, ..Load::default() }
     }
@@ -165,6 +165,13 @@
     }
 }
 
+impl Worker {
+    /// The processors that lasting tasks may take of it: where nothing new may start, those that they have.
+    fn offered(&self) -> f64 {
+        if self.emptied { f64::from(self.used().cpu) } else { self.size() }
+    }
+}
+
 /// The workers with the most processors left, and those with the most accelerators, of each service.
 fn widest(mut free: Vec<Free>) -> Vec<Free> {
     let mut told: Vec<Free> = Vec::new();
--- a/crates/owner/src/jobs/explain.rs
+++ b/crates/owner/src/jobs/explain.rs
@@ -33,6 +33,15 @@
             let failed = task.failed.len();
             lines.push(format!("{name}: {what}, {failed} failed, {lost} lost with their workers"));
         }
+        if !self.emptied.is_empty() {
+            let all = if self.all_emptied() {
+                "every data centre of the cell is"
+            } else {
+                "data centres"
+            };
+            let names: Vec<_> = self.emptied.iter().map(String::as_str).collect();
+            lines.push(format!("{all} being emptied: {}", names.join(" ")));
+        }
         lines
     }
 }
--- a/crates/owner/src/orders/crowded.rs
+++ b/crates/owner/src/orders/crowded.rs
@@ -22,15 +22,25 @@
         if !self.workers.get(life).is_some_and(Worker::crowded) {
             return false;
         }
-        info!(
-            "event=start-withdrawn task={task} run={run} worker={life} reason=\"its room has shrunk\""
-        );
+        self.withdraw(life, task, run, "its room has shrunk", now);
+        true
+    }
+
+    /// Takes a start back; of a gang, all of it.
+    pub(crate) fn withdraw(
+        &mut self,
+        life: &Arc<str>,
+        task: TaskId,
+        run: u32,
+        why: &str,
+        now: u64,
+    ) {
+        info!("event=start-withdrawn task={task} run={run} worker={life} reason=\"{why}\"");
         self.retract(life, task, run, now);
         let job = self.jobs.get(&task.job);
         if job.is_some_and(|job| job.step(task.step).gang) {
             self.regroup(task, now);
         }
-        true
     }
 }
 
--- a/crates/owner/src/placing/fit.rs
+++ b/crates/owner/src/placing/fit.rs
@@ -168,7 +168,7 @@
     /// The processors of workers without lasting tasks beyond those that are kept so at first, and beyond
     /// those that are left to short tasks for good, in thousandths of a core; below 0 if there are fewer.
     pub(crate) fn unkept(&self, task: TaskId, now: u64) -> (f64, f64) {
-        let well = self.workers.values().filter(|w| w.life == Life::Well);
+        let well = self.workers.values().filter(|w| w.life == Life::Well && !w.emptied);
         let (empty, size, count) = well.fold((0.0, 0.0, 0), |(empty, size, count), w| {
             (empty + if w.lasts() { 0.0 } else { w.size() }, size + w.size(), count + 1)
         });
--- a/crates/owner/src/placing/waits.rs
+++ b/crates/owner/src/placing/waits.rs
@@ -31,6 +31,9 @@
     fn why_not(&self, job: &Job, task: TaskId, now: u64) -> &'static str {
         let spec = job.step(task.step);
         let open = || self.workers.values().filter(|w| w.open(now));
+        if self.all_emptied() {
+            return "every data centre of the cell is being emptied";
+        }
         if open().next().is_none() {
             return "no worker is open to new work";
         }
--- a/crates/owner/src/workers/list.rs
+++ b/crates/owner/src/workers/list.rs
@@ -37,6 +37,7 @@
             worker.leaves = worker.leaves.or(leaves);
         }
         worker.listing = Some(listing);
+        worker.mark_emptied(&self.emptied);
         worker.listed = true;
     }
 
--- a/crates/owner/src/workers/mod.rs
+++ b/crates/owner/src/workers/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod crash;
 pub(crate) mod drain;
+pub(crate) mod emptied;
 pub(crate) mod health;
 pub(crate) mod held;
 pub(crate) mod lease;
--- a/crates/owner/src/workers/trace.rs
+++ b/crates/owner/src/workers/trace.rs
@@ -28,6 +28,7 @@
         let listing: Listing = decode(record)?;
         let worker = self.workers.entry(life.into()).or_insert_with(|| Worker::new(now));
         worker.listing.get_or_insert(listing);
+        worker.mark_emptied(&self.emptied);
         worker.traced = true;
         Ok(())
     }
--- a/crates/owner/src/workers/worker.rs
+++ b/crates/owner/src/workers/worker.rs
@@ -76,6 +76,8 @@
     pub traced: bool,
     /// Whether it is being emptied for the upkeep of its machine.
     pub closing: bool,
+    /// Whether its data centre is being emptied.
+    pub emptied: bool,
     /// When it leaves, if it said so.
     pub leaves: Option<u64>,
 }
@@ -104,6 +106,7 @@
             faded: Vec::new(),
             traced: false,
             closing: false,
+            emptied: false,
             leaves: None,
         }
     }
@@ -154,6 +157,7 @@
             && self.listed
             && !self.draining()
             && !self.closing
+            && !self.emptied
             && self.aside <= now
     }
 
--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -150,6 +150,9 @@
             self.late.push((due, fence, until, order.clone()));
             return self.tell(at, &order, Outcome::Unknown);
         }
+        if start && self.in_emptied(&id) {
+            self.judge.broken.push(format!("{now}: {order:?} though its data centre is emptied"));
+        }
         let outcome = self.carry_out(&order, fence, until);
         let lost = draw < self.faults.late + self.faults.unanswered;
         self.tell(at, &order, if lost { Outcome::Unknown } else { outcome });
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -10,7 +10,7 @@
 mod judge;
 mod worker;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use rand::SeedableRng;
@@ -96,6 +96,8 @@
     pub culprits: BTreeMap<TaskId, u64>,
     /// Workers that crashed, by the task that was the cause.
     pub crashes: BTreeMap<TaskId, u32>,
+    /// Data centres that are being emptied.
+    emptied: BTreeSet<String>,
     /// Crashed workers and when another life is at their address.
     down: Vec<(u64, Arc<str>)>,
     jobs: BTreeMap<JobId, Submission>,
@@ -124,6 +126,7 @@
             permitted: Vec::new(),
             culprits: BTreeMap::new(),
             crashes: BTreeMap::new(),
+            emptied: BTreeSet::new(),
             down: Vec::new(),
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -151,6 +154,7 @@
     pub fn take_over(&mut self) -> usize {
         self.fence += 1;
         let mut cell = Cell::new(Bounds::default(), self.fence, self.now);
+        cell.empty_centres(&self.emptied);
         for (life, record) in &self.traces {
             cell.recall_worker(life, record, self.now).unwrap();
         }
@@ -201,6 +205,22 @@
         assert!(self.owner().cell.cancel(id, now, now));
     }
 
+    /// Empties a data centre, or takes that back; every owner hears of it at once.
+    pub fn empty(&mut self, centre: &str, emptied: bool) {
+        match emptied {
+            true => drop(self.emptied.insert(centre.into())),
+            false => drop(self.emptied.remove(centre)),
+        }
+        for owner in &mut self.owners {
+            owner.cell.empty_centres(&self.emptied);
+        }
+    }
+
+    /// Whether a worker is in a data centre that is being emptied.
+    fn in_emptied(&self, worker: &str) -> bool {
+        self.workers.get(worker).is_some_and(|w| self.emptied.contains(&w.listing.data_centre))
+    }
+
     /// Cuts an owner off from a worker, or heals that.
     pub fn cut(&mut self, owner: usize, worker: &str, cut: bool) {
         self.cuts.insert((owner, worker.into()), cut);
--- a/crates/standin/src/store/topic.rs
+++ b/crates/standin/src/store/topic.rs
@@ -32,6 +32,8 @@
 pub struct Part {
     /// The records.
     pub records: Vec<Bytes>,
+    /// The first record that readers still get; the newest of each key are told for good.
+    pub first: usize,
     seen: HashMap<String, Seen>,
 }
 
