--- a/crates/front/tests/common/call.rs
+++ b/crates/front/tests/common/call.rs
@@ -13,11 +13,22 @@
 
 /// The status and the body of a call; status 0 if there is no answer.
 pub async fn call(at: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
+    call_with(at, method, path, body, "").await
+}
+
+/// The same with more headers, each a line.
+pub async fn call_with(
+    at: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    headers: &str,
+) -> (u16, String) {
     let Ok(mut stream) = tokio::net::TcpStream::connect(at).await else {
         return (0, String::new());
     };
     let head = format!(
-        "{method} {path} HTTP/1.1\r\nhost: {QUEUE}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        "{method} {path} HTTP/1.1\r\nhost: {QUEUE}\r\nconnection: close\r\ncontent-length: {}\r\n{headers}\r\n",
         body.len()
     );
     let mut answer = Vec::new();
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -25,7 +25,7 @@
 use myrtle_platform::serve;
 use myrtle_standin::{Book, Runner, Store};
 
-pub use call::{call, status};
+pub use call::{call, call_with, status};
 pub use links::Links;
 pub use relay::Relay;
 pub use text::{configuration, own_ip, settings};
@@ -268,11 +268,21 @@
 
     /// Hands in a job of some tasks and one after them; returns the status.
     pub async fn submit(&self, host: &str, id: &str, tasks: u32) -> u16 {
+        self.submit_with(host, id, tasks, "").await
+    }
+
+    /// The same of a client that waits for its answer for so many milliseconds.
+    pub async fn submit_within(&self, host: &str, id: &str, limit: u64) -> u16 {
+        self.submit_with(host, id, 1, &format!("deadline-ms: {limit}\r\n")).await
+    }
+
+    async fn submit_with(&self, host: &str, id: &str, tasks: u32, headers: &str) -> u16 {
         let body = json!({ "spec": "t", "steps": [
             { "count": tasks, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60 },
             { "count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60, "after": [0] },
         ] });
-        call(self.clients(host), "POST", &format!("/p/{id}"), &body.to_string()).await.0
+        let path = format!("/p/{id}");
+        call_with(self.clients(host), "POST", &path, &body.to_string(), headers).await.0
     }
 
     /// The state of a job as a host tells it.
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 use serde_json::json;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use myrtle_adapter::{frame, unframe, unframe_keyed};
 use myrtle_platform::{Answer, Ask, answer, json, text};
@@ -37,6 +37,8 @@
     Away,
     /// It does what it is asked and never answers appends.
     Lose,
+    /// It takes appends in turn, each in so long.
+    Slow(Duration),
 }
 
 /// The store.
@@ -46,6 +48,8 @@
     groups: Mutex<BTreeMap<String, Group>>,
     mode: Mutex<StoreMode>,
     grown: Notify,
+    /// Whose append is taken while the store is slow.
+    turn: tokio::sync::Mutex<()>,
     calls: Mutex<BTreeMap<String, u64>>,
 }
 
@@ -116,6 +120,10 @@
         }
         match ask.path.as_str() {
             "/api/log-append" => {
+                if let StoreMode::Slow(each) = mode {
+                    let _turn = self.turn.lock().await;
+                    sleep(each).await;
+                }
                 let answer = self.append(&ask);
                 if mode == StoreMode::Lose {
                     std::future::pending::<()>().await;
