A job whose time ends in its host's queue is refused as not sent

Cause: the wait for the queue's word ended with 'may have been taken' also for what still stood in the queue. Kept since it is true; the rest comes from appends that were sent.

--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -62,11 +62,19 @@
         self.work.notify_one();
         match timeout(limit, fate).await {
             Ok(Ok(passed)) => passed,
-            // The call may be under way.
+            // What still waits was not sent; else the call may be under way.
+            _ if self.leave(job, since) => Passed::Refused,
             _ => Passed::Unknown,
         }
     }
 
+    /// Takes a job off the queue; false if it waits there no more.
+    fn leave(&self, job: JobId, since: Instant) -> bool {
+        let mut queue = self.queue.lock().expect("no holder panics");
+        let at = queue.iter().position(|w| w.job == job && w.since == since);
+        at.map(|at| queue.remove(at)).is_some()
+    }
+
     /// Takes as many jobs off the queue as one append holds.
     fn take(&self) -> Vec<Waiting> {
         let mut queue = self.queue.lock().expect("no holder panics");
