A host asks whether a cell's owner still writes before it writes a job beside it

Cause: while the store is slow an owner that lives needs more than 150 ms, and then each of 29 to 33 hosts wrote its jobs as well: their appends stood in one partition's queue for seconds, and clients were told 'may have been taken'. Now the owner is asked (a call of its own, on a fresh connection if the first is in doubt) and waited for as long as it says that it writes.

--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -18,6 +18,7 @@
 use myrtle_job::JobId;
 use myrtle_peer::{FrontPeerClient, Passed};
 
+use crate::ask::left;
 use crate::flush::LARGEST;
 use crate::hedge::{Outcome, hedged};
 use crate::host::Host;
@@ -31,8 +32,9 @@
 /// The time between two looks for jobs that have waited too long.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// How long the owner of a cell is waited for before this host writes a job itself: an owner that
-/// lives answers within 30 ms, and longer only while the store is slow.
+/// How long the owner of a cell is waited for before it is asked whether it still writes, and before this host
+/// writes a job itself if it does not: an owner that lives answers within 30 ms, and longer only while the
+/// store is slow.
 const PASS: Duration = Duration::from_millis(150);
 
 /// A job that waits to be written.
@@ -170,18 +172,31 @@
     let Some(at) = host.owners.known(cell).filter(|at| *at != host.peer()) else {
         return write_here(host, cell, job, record, limit).await;
     };
+    let end = Instant::now() + limit;
     let mut by_owner = pin!(pass_on(host, cell, at, job, record.clone(), limit));
-    let early = timeout(PASS, &mut by_owner).await;
-    if early == Ok(Passed::Kept) {
+    let early = loop {
+        match timeout(PASS, &mut by_owner).await {
+            Ok(passed) => break Some(passed),
+            Err(_) if writes(host, cell, at).await => {}
+            Err(_) => break None,
+        }
+    };
+    if early == Some(Passed::Kept) {
         return Passed::Kept;
     }
-    let here = write_here(host, cell, job, record, limit.saturating_sub(PASS));
+    let here = write_here(host, cell, job, record, left(end));
     match early {
-        Ok(passed) => passed.or(here.await),
-        Err(_) => either(by_owner, pin!(here)).await,
+        Some(passed) => passed.or(here.await),
+        None => either(by_owner, pin!(here)).await,
     }
 }
 
+/// Whether the owner of a cell lives and goes on writing.
+async fn writes(host: &Host, cell: u32, at: SocketAddr) -> bool {
+    let ask = |c: FrontPeerClient, context| async move { c.writes(context, cell).await };
+    host.owners.call(at, PASS, ask).await == Some(true)
+}
+
 /// Writes a job here; while the store is out of reach nothing is sent, so that the refusal is sure
 /// and comes at once.
 pub async fn write_here(
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tarpc::context::Context;
 use tokio::time::timeout;
@@ -19,6 +19,9 @@
 /// How long a host that passes a job on waits for the store.
 const PASS: Duration = Duration::from_millis(2_500);
 
+/// What is kept of a passing host's time for the way back, so that it hears what came of its job.
+const WAY_BACK: Duration = Duration::from_millis(30);
+
 /// How long the log may take to hold a cancellation.
 const CANCEL: Duration = Duration::from_millis(2_500);
 
@@ -39,8 +42,10 @@
         pending(&self.0, cell)
     }
 
-    async fn pass(self, _: Context, cell: u32, job: JobId, record: Vec<u8>) -> Passed {
-        intake::write_here(&self.0, cell, job, record, PASS).await
+    async fn pass(self, context: Context, cell: u32, job: JobId, record: Vec<u8>) -> Passed {
+        let left = context.deadline.saturating_duration_since(Instant::now());
+        let limit = left.saturating_sub(WAY_BACK).min(PASS);
+        intake::write_here(&self.0, cell, job, record, limit).await
     }
 
     async fn relieve(self, _: Context, cell: u32) {
@@ -51,6 +56,10 @@
         load(&self.0, cell)
     }
 
+    async fn writes(self, _: Context, cell: u32) -> bool {
+        self.0.owned(cell).is_some_and(|owned| !owned.closed()) && !self.0.store_gone()
+    }
+
     async fn explain(self, _: Context, cell: u32, job: JobId) -> Vec<String> {
         self.0.owned(cell).map_or_else(Vec::new, |o| o.state().explain(job, now()))
     }
--- a/crates/peer/src/front.rs
+++ b/crates/peer/src/front.rs
@@ -64,4 +64,7 @@
 
     /// What the owner knows of a job, in lines for operators.
     async fn explain(cell: u32, job: JobId) -> Vec<String>;
+
+    /// Whether the host owns a cell and reaches the store, so that what it was passed is on its way.
+    async fn writes(cell: u32) -> bool;
 }
