A job that can't be acknowledged in its client's time is refused at once

A host knows how long appends take and since when one is under way; what surely comes too late is refused with 'not run' before it is sent, and nothing is sent for a client that has less than 40 ms.

--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -37,6 +37,9 @@
 /// store is slow.
 const PASS: Duration = Duration::from_millis(150);
 
+/// The least time in which an append may be acknowledged: nothing is sent for a client that has less.
+const LEAST: Duration = Duration::from_millis(40);
+
 /// A job that waits to be written.
 #[derive(Debug)]
 struct Waiting {
@@ -51,14 +54,38 @@
 #[derive(Debug, Default)]
 pub struct Intake {
     queue: Mutex<Vec<Waiting>>,
+    pace: Mutex<Pace>,
     work: Notify,
 }
 
+/// How long appends take.
+#[derive(Debug, Default, Clone, Copy)]
+struct Pace {
+    /// What the answers before took.
+    usual: Duration,
+    /// When the call that is under way began.
+    began: Option<Instant>,
+}
+
+impl Pace {
+    /// The least time after which a job that comes now can be acknowledged: what the call under way still
+    /// takes, and then as long again.
+    fn ahead(&self, now: Instant) -> Duration {
+        let passed = self.began.map(|began| now.saturating_duration_since(began));
+        let one = self.usual.max(passed.unwrap_or_default());
+        let rest = passed.map_or(Duration::ZERO, |passed| self.usual.saturating_sub(passed));
+        (rest + one).max(LEAST)
+    }
+}
+
 impl Intake {
-    /// Puts a job into the queue and waits for its fate.
+    /// Puts a job into the queue and waits for its fate; refuses it at once if its time will not do.
     async fn put(&self, job: JobId, record: Vec<u8>, limit: Duration) -> Passed {
         let (done, fate) = oneshot::channel();
         let since = Instant::now();
+        if limit < self.pace.lock().expect("no holder panics").ahead(since) {
+            return Passed::Refused;
+        }
         let waiting = Waiting { job, record, since, end: since + limit, done };
         self.queue.lock().expect("no holder panics").push(waiting);
         self.work.notify_one();
@@ -77,6 +104,16 @@
         at.map(|at| queue.remove(at)).is_some()
     }
 
+    /// Notes that a call begins.
+    fn begin(&self) {
+        self.pace.lock().expect("no holder panics").began = Some(Instant::now());
+    }
+
+    /// Notes that a call has ended, and what calls take by now.
+    fn finish(&self, usual: Duration) {
+        *self.pace.lock().expect("no holder panics") = Pace { usual, began: None };
+    }
+
     /// Takes as many jobs off the queue as one append holds.
     fn take(&self) -> Vec<Waiting> {
         let mut queue = self.queue.lock().expect("no holder panics");
@@ -110,6 +147,7 @@
             intake.work.notified().await;
             continue;
         }
+        intake.begin();
         let passed = {
             let write = write(&host, cell, &batch, &mut patience);
             tokio::pin!(write);
@@ -121,6 +159,7 @@
                 }
             }
         };
+        intake.finish(patience.usual());
         settle(batch, passed);
     }
 }
--- a/crates/front/src/patience.rs
+++ b/crates/front/src/patience.rs
@@ -36,6 +36,11 @@
         (limit * (1 << self.tries.min(6))).min(LONGEST)
     }
 
+    /// What answers take.
+    pub fn usual(&self) -> Duration {
+        self.usual
+    }
+
     /// An answer came after this time.
     pub fn answered(&mut self, took: Duration) {
         self.usual = self.usual.mul_f64(1.0 - SHARE) + took.mul_f64(SHARE);
