Workers that are slow from their start get what has no room elsewhere

The entry's figure was read and dropped. Now it goes along (not into the log), and such a worker costs more than any other consideration, so warm ones fill first and a data centre that is taken back fills as it warms up, or at once where nothing else has room.

--- a/crates/job/src/worker.rs
+++ b/crates/job/src/worker.rs
@@ -30,6 +30,9 @@
     pub machine: Option<String>,
     /// Where the list holds it; of two lives at one address the later one has the higher offset.
     pub written: u64,
+    /// How much longer it is slow from its start, in milliseconds, when this was written; not kept in the log.
+    #[serde(skip)]
+    pub cold: u64,
 }
 
 /// What a worker told of an order.
--- a/crates/job/tests/model.rs
+++ b/crates/job/tests/model.rs
@@ -107,6 +107,7 @@
         labels: vec!["kind-2".into(), "r1-3".into()],
         machine: Some("m-17".into()),
         written: 300_000,
+        cold: 0,
     };
     let record = encode(&listing);
     assert_eq!(decode::<Listing>(&record).unwrap(), listing);
--- a/crates/load/src/overload/fleet.rs
+++ b/crates/load/src/overload/fleet.rs
@@ -25,6 +25,7 @@
             labels: vec![],
             machine: None,
             written: 1,
+            cold: 0,
         };
         self.machines.insert(format!("w{number}").into(), Machine::new(listing));
     }
--- a/crates/owner/benches/plan.rs
+++ b/crates/owner/benches/plan.rs
@@ -40,6 +40,7 @@
             labels: vec!["a".into(), format!("r{}", n / 8)],
             machine: None,
             written: 1,
+            cold: 0,
         };
         cell.list(&name(n), listing, 1_000);
         let held = Held { clock: 1_000, running: vec![], ended: vec![] };
--- a/crates/owner/src/placing/fit.rs
+++ b/crates/owner/src/placing/fit.rs
@@ -19,6 +19,10 @@
 /// ones, which are worth more for the time that they take, and to fillers that disturb many.
 const KEPT: f64 = 0.15;
 
+/// What a worker costs that is slow from its start: work goes there only when no other one has room, so a data
+/// centre that is taken back while its workers are cold fills as they warm up.
+const COLD: f64 = 10.0;
+
 /// What it costs a lasting task to take of that share.
 const FULL: f64 = 2.0;
 
@@ -84,6 +88,9 @@
             let Some(mut cost) = self.cost(worker, &mut search) else {
                 continue;
             };
+            if now < worker.warm {
+                cost += COLD;
+            }
             if shunned.contains(life) || suspect && worker.just_begun(now) {
                 cost += AWAY;
             }
--- a/crates/owner/src/workers/list.rs
+++ b/crates/owner/src/workers/list.rs
@@ -36,6 +36,7 @@
             let leaves = listing.remaining.map(|r| now + r);
             worker.leaves = worker.leaves.or(leaves);
         }
+        worker.warm = now + listing.cold;
         worker.listing = Some(listing);
         worker.mark_emptied(&self.emptied);
         worker.listed = true;
--- a/crates/owner/src/workers/worker.rs
+++ b/crates/owner/src/workers/worker.rs
@@ -78,6 +78,8 @@
     pub closing: bool,
     /// Whether its data centre is being emptied.
     pub emptied: bool,
+    /// Until when it is slow from its start.
+    pub warm: u64,
     /// When it leaves, if it said so.
     pub leaves: Option<u64>,
 }
@@ -107,6 +109,7 @@
             traced: false,
             closing: false,
             emptied: false,
+            warm: 0,
             leaves: None,
         }
     }
--- a/crates/owner/tests/balance.rs
+++ b/crates/owner/tests/balance.rs
@@ -36,6 +36,7 @@
             labels: vec![],
             machine: None,
             written: 1,
+            cold: 0,
         };
         cell.list(&format!("w{n}"), listing, 0);
         let held = myrtle_job::Held { clock: 5, running: vec![], ended: vec![] };
--- a/crates/owner/tests/cells/given.rs
+++ b/crates/owner/tests/cells/given.rs
@@ -28,6 +28,7 @@
         labels: vec![],
         machine: None,
         written: 1,
+        cold: 0,
     }
 }
 
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -79,6 +79,7 @@
         labels: vec!["a".into(), format!("r{}", address / 4)],
         machine: Some(format!("m{address}")),
         written: 1,
+        cold: 0,
     }
 }
 
--- a/crates/owner/tests/emptied.rs
+++ b/crates/owner/tests/emptied.rs
@@ -85,6 +85,26 @@
     }
 );
 
+case!(workers_that_are_still_slow_get_what_has_no_room_elsewhere, world, {
+    let cold = |world: &mut World, millis| {
+        let there = world.workers.values_mut().filter(|w| w.listing.data_centre == "x");
+        there.for_each(|w| w.listing.cold = millis);
+    };
+    cold(&mut world, 60_000);
+    world.run(100);
+    world.submit(job(vec![StepSpec { estimate: 20_000, ..step(64) }]));
+    world.run(1_000);
+    assert_eq!(runs(&world, "x"), 0);
+    world.submit(job(vec![StepSpec { estimate: 20_000, ..step(80) }]));
+    world.run(1_000);
+    assert_eq!(runs(&world, "x"), 16);
+    cold(&mut world, 0);
+    world.run(20_000);
+    world.submit(job(vec![StepSpec { estimate: 20_000, ..step(48) }]));
+    world.run(1_000);
+    assert!(runs(&world, "x") > 12, "it has its share once it is warm");
+});
+
 /// A step of any kind that clients hand in.
 fn kind(rng: &mut ChaCha8Rng) -> StepSpec {
     let count = rng.random_range(1..16);
--- a/crates/peer/tests/common/mod.rs
+++ b/crates/peer/tests/common/mod.rs
@@ -69,6 +69,10 @@
     async fn explain(self, _: Context, _: u32, _: JobId) -> Vec<String> {
         Vec::new()
     }
+
+    async fn writes(self, _: Context, _: u32) -> bool {
+        false
+    }
 }
 
 /// A peer behind a relay, and a link to it.
