--- a/crates/load/src/overload/fleet.rs
+++ b/crates/load/src/overload/fleet.rs
@@ -8,6 +8,9 @@
 use super::scene::Pattern;
 use super::sim::{STEP, Sim};
 
+/// The data centres, in which workers are spread evenly; the first is the one that is emptied.
+const CENTRES: [&str; 3] = ["x", "y", "z"];
+
 impl Sim<'_> {
     /// A worker comes.
     pub(super) fn add(&mut self) {
@@ -18,7 +21,7 @@
         let listing = Listing {
             service: "s".into(),
             address: ([10, 0, 0, 1], 1_000 + number).into(),
-            data_centre: "d".into(),
+            data_centre: CENTRES[usize::from(number) % CENTRES.len()].into(),
             draining: false,
             remaining: None,
             room: Room { cpu, mem: 4 * cpu, accel: 0 },
@@ -35,6 +38,11 @@
         let now = self.now;
         let due = |at: f64| (now - STEP..now).contains(&millis(at));
         for pattern in &self.scene.patterns {
+            if let Pattern::Empty { at, span } = *pattern {
+                self.emptied = (millis(at)..millis(at + span)).contains(&now).then_some(CENTRES[0]);
+                let centres = self.emptied.map(String::from).into_iter().collect();
+                self.cell.empty_centres(&centres);
+            }
             let Pattern::Leave { at, share, back } = *pattern else {
                 continue;
             };
--- a/crates/load/src/overload/scene.rs
+++ b/crates/load/src/overload/scene.rs
@@ -46,6 +46,13 @@
         /// How many.
         jobs: u32,
     },
+    /// One of three data centres is emptied, and taken back later.
+    Empty {
+        /// From when on.
+        at: f64,
+        /// For how long.
+        span: f64,
+    },
     /// The store gives no answers.
     Silence {
         /// From when on.
@@ -87,6 +94,7 @@
             scene("wide", 0.85, &[Pattern::Wide { at: 10.0, jobs: 8 }]),
             scene("leave", 0.85, &[Pattern::Leave { at: 10.0, share: 0.3, back: 24.0 }]),
             scene("crashers", 0.7, &[Pattern::Crashers { at: 8.0, span: 12.0, jobs: 14 }]),
+            scene("emptied", 0.6, &[Pattern::Empty { at: 10.0, span: 9.0 }]),
             scene(
                 "silence",
                 0.85,
--- a/crates/load/src/overload/sim.rs
+++ b/crates/load/src/overload/sim.rs
@@ -41,6 +41,8 @@
     pub vain: f64,
     /// Workers that crashed by what they had started.
     pub crashed: u32,
+    /// Runs that were started in a data centre that was being emptied.
+    pub strayed: u32,
 }
 
 /// A job that was handed in.
@@ -62,6 +64,9 @@
     batch: Option<Batch>,
     account: Account,
     waiting: usize,
+    strayed: u32,
+    /// The data centre that is being emptied.
+    pub(super) emptied: Option<&'static str>,
     pub(super) lives: u16,
 }
 
@@ -100,6 +105,8 @@
             batch: None,
             account: Account::default(),
             waiting: 0,
+            strayed: 0,
+            emptied: None,
             lives: 0,
         };
         (0..scene.workers).for_each(|_| sim.add());
@@ -173,6 +180,8 @@
         };
         let told = match order {
             Order::Start { task, run, .. } => {
+                let centre = machine.listing.data_centre.as_str();
+                self.strayed += u32::from(self.emptied == Some(centre));
                 let step = &self.given[&task.job].submission.spec.steps[usize::from(task.step)];
                 machine.start(*task, *run, step)
             }
@@ -257,6 +266,7 @@
         let counts = self.cell.counts;
         let vain = counts.moved as f64 / counts.starts.max(1) as f64;
         let crashed = self.crashes.count;
-        Outcome { account: self.account, waiting: self.waiting, vain, crashed }
+        let Self { account, waiting, strayed, .. } = self;
+        Outcome { account, waiting, vain, crashed, strayed }
     }
 }
--- a/crates/load/tests/overload.rs
+++ b/crates/load/tests/overload.rs
@@ -8,6 +8,9 @@
 /// How many workers the cell has.
 const WORKERS: u16 = 60;
 
+/// The least that jobs of each kind earn while a data centre is emptied.
+const EMPTIED: f64 = 0.7;
+
 fn play(scene: &str) -> Vec<Outcome> {
     let scene = Scene::named(scene, WORKERS).unwrap();
     (0..SEEDS).map(|seed| replay(&scene, seed)).collect()
@@ -57,3 +60,14 @@
         assert!(share > 0.75, "{kind:?} jobs earn {share:.3}");
     }
 }
+
+/// A third of the workers takes nothing new for 9 s; what runs there goes on.
+#[test]
+fn jobs_are_served_while_a_data_centre_is_emptied() {
+    let outcomes = play("emptied");
+    assert!(outcomes.iter().all(|o| o.strayed == 0), "something was started there");
+    for kind in Kind::ALL {
+        let share = earned(&outcomes, kind);
+        assert!(share > EMPTIED, "{kind:?} jobs earn {share:.3}");
+    }
+}
