--- a/crates/load/src/overload/scene.rs
+++ b/crates/load/src/overload/scene.rs
@@ -91,6 +91,7 @@
             scene("calm", 0.7, &[]),
             scene("wave", 0.8, &[Pattern::Wave { at: 6.0, share: 0.4 }]),
             scene("burst", 0.85, &[Pattern::Burst { at: 10.0, span: 8.0, times: 2.4 }]),
+            scene("pressed", 0.9, &[Pattern::Burst { at: 4.0, span: 30.0, times: 1.5 }]),
             scene("wide", 0.85, &[Pattern::Wide { at: 10.0, jobs: 8 }]),
             scene("leave", 0.85, &[Pattern::Leave { at: 10.0, share: 0.3, back: 24.0 }]),
             scene("crashers", 0.7, &[Pattern::Crashers { at: 8.0, span: 12.0, jobs: 14 }]),
--- a/crates/load/tests/overload.rs
+++ b/crates/load/tests/overload.rs
@@ -8,6 +8,19 @@
 /// How many workers the cell has.
 const WORKERS: u16 = 60;
 
+/// More filling jobs come at once than there is room for, beside serving tasks whose loads swing.
+///
+/// Symptom: filling jobs earn 0.466 of what they could, and 0.016 of all runs are stopped to go on elsewhere. Sequence: a
+/// task is placed, slowed when the load beside it rises, halted, moved. Cause: paces kept a margin of twice the scatter
+/// of a report to loads that were only forecast.
+#[test]
+fn fillers_that_were_placed_can_go_on() {
+    let outcomes = play("wide");
+    let filling = earned(&outcomes, Kind::Filling);
+    assert!(filling > 0.5, "filling jobs earn {filling:.3}");
+    assert!(outcomes.iter().all(|o| o.vain < 0.009), "{:?}", outcomes[0].vain);
+}
+
 /// The least that jobs of each kind earn while a data centre is emptied.
 const EMPTIED: f64 = 0.7;
 
