--- /dev/null
+++ b/crates/standin/src/runner/calls.rs
@@ -0,0 +1,145 @@
+//! The calls that a runner answers, as the platform's workers do.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::timeout;
+
+use myrtle_platform::{Answer, Ask, answer, json, text};
+
+use super::{HOLD, Run, Runner};
+
+#[derive(Deserialize)]
+struct Start {
+    task: String,
+    run: u32,
+    until_ms: u64,
+    #[serde(default)]
+    fence: u64,
+}
+
+#[derive(Deserialize)]
+struct Stop {
+    task: String,
+    run: u32,
+    #[serde(default)]
+    fence: u64,
+}
+
+#[derive(Deserialize)]
+struct Hold {
+    #[serde(default)]
+    fence: u64,
+    #[serde(default)]
+    last_seen: u64,
+    until_ms: Option<u64>,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+impl Runner {
+    /// Answers a call.
+    pub(super) async fn handle(&self, ask: Ask) -> Answer {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        if self.mute.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+        let life = self.life();
+        if ask.headers.get("expect-instance").is_some_and(|h| h.as_bytes() != life.as_bytes()) {
+            return text(421, "another life");
+        }
+        match ask.path.as_str() {
+            "/api/run-start" => self.run_start(&ask),
+            "/api/run-stop" => self.run_stop(&ask),
+            "/api/pace" => json(&json!({ "clock_ms": self.clock() })),
+            "/api/hold" => self.hold(&ask).await,
+            _ => text(404, "no such call"),
+        }
+    }
+
+    fn run_start(&self, ask: &Ask) -> Answer {
+        let Ok(start) = serde_json::from_slice::<Start>(&ask.body) else {
+            return text(400, "no start");
+        };
+        let mut state = self.state.lock().expect("no holder panics");
+        if start.fence < state.fence {
+            return self.refuse("fence");
+        }
+        state.fence = start.fence;
+        if start.until_ms <= self.clock() {
+            return self.refuse("late");
+        }
+        state.until = state.until.max(start.until_ms.min(self.clock() + HOLD));
+        let there = state.runs.get(&start.task).map(|r| r.number);
+        if there == Some(start.run) {
+            return self.done();
+        }
+        let barred = state.barred.get(&start.task).copied().unwrap_or_default();
+        if there.is_some() || start.run <= barred {
+            return self.refuse("old");
+        }
+        self.begin(&mut state, start.task, start.run);
+        self.done()
+    }
+
+    fn run_stop(&self, ask: &Ask) -> Answer {
+        let Ok(stop) = serde_json::from_slice::<Stop>(&ask.body) else {
+            return text(400, "no stop");
+        };
+        let mut state = self.state.lock().expect("no holder panics");
+        if stop.fence < state.fence {
+            return self.refuse("fence");
+        }
+        state.fence = stop.fence;
+        if state.runs.get(&stop.task).is_some_and(|r| r.number == stop.run) {
+            self.end(&mut state, &stop.task, "stopped");
+        }
+        let barred = state.barred.entry(stop.task).or_default();
+        *barred = (*barred).max(stop.run);
+        self.done()
+    }
+
+    async fn hold(&self, ask: &Ask) -> Answer {
+        let Ok(hold) = serde_json::from_slice::<Hold>(&ask.body) else {
+            return text(400, "no hold");
+        };
+        let ended = self.ended.notified();
+        let waits = {
+            let mut state = self.state.lock().expect("no holder panics");
+            if hold.fence < state.fence {
+                return self.refuse("fence");
+            }
+            state.fence = hold.fence;
+            let until = hold.until_ms.unwrap_or_default().min(self.clock() + HOLD);
+            state.until = state.until.max(until);
+            state.ends.retain(|(number, ..)| *number > hold.last_seen);
+            state.ends.is_empty()
+        };
+        if waits {
+            let _ = timeout(Duration::from_millis(hold.wait_ms), ended).await;
+        }
+        if self.mute.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+        let state = self.state.lock().expect("no holder panics");
+        let percent = |r: &Run| {
+            (r.from.elapsed().as_secs_f64() / self.work.as_secs_f64() * 100.0).min(99.0) as u32
+        };
+        let running: Vec<_> =
+            state.runs.iter().map(|(t, r)| json!([t, r.number, "", percent(r), 1000])).collect();
+        let ends: Vec<_> =
+            state.ends.iter().map(|(n, t, r, how)| json!([n, t, r, how, ""])).collect();
+        json(&json!({ "clock_ms": self.clock(), "running": running, "ended": ends }))
+    }
+
+    fn done(&self) -> Answer {
+        json(&json!({ "clock_ms": self.clock() }))
+    }
+
+    fn refuse(&self, reason: &str) -> Answer {
+        let body = json!({ "clock_ms": self.clock(), "reason": reason }).to_string();
+        answer(409, "application/json", body.into_bytes())
+    }
+}
