A comment says under which margin its figures were measured

Read once more: the figures beside the share of speed that a filler must keep were measured before the last margin of paces.

--- a/crates/owner/src/placing/fit.rs
+++ b/crates/owner/src/placing/fit.rs
@@ -33,7 +33,7 @@
 ///
 /// One that is slowed holds its job up, and what waits a moment longer often finds a better place: runs taken back fall
 /// from 0.004 to 0.003 of all, and filling jobs of a calm course earn 0.926 in place of 0.914 (mean of ten draws of
-/// `myrtle-load overload`), against 0.85.
+/// `myrtle-load overload`), against 0.85, both with paces that let forecasts come up to the limit.
 const BEARABLE: f64 = 0.95;
 
 /// The same for one that has waited for long.
