Sight: starts of workers, ends that are passed over, runs in no known state

Now read (entries and answers, both may lack it) and logged: worker-restarted with what was known of the worker before (runs, highest end, clock, lease), end-passed-over where the run is still held for live, and unheard and adrift in the cell's line. No decision is changed; tests of the owner, the records and the wire pass.

--- a/crates/front/src/tick.rs
+++ b/crates/front/src/tick.rs
@@ -50,7 +50,8 @@
         cell.forget(now(), wall());
     }
     if looks.is_multiple_of(TELL_EVERY) {
-        info!("event=cell cell={} {} {}", owned.cell, cell.gist(), owned.busy.take());
+        let limbo = cell.limbo(now());
+        info!("event=cell cell={} {} {limbo} {}", owned.cell, cell.gist(), owned.busy.take());
     }
     let mut orders = cell.repeat(now());
     // The part that writes sends them too, but not while an append is under way: with the store away
--- a/crates/job/src/worker.rs
+++ b/crates/job/src/worker.rs
@@ -33,6 +33,10 @@
     /// How much longer it is slow from its start, in milliseconds, when this was written; not kept in the log.
     #[serde(skip)]
     pub cold: u64,
+    /// When the worker started, in milliseconds since 1970 by its own host; 0 if it does not say; not kept in
+    /// the log.
+    #[serde(skip)]
+    pub start: u64,
 }
 
 /// What a worker told of an order.
@@ -117,6 +121,8 @@
 /// Everything that a worker holds.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Held {
+    /// When the worker started, in milliseconds since 1970 by its own host; 0 if it does not say.
+    pub start: u64,
     /// The worker's clock, in milliseconds.
     pub clock: u64,
     /// What is going on.
--- a/crates/job/tests/model.rs
+++ b/crates/job/tests/model.rs
@@ -108,6 +108,7 @@
         machine: Some("m-17".into()),
         written: 300_000,
         cold: 0,
+        start: 0,
     };
     let record = encode(&listing);
     assert_eq!(decode::<Listing>(&record).unwrap(), listing);
--- a/crates/load/src/overload/fleet.rs
+++ b/crates/load/src/overload/fleet.rs
@@ -29,6 +29,7 @@
             machine: None,
             written: 1,
             cold: 0,
+            start: 0,
         };
         self.machines.insert(format!("w{number}").into(), Machine::new(listing));
     }
--- a/crates/load/src/overload/machine.rs
+++ b/crates/load/src/overload/machine.rs
@@ -134,7 +134,7 @@
                 None => f64::from(work.spec.room.cpu),
             }),
         });
-        Held { clock: now, running: running.collect(), ended: self.ended.clone() }
+        Held { start: 0, clock: now, running: running.collect(), ended: self.ended.clone() }
     }
 
     /// How many tasks of a job serve, and how many of them are over their target.
--- a/crates/owner/benches/plan.rs
+++ b/crates/owner/benches/plan.rs
@@ -41,9 +41,10 @@
             machine: None,
             written: 1,
             cold: 0,
+            start: 0,
         };
         cell.list(&name(n), listing, 1_000);
-        let held = Held { clock: 1_000, running: vec![], ended: vec![] };
+        let held = Held { start: 0, clock: 1_000, running: vec![], ended: vec![] };
         cell.held(&name(n), held, 1_000, 1_000, 1_000);
     }
     cell
@@ -119,7 +120,7 @@
         running.insert(life.clone(), rows.collect());
     }
     for (life, running) in running {
-        cell.held(&life, Held { clock: now, running, ended: vec![] }, now, now, now);
+        cell.held(&life, Held { start: 0, clock: now, running, ended: vec![] }, now, now, now);
     }
 }
 
--- a/crates/owner/src/jobs/ends.rs
+++ b/crates/owner/src/jobs/ends.rs
@@ -19,6 +19,13 @@
             return;
         };
         if ended.number <= worker.taken {
+            // One that was taken in is told again until it is noted, but its run is off by then.
+            if worker.flights.get(&ended.task).is_some_and(|f| f.run == ended.run) {
+                warn!(
+                    "event=end-passed-over task={} run={} worker={life} how={} number={} taken={}",
+                    ended.task, ended.run, ended.how, ended.number, worker.taken
+                );
+            }
             return;
         }
         worker.taken = ended.number;
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -23,6 +23,7 @@
 pub use orders::commit::Batch;
 pub use orders::flight::{Flight, Stage};
 pub use orders::flights::Flights;
+pub use orders::limbo::Limbo;
 pub use orders::order::{Order, Outcome};
 pub use placing::permit::Question;
 pub use workers::lease::HoldArgs;
--- a/crates/owner/src/orders/mod.rs
+++ b/crates/owner/src/orders/mod.rs
@@ -4,5 +4,6 @@
 pub(crate) mod crowded;
 pub(crate) mod flight;
 pub(crate) mod flights;
+pub(crate) mod limbo;
 pub(crate) mod order;
 pub(crate) mod told;
--- a/crates/owner/src/workers/held.rs
+++ b/crates/owner/src/workers/held.rs
@@ -6,6 +6,7 @@
 
 use myrtle_job::{Held, Running, State, TaskId, Told};
 
+use crate::workers::start::Heard;
 use crate::{Cell, Life, Order, Stage};
 
 /// A worker tells no more ends than this in one answer; the platform's figure.
@@ -19,6 +20,7 @@
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
+        worker.started(life, held.start, Heard::Answer);
         if worker.life != Life::Well {
             // At a takeover every worker is met; one line tells of them all.
             let level = if worker.life == Life::Unmet { Level::Debug } else { Level::Info };
--- a/crates/owner/src/workers/list.rs
+++ b/crates/owner/src/workers/list.rs
@@ -4,6 +4,7 @@
 
 use myrtle_job::Listing;
 
+use crate::workers::start::Heard;
 use crate::{Cell, Life, Worker};
 
 impl Cell {
@@ -32,6 +33,7 @@
                 listing.remaining
             );
         }
+        worker.started(life, listing.start, Heard::List);
         if listing.draining {
             let leaves = listing.remaining.map(|r| now + r);
             worker.leaves = worker.leaves.or(leaves);
--- a/crates/owner/src/workers/worker.rs
+++ b/crates/owner/src/workers/worker.rs
@@ -44,6 +44,8 @@
     pub unlisted: u64,
     /// Whether it can be given work.
     pub life: Life,
+    /// When it started by its own word, in milliseconds since 1970; 0 if nothing has told.
+    pub start: u64,
     /// When it last answered.
     pub heard: u64,
     /// Its clock when it last answered, and the steady clock then.
@@ -92,6 +94,7 @@
             listed: false,
             unlisted: now,
             life: Life::Unmet,
+            start: 0,
             heard: now,
             clock: None,
             until: 0,
--- a/crates/owner/tests/balance.rs
+++ b/crates/owner/tests/balance.rs
@@ -37,9 +37,10 @@
             machine: None,
             written: 1,
             cold: 0,
+            start: 0,
         };
         cell.list(&format!("w{n}"), listing, 0);
-        let held = myrtle_job::Held { clock: 5, running: vec![], ended: vec![] };
+        let held = myrtle_job::Held { start: 0, clock: 5, running: vec![], ended: vec![] };
         cell.held(&format!("w{n}").as_str().into(), held, 0, 1, 1);
     }
     cell.loaded = true;
--- a/crates/owner/tests/cells/act.rs
+++ b/crates/owner/tests/cells/act.rs
@@ -28,7 +28,12 @@
                 percent: 100.0,
                 figure: None,
             });
-            let held = Held { clock: now, running: running.collect(), ended: worker.ended.clone() };
+            let held = Held {
+                start: 0,
+                clock: now,
+                running: running.collect(),
+                ended: worker.ended.clone(),
+            };
             self.owners[cell].held(&id, held, now, now, now);
         }
     }
--- a/crates/owner/tests/cells/given.rs
+++ b/crates/owner/tests/cells/given.rs
@@ -29,6 +29,7 @@
         machine: None,
         written: 1,
         cold: 0,
+        start: 0,
     }
 }
 
@@ -40,7 +41,7 @@
     cell.loaded = true;
     for worker in 0..WORKERS {
         cell.list(&name(number as usize, worker), listing(number as usize, worker, false), now);
-        let held = Held { clock: now, running: vec![], ended: vec![] };
+        let held = Held { start: 0, clock: now, running: vec![], ended: vec![] };
         cell.held(&name(number as usize, worker), held, now, now, now);
     }
     cell
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -80,6 +80,7 @@
         machine: Some(format!("m{address}")),
         written: 1,
         cold: 0,
+        start: 0,
     }
 }
 
--- a/crates/owner/tests/common/worker.rs
+++ b/crates/owner/tests/common/worker.rs
@@ -200,7 +200,7 @@
                 false => r.figure * f64::from(r.pace) / 100.0,
             }),
         });
-        Ok(Held { clock, running: running.collect(), ended: self.ends.clone() })
+        Ok(Held { start: 0, clock, running: running.collect(), ended: self.ends.clone() })
     }
 
     /// Starts a run under a fencing token and a lease.
--- a/crates/owner/tests/handed.rs
+++ b/crates/owner/tests/handed.rs
@@ -200,7 +200,7 @@
     let now = cells.now;
     let owner = cells.owner(OTHER);
     for n in 0..Load::WORKERS as u16 {
-        let held = Held { clock: now, running: vec![], ended: vec![] };
+        let held = Held { start: 0, clock: now, running: vec![], ended: vec![] };
         let id: Arc<str> = format!("x{n}").into();
         owner.list(&id, listing(OTHER, 10 + n, false), now);
         owner.held(&id, held, now, now, now);
@@ -208,7 +208,7 @@
     let mut with = listing(OTHER, 99, false);
     with.room.cpu = 16_000;
     with.room.accel = 8;
-    let held = Held { clock: now, running: vec![], ended: vec![] };
+    let held = Held { start: 0, clock: now, running: vec![], ended: vec![] };
     let id: Arc<str> = "gpu".into();
     owner.list(&id, with, now);
     owner.held(&id, held, now, now, now);
--- a/crates/owner/tests/promises.rs
+++ b/crates/owner/tests/promises.rs
@@ -88,7 +88,7 @@
     let life: std::sync::Arc<str> =
         world.workers.iter().find(|(_, w)| w.count() > 0).unwrap().0.clone();
     let (now, first) = (world.now, ended(900_000, task(id, 0, 0), 1, How::Failed));
-    let held = myrtle_job::Held { clock: now, running: vec![], ended: vec![first] };
+    let held = myrtle_job::Held { start: 0, clock: now, running: vec![], ended: vec![first] };
     let cell = &mut world.owner().cell;
     cell.held(&life, held.clone(), now - 1, now, now);
     // The next owner inherits the record and hears of the same end.
--- a/crates/owner/tests/slices.rs
+++ b/crates/owner/tests/slices.rs
@@ -34,7 +34,7 @@
     for n in 0..WORKERS {
         let id: Arc<str> = format!("w{n}").into();
         cell.list(&id, listing(n), 1_000);
-        let held = Held { clock: 1_000, running: vec![], ended: vec![] };
+        let held = Held { start: 0, clock: 1_000, running: vec![], ended: vec![] };
         cell.held(&id, held, 1_000, 1_000, 1_000);
     }
     cell
