Workers that come back under their id: failing tests for each symptom

Callers saw done work run again, tasks started beyond their allowed failures, jobs that stood still. The world of the owner's tests now numbers ends from 1 in each incarnation, as the platform does (they began at the time of day, so two incarnations never shared a number and no test could show this), and brings workers back under their id. What they show: ends are passed over by number, and the clock of before is kept.

--- a/crates/owner/tests/common/crash.rs
+++ b/crates/owner/tests/common/crash.rs
@@ -7,6 +7,15 @@
 /// How long a crashed worker is away, in milliseconds.
 const AWAY: u64 = 3_200;
 
+/// As what a crashed worker comes back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Back {
+    /// Under another id.
+    Other,
+    /// Under its id, with another start.
+    Same,
+}
+
 impl World {
     /// Crashes the workers on which a culprit has worked for long enough.
     pub(super) fn crash_by_tasks(&mut self) {
@@ -21,6 +30,15 @@
 
     /// A worker crashes without a word; its entry stays until another life is at its address.
     pub fn crash(&mut self, id: &Arc<str>) {
+        self.go_down(id, AWAY, Back::Other);
+    }
+
+    /// A worker crashes without a word and starts again under its id after a while; its entry stays until then.
+    pub fn restart(&mut self, id: &Arc<str>, away: u64) {
+        self.go_down(id, away, Back::Same);
+    }
+
+    fn go_down(&mut self, id: &Arc<str>, away: u64, back: Back) {
         let Some(worker) = self.workers.get_mut(id).filter(|w| !w.gone) else {
             return;
         };
@@ -28,7 +46,7 @@
         worker.crash(&mut self.judge);
         worker.reachable = false;
         worker.listed = true;
-        self.down.push((self.now + AWAY, id.clone()));
+        self.down.push((self.now + away, id.clone(), back));
         let judge = &mut self.judge;
         for step in lost.into_iter().filter(|task| judge.step(*task).gang).collect::<Vec<_>>() {
             self.workers.values_mut().for_each(|w| w.break_off(step, judge));
@@ -37,17 +55,19 @@
 
     /// Crashed workers come back.
     pub(super) fn come_back(&mut self) {
-        let (due, rest) =
-            std::mem::take(&mut self.down).into_iter().partition(|(at, _)| *at <= self.now);
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.down).into_iter().partition(|(at, ..)| *at <= self.now);
         self.down = rest;
-        let due: Vec<(u64, Arc<str>)> = due;
-        for (_, id) in due {
+        for (_, id, back) in due {
             let Some(old) = self.workers.get_mut(&id) else {
                 continue;
             };
             old.listed = false;
             let address = old.listing.address.port() - 1000;
-            self.add_worker(&format!("{id}+"), address);
+            match back {
+                Back::Other => self.add_worker(&format!("{id}+"), address),
+                Back::Same => self.add_worker(&id, address),
+            }
         }
     }
 }
--- a/crates/owner/tests/common/judge.rs
+++ b/crates/owner/tests/common/judge.rs
@@ -18,7 +18,13 @@
     done: BTreeSet<TaskId>,
     /// When tasks were first noted as done.
     noted: BTreeMap<TaskId, u64>,
+    /// Runs that failed: when, and whether that was noted.
+    failed: BTreeMap<(TaskId, u32), (u64, bool)>,
+    /// When runs of tasks began.
+    begun: BTreeMap<TaskId, Vec<u64>>,
     cancelled: BTreeSet<JobId>,
+    /// Workers that were asked for a lease longer than any may be, and for how long, in milliseconds.
+    pub overlong: BTreeMap<Arc<str>, u64>,
     /// What was broken, in words.
     pub broken: Vec<String>,
     /// How often tasks were started.
@@ -53,6 +59,7 @@
         }
         there.insert(worker.clone());
         self.since.insert((task, worker.clone()), now);
+        self.begun.entry(task).or_default().push(now);
         let grace = if spec.copies { COPY_GRACE } else { 0 };
         if self.noted.get(&task).is_some_and(|at| now >= at + grace) {
             self.broken.push(format!("{now}: {task} starts after its end was noted"));
@@ -104,6 +111,37 @@
         }
     }
 
+    /// A run has failed.
+    pub fn failed(&mut self, task: TaskId, run: u32, now: u64) {
+        self.failed.insert((task, run), (now, false));
+    }
+
+    /// An owner has noted that a run has failed.
+    pub fn noted_failed(&mut self, task: TaskId, run: u32) {
+        if let Some((_, noted)) = self.failed.get_mut(&(task, run)) {
+            *noted = true;
+        }
+    }
+
+    /// Whether a run of a task has ended well, whoever knows of it.
+    pub fn ended_well(&self, task: TaskId) -> bool {
+        self.done.contains(&task)
+    }
+
+    /// Tasks that were started after as many failures as their queue allows, all of which were noted.
+    pub fn overspent(&self) -> Vec<TaskId> {
+        let over = self.begun.iter().filter(|(task, starts)| {
+            let policy = &self.jobs[&task.job].policy;
+            let of_task = self.failed.iter().filter(|((t, _), (_, noted))| t == *task && *noted);
+            let mut ends: Vec<u64> = of_task.map(|(_, (at, _))| *at).collect();
+            ends.sort_unstable();
+            let last = ends.get(policy.attempts.max(1) as usize - 1);
+            let lasting = self.step(**task).lasting;
+            !lasting && last.is_some_and(|last| starts.iter().any(|start| start > last))
+        });
+        over.map(|(task, _)| *task).collect()
+    }
+
     /// An owner has noted that a task is done.
     pub fn noted(&mut self, task: TaskId, now: u64) {
         self.noted.entry(task).or_insert(now);
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -20,6 +20,8 @@
 use myrtle_job::{JobId, JobSpec, Listing, Policy, Progress, Submission, TaskId, decode};
 use myrtle_owner::{Batch, Bounds, Cell, Order};
 
+use crash::Back;
+
 pub use jobs::{job, policy, step};
 pub use judge::Judge;
 pub use worker::FakeWorker;
@@ -100,8 +102,8 @@
     pub crashes: BTreeMap<TaskId, u32>,
     /// Data centres that are being emptied.
     emptied: BTreeSet<String>,
-    /// Crashed workers and when another life is at their address.
-    down: Vec<(u64, Arc<str>)>,
+    /// Crashed workers, when something is at their address again, and as what.
+    down: Vec<(u64, Arc<str>, Back)>,
     jobs: BTreeMap<JobId, Submission>,
     progress: BTreeMap<JobId, Vec<u8>>,
     /// What the log holds of workers.
@@ -148,7 +150,7 @@
 
     /// Adds a worker life at an address; the same address twice is a reborn worker.
     pub fn add_worker(&mut self, id: &str, address: u16) {
-        let listing = Listing { written: self.now, ..listing(address) };
+        let listing = Listing { written: self.now, start: self.now, ..listing(address) };
         self.workers.insert(id.into(), FakeWorker::new(listing, self.now));
     }
 
--- a/crates/owner/tests/common/worker.rs
+++ b/crates/owner/tests/common/worker.rs
@@ -11,6 +11,9 @@
 /// How long a room that has shrunk still counts, in milliseconds: the contact time and a heartbeat.
 const SHRINKS: u64 = 4_000;
 
+/// The longest lease, in milliseconds.
+const HOLD: u64 = 10_000;
+
 /// A run on a worker.
 #[derive(Clone)]
 struct FakeRun {
@@ -47,6 +50,8 @@
     last: u64,
     runs: BTreeMap<TaskId, FakeRun>,
     ends: Vec<Ended>,
+    /// How many ends there were; they are numbered from 1 in each incarnation.
+    count: u64,
     barred: BTreeMap<TaskId, u32>,
     name: Arc<str>,
 }
@@ -73,6 +78,7 @@
             last: now,
             runs: BTreeMap::new(),
             ends: Vec::new(),
+            count: 0,
             barred: BTreeMap::new(),
             name,
         }
@@ -185,9 +191,13 @@
         }
         self.fence = fence;
         let clock = now - self.began;
-        self.until = self.until.max(until.unwrap_or(0).min(clock + 10_000));
-        for end in self.ends.iter().filter(|e| e.number <= seen && e.how == How::Done) {
-            judge.noted(end.task, now);
+        self.lease(until.unwrap_or(0), clock, judge);
+        for end in self.ends.iter().filter(|e| e.number <= seen) {
+            match end.how {
+                How::Done => judge.noted(end.task, now),
+                How::Failed => judge.noted_failed(end.task, end.run),
+                _ => {}
+            }
         }
         self.ends.retain(|e| e.number > seen);
         let running = self.runs.iter().map(|(&task, r)| Running {
@@ -200,7 +210,20 @@
                 false => r.figure * f64::from(r.pace) / 100.0,
             }),
         });
-        Ok(Held { start: 0, clock, running: running.collect(), ended: self.ends.clone() })
+        Ok(Held {
+            start: self.listing.start,
+            clock,
+            running: running.collect(),
+            ended: self.ends.clone(),
+        })
+    }
+
+    /// Adopts a lease; one that is longer than any may be is cut.
+    fn lease(&mut self, until: u64, clock: u64, judge: &mut Judge) {
+        if until > clock + HOLD {
+            judge.overlong.insert(self.name.clone(), until - clock);
+        }
+        self.until = self.until.max(until.min(clock + HOLD));
     }
 
     /// Starts a run under a fencing token and a lease.
@@ -221,7 +244,7 @@
         if until <= clock {
             return Told::Late;
         }
-        self.until = self.until.max(until.min(clock + 10_000));
+        self.lease(until, clock, judge);
         if self.runs.get(&task).is_some_and(|r| r.number == run) {
             return Told::Done;
         }
@@ -282,7 +305,11 @@
         let barred = self.barred.entry(task).or_default();
         *barred = (*barred).max(run.number);
         judge.over(&self.name, task, how == How::Done);
-        let number = self.ends.last().map_or(self.last * 100, |e| e.number) + 1;
+        if how == How::Failed {
+            judge.failed(task, run.number, self.last);
+        }
+        self.count += 1;
+        let number = self.count;
         self.ends.push(Ended { number, task, run: run.number, how, saved: String::new() });
     }
 }
--- /dev/null
+++ b/crates/owner/tests/restarts.rs
@@ -0,0 +1,119 @@
+//! Workers that start again under the id that they had: they hold nothing of before, and their clocks and the
+//! numbers of their ends begin anew.
+//!
+//! Tasks that had ended well ran once more, and tasks were started after as many failures as their queue
+//! allows. Seventeen workers had lost power together and were back under their ids within a second. Their
+//! owner met them with nothing running, and logged no change of incarnation:
+//!
+//! ```text
+//! 5.001 event=worker-silent worker=W runs=8
+//! 5.765 event=worker-met worker=W running=0 silent_ms=875
+//! 7.372 event=run-absent task=J.0.1.7 run=2 worker=W stage=Up at=17347
+//! ```
+//!
+//! The last run had ended well at 7.06, and no `run-ended` tells of that.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{World, job, step};
+use myrtle_job::{JobId, State, StepSpec, TaskId};
+use myrtle_owner::Limbo;
+
+/// How long workers are away, in milliseconds.
+const AWAY: u64 = 600;
+
+/// How long nothing of a job may run though a task's turn has come, in milliseconds; the platform's figure.
+const IDLE: u64 = 3_000;
+
+/// How long workers have been at work before, in milliseconds: each has told of some twenty ends.
+const BEFORE: u64 = 6_000;
+
+/// Names a case and gives it a world of four workers that have been at work.
+macro_rules! case {
+    ($(#[$doc:meta])* $name:ident, $world:ident, $body:block) => {
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let mut $world = World::new(7, 4);
+            busy(&mut $world, BEFORE);
+            $body
+            assert_eq!($world.judge.broken, Vec::<String>::new());
+        }
+    };
+}
+
+/// Lets time pass while jobs of two steps come, five a second; their names.
+fn busy(world: &mut World, millis: u64) -> Vec<JobId> {
+    let submit = |world: &mut World| {
+        let second = StepSpec { after: vec![0], estimate: 300, ..step(2) };
+        let id = world.submit(job(vec![StepSpec { estimate: 500, ..step(4) }, second]));
+        world.run(200);
+        id
+    };
+    (0..millis / 200).map(|_| submit(world)).collect()
+}
+
+/// All workers lose power and are back under their ids.
+fn restart_all(world: &mut World) {
+    let ids: Vec<Arc<str>> = world.workers.keys().cloned().collect();
+    ids.iter().for_each(|id| world.restart(id, AWAY));
+}
+
+/// Asks that jobs end well in time.
+fn completed(world: &mut World, jobs: &[JobId]) {
+    world.run(15_000);
+    let cell = &world.owner().cell;
+    let states: Vec<_> = jobs.iter().map(|id| cell.state(*id)).collect();
+    assert_eq!(states, vec![Some(State::Completed); jobs.len()]);
+}
+
+case!(what_ended_well_on_a_worker_that_came_back_is_not_started_again, world, {
+    restart_all(&mut world);
+    let jobs = busy(&mut world, 4_000);
+    completed(&mut world, &jobs);
+});
+
+case!(failures_on_a_worker_that_came_back_are_counted, world, {
+    restart_all(&mut world);
+    world.run(AWAY + 100);
+    world.workers.values_mut().for_each(|w| w.failing = true);
+    let id = world.submit(job(vec![step(1)]));
+    world.run(8_000);
+    assert_eq!(world.owner().cell.state(id), Some(State::Failed));
+    assert_eq!(world.judge.overspent(), vec![]);
+});
+
+case!(no_lease_is_reckoned_by_the_clock_of_before, world, {
+    restart_all(&mut world);
+    busy(&mut world, 2_000);
+    assert!(world.judge.overlong.is_empty(), "{:?}", world.judge.overlong);
+});
+
+case!(a_step_begins_once_those_before_it_have_ended_well, world, {
+    restart_all(&mut world);
+    world.run(AWAY + 100);
+    let (first, second) = (StepSpec { estimate: 4_000, ..step(4) }, step(2));
+    let id = world.submit(job(vec![first, StepSpec { after: vec![0], ..second }]));
+    let task = |step, index| TaskId { job: id, round: 0, step, index };
+    let began = world.now;
+    while world.now < began + 10_000 && !(0..4).all(|index| world.judge.ended_well(task(0, index)))
+    {
+        world.run(10);
+    }
+    world.run(IDLE);
+    assert!(world.judge.starts.contains_key(&task(1, 0)), "nothing runs of what could run");
+});
+
+#[test]
+fn no_run_is_left_in_no_known_state() {
+    let mut world = World::new(7, 4);
+    for _ in 0..3 {
+        busy(&mut world, 3_000);
+        restart_all(&mut world);
+    }
+    world.run(15_000);
+    let now = world.now;
+    assert_eq!(world.owner().cell.limbo(now), Limbo::default());
+}
