--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -12,7 +12,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
 /// The largest request body that is taken in, in bytes.
@@ -58,18 +58,26 @@
 {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
-        let _ = stream.set_nodelay(true);
-        let handle = handle.clone();
-        let service = service_fn(move |request| one(request, handle.clone()));
-        tokio::spawn(
-            http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD)
-                .serve_connection(TokioIo::new(stream), service),
-        );
+        tokio::spawn(serve_one(stream, handle.clone()));
     }
 }
 
+/// Serves one connection until it ends or the future is dropped.
+pub async fn serve_one<F, R>(stream: TcpStream, handle: F)
+where
+    F: Fn(Ask) -> R + Clone + Send + 'static,
+    R: Future<Output = Answer> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| one(request, handle.clone()));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD)
+        .serve_connection(TokioIo::new(stream), service);
+    // What went wrong on a connection is its peer's to notice.
+    let _ = served.await;
+}
+
 /// An answer of plain text.
 pub fn text(status: u16, body: impl Into<String>) -> Answer {
     answer(status, "text/plain; charset=utf-8", body.into().into_bytes())
--- a/crates/standin/src/runner/calls.rs
+++ b/crates/standin/src/runner/calls.rs
@@ -131,7 +131,9 @@
             state.runs.iter().map(|(t, r)| json!([t, r.number, "", percent(r), 1000])).collect();
         let ends: Vec<_> =
             state.ends.iter().map(|(n, t, r, how)| json!([n, t, r, how, ""])).collect();
-        json(&json!({ "clock_ms": self.clock(), "running": running, "ended": ends }))
+        json(&json!({
+            "clock_ms": self.clock(), "born": self.born(), "running": running, "ended": ends,
+        }))
     }
 
     fn done(&self) -> Answer {
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -2,6 +2,7 @@
 
 mod book;
 mod calls;
+mod process;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -11,10 +12,10 @@
 
 use serde_json::json;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 
-use myrtle_platform::serve;
+use process::Process;
 
 pub use book::{Book, Seen};
 
@@ -52,7 +53,9 @@
     pub at: SocketAddr,
     /// How long it works on each task.
     work: Duration,
-    began: Instant,
+    process: Mutex<Process>,
+    /// Whether its process is down: nobody is served, and open connections break.
+    down: watch::Sender<bool>,
     state: Mutex<State>,
     ended: Notify,
     mute: AtomicBool,
@@ -73,7 +76,8 @@
             name: name.into(),
             at: listener.local_addr()?,
             work,
-            began: Instant::now(),
+            process: Mutex::new(Process::start()),
+            down: watch::Sender::new(false),
             state: Mutex::default(),
             ended: Notify::new(),
             mute: AtomicBool::new(false),
@@ -82,11 +86,7 @@
             culprit: Mutex::default(),
             book,
         });
-        let me = runner.clone();
-        tokio::spawn(serve(listener, move |ask| {
-            let me = me.clone();
-            async move { me.handle(ask).await }
-        }));
+        tokio::spawn(process::listen(runner.clone(), listener));
         let me = runner.clone();
         tokio::spawn(async move { me.tick().await });
         Ok(runner)
@@ -131,7 +131,7 @@
     pub fn listing_as(&self, data_centre: &str, state: &str) -> String {
         json!({
             "service": "s", "address": self.at.to_string(), "zone": data_centre, "version": "v1",
-            "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 1,
+            "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 1, "born": self.born(),
             "capacity": { "cpu": 32000, "mem_mb": 128_000, "gpu": 0 }, "labels": ["a", "r1"],
         })
         .to_string()
@@ -168,13 +168,18 @@
     /// Loses all that it knows, answers nobody for a while and comes back as another life.
     async fn crash(&self) {
         self.mute(true);
+        self.lose();
+        sleep(AWAY).await;
+        self.crashes.fetch_add(1, Ordering::Relaxed);
+        self.mute(false);
+    }
+
+    /// Forgets all that it knows; what runs is lost.
+    fn lose(&self) {
         let lost = std::mem::take(&mut *self.state.lock().expect("no holder panics")).runs;
         for (task, run) in lost {
             self.book.close(&self.name, &task, run.number, "lost");
         }
-        sleep(AWAY).await;
-        self.crashes.fetch_add(1, Ordering::Relaxed);
-        self.mute(false);
     }
 
     fn begin(&self, state: &mut State, task: String, run: u32) {
@@ -194,9 +199,4 @@
         self.book.close(&self.name, task, run.number, how);
         self.ended.notify_waiters();
     }
-
-    /// Its clock, in milliseconds.
-    fn clock(&self) -> u64 {
-        self.began.elapsed().as_millis() as u64 + 1
-    }
 }
