Members of a doubted gang don't stand in each other's way

What callers saw: a gang that could run and didn't, with all room free. Cause: where a doubted task has just begun, or is about to, no other doubted one may begin, so that a crash tells which it was; a gang was placed under that rule against itself, and with more members than workers never fitted. Its members only ever begin together, so nothing is learned by parting them. Ruled out: incarnations, leases, shunned workers, room (six workers open, empty). Change: those of the same gang don't count.

--- a/crates/owner/src/placing/fit.rs
+++ b/crates/owner/src/placing/fit.rs
@@ -80,7 +80,7 @@
             if spec.filler && self.about_to_halt(worker, now) {
                 continue;
             }
-            if self.on_trial(worker, suspect, waited, now) {
+            if self.on_trial(worker, task, suspect, waited, now) {
                 continue;
             }
             let ticketed = job.submission.policy.advice.is_some();
--- a/crates/owner/src/placing/waits.rs
+++ b/crates/owner/src/placing/waits.rs
@@ -40,7 +40,9 @@
         if !open().any(|w| self.allowed(w, job, spec, task)) {
             return "no worker with its labels has room";
         }
-        if open().all(|w| !self.allowed(w, job, spec, task) || self.on_trial(w, false, 0, now)) {
+        if open()
+            .all(|w| !self.allowed(w, job, spec, task) || self.on_trial(w, task, false, 0, now))
+        {
             return "a task that may have crashed a worker has just begun wherever there is room";
         }
         if job.submission.policy.advice.is_some() {
--- a/crates/owner/src/workers/crash.rs
+++ b/crates/owner/src/workers/crash.rs
@@ -14,6 +14,7 @@
 
 use myrtle_job::{Crashes, Incarnation, Loss, State, TaskId};
 
+use crate::placing::step::step_of;
 use crate::{Cell, Flight, Life, Stage, Worker};
 
 /// How long after its start a task is the first to be doubted, in milliseconds: longer than a busy
@@ -205,14 +206,26 @@
 
     /// Whether a task that has waited for `waited` milliseconds may not begin on a worker, as one that is
     /// doubted has just begun there.
-    pub(crate) fn on_trial(&self, worker: &Worker, suspect: bool, waited: u64, now: u64) -> bool {
+    ///
+    /// Those of its own gang don't stand in its way: they only ever begin together, and a gang of more of them than
+    /// there are workers would wait for ever.
+    pub(crate) fn on_trial(
+        &self,
+        worker: &Worker,
+        task: TaskId,
+        suspect: bool,
+        waited: u64,
+        now: u64,
+    ) -> bool {
         if !worker.flights.sums().suspects {
             return false;
         }
         let patience = if suspect { LONG_PATIENCE } else { PATIENCE };
         let trial = if waited < patience { TRIAL } else { FRESH };
-        let mut suspects = worker.flights.values().filter(|f| f.suspect);
-        suspects.any(|f| f.begun.is_none_or(|begun| now < begun + trial))
+        let gang = self.jobs.get(&task.job).is_some_and(|job| job.step(task.step).gang);
+        let own = |other: TaskId| gang && step_of(other) == step_of(task);
+        let suspects = worker.flights.iter().filter(|(other, f)| f.suspect && !own(**other));
+        suspects.map(|(_, f)| f).any(|f| f.begun.is_none_or(|begun| now < begun + trial))
     }
 }
 
