Owners that have read neither the operator's records nor the list: tests for both guards

Now a new host takes the cell over while readers of those records wait 1.8 s: without the guard it starts eight tasks in data centres that are being emptied. The same for workers that started anew while nobody owned the cell and an owner that reads the list 1.2 s late: it knows the incarnations before from the log, asks who is there and tells nobody to forget anything. No product logic is changed.

--- a/crates/front/tests/emptied.rs
+++ b/crates/front/tests/emptied.rs
@@ -15,6 +15,10 @@
 /// How long the operator's record may take to be in force; the platform gives 5 s.
 const IN_FORCE: Duration = Duration::from_millis(1_500);
 
+/// How long the operator's records are not read by a host that begins: longer than a takeover, shorter than hosts
+/// wait for an answer.
+const UNREAD: Duration = Duration::from_millis(1_800);
+
 /// Names a case and gives it a site of two data centres that share a cell, with two workers each.
 macro_rules! case {
     ($name:ident, $site:ident, $body:block) => {
@@ -112,3 +116,19 @@
     site.completed("h1", "00000000000000c1").await;
     assert!(started(&site) > 0);
 });
+
+// An owner that takes over before it has read the operator's records doesn't know what is being emptied.
+case!(an_owner_that_has_not_read_the_operators_records_starts_nothing, site, {
+    empty(&site, "d", true);
+    empty(&site, "e", true);
+    sleep(IN_FORCE).await;
+    assert_eq!(site.submit("h1", "00000000000000c1", 8).await, 200);
+    site.hosts.clear();
+    site.store.delay("keyed.op", UNREAD);
+    site.host_of("h3", "d", "").await;
+    sleep(IN_FORCE).await;
+    assert!(site.book.runs().is_empty(), "started in a data centre that is emptied");
+    empty(&site, "d", false);
+    site.completed("h3", "00000000000000c1").await;
+    assert_eq!(started(&site), 0);
+});
--- a/crates/front/tests/restarts.rs
+++ b/crates/front/tests/restarts.rs
@@ -104,6 +104,17 @@
     site.completed(&other, "00000000000000d4").await;
 });
 
+// The next owner knows workers from the log, which tells of the incarnations before, and reads the list late.
+case!(an_owner_that_has_not_read_the_list_asks_who_is_there, site, {
+    assert_eq!(site.submit("h1", "00000000000000d5", 12).await, 200);
+    until(|| async { site.starts("00000000000000d5.0.0.11") > 0 }).await;
+    site.hosts.clear();
+    restart_all(&site).await;
+    site.store.delay("keyed.servers", Duration::from_millis(1_200));
+    site.host("h3").await;
+    site.completed("h3", "00000000000000d5").await;
+});
+
 // Entries of older workers don't tell when they started, their answers do.
 case!(entries_that_tell_no_start_name_the_worker_that_answers, site, {
     for round in 0..3 {
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -53,6 +53,8 @@
     /// Whose append is taken while the store is slow.
     turn: tokio::sync::Mutex<()>,
     calls: Mutex<BTreeMap<String, u64>>,
+    /// Topics whose readers wait, and for how long.
+    delays: Mutex<BTreeMap<String, Duration>>,
 }
 
 #[derive(Deserialize)]
@@ -75,6 +77,11 @@
         *self.mode.lock().expect("no holder panics") = mode;
     }
 
+    /// Lets every reader of a topic wait for so long before it is answered.
+    pub fn delay(&self, topic: &str, wait: Duration) {
+        self.delays.lock().expect("no holder panics").insert(topic.into(), wait);
+    }
+
     /// How often each call was made.
     pub fn calls(&self) -> BTreeMap<String, u64> {
         self.calls.lock().expect("no holder panics").clone()
@@ -134,8 +141,14 @@
                 }
                 answer
             }
-            "/api/log-read" => self.read(&ask).await,
-            "/api/log-newest" => self.newest(&ask),
+            "/api/log-read" => {
+                self.wait(&ask).await;
+                self.read(&ask).await
+            }
+            "/api/log-newest" => {
+                self.wait(&ask).await;
+                self.newest(&ask)
+            }
             "/api/log-join" => self.join(&ask),
             "/api/log-leave" => self.leave(&ask),
             "/api/log-owners" => self.told_owners(&ask),
@@ -143,6 +156,13 @@
         }
     }
 
+    /// Waits as long as readers of the topic have to.
+    async fn wait(&self, ask: &Ask) {
+        let topic = ask.param("topic").unwrap_or_default();
+        let wait = self.delays.lock().expect("no holder panics").get(topic).copied();
+        sleep(wait.unwrap_or_default()).await;
+    }
+
     fn append(&self, ask: &Ask) -> Answer {
         let Ok(records) = unframe(ask.body.clone()) else {
             return text(400, "the body is torn");
