Cells: workers that start anew under their ids beside hand-ons, dying owners, lost and late deliveries

200 drawn courses of three cells: no run is started by two cells under one number, none is forgotten, and a job ends early only after five losses under one of its tasks (counted there). Workers of these tests have a start now; some calls in them had named none.

--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -58,7 +58,11 @@
         let planned = Instant::now();
         let (orders, questions, batch) = plan(&owned);
         let restarts = owned.state().counts.restarts;
-        host.meter.level("myrtle_worker_restarts", &format!("cell {}", owned.cell), restarts as i64);
+        host.meter.level(
+            "myrtle_worker_restarts",
+            &format!("cell {}", owned.cell),
+            restarts as i64,
+        );
         rest = planned.elapsed().clamp(GATHER, REST);
         owned.dispatch(orders);
         permits::ask_all(&host, &owned, questions);
--- a/crates/owner/tests/cells/act.rs
+++ b/crates/owner/tests/cells/act.rs
@@ -5,7 +5,7 @@
 use myrtle_job::{Ended, Held, How, Key, Running, Successor, Told, decode};
 use myrtle_owner::{Delivery, Order, Outcome};
 
-use super::given::name;
+use super::given::{first_of, name};
 use super::{Cells, WORKERS};
 
 impl Cells {
@@ -21,7 +21,15 @@
                 }
                 continue;
             }
-            let worker = self.workers.entry(id.clone()).or_default();
+            let start = self.life(&id).start();
+            let of_id = self.owners[cell].workers.keys().filter(|life| life.id() == id.id());
+            let others = of_id.filter(|life| life.start() != start);
+            for life in others.cloned().collect::<Vec<_>>() {
+                self.owners[cell].replaced(&life, Successor::Restarted(start), now);
+            }
+            let life = self.life(&id);
+            let worker = self.workers.entry(id).or_default();
+            let id = life;
             let seen = self.owners[cell].hold_args(&id, now).map_or(0, |args| args.seen);
             worker.ended.retain(|end| end.number > seen);
             let running = worker.runs.iter().map(|(&task, (run, saved))| Running {
@@ -31,12 +39,8 @@
                 percent: 100.0,
                 figure: None,
             });
-            let held = Held {
-                start: 0,
-                clock: now,
-                running: running.collect(),
-                ended: worker.ended.clone(),
-            };
+            let held =
+                Held { start, clock: now, running: running.collect(), ended: worker.ended.clone() };
             self.owners[cell].held(&id, held, now, now, now);
         }
     }
@@ -66,8 +70,25 @@
 
     pub(super) fn carry_out(&mut self, cell: usize, order: Order) {
         let now = self.now;
-        let worker = self.workers.entry(order.worker().clone()).or_default();
-        let told = Outcome::Told(Told::Done);
+        let first = first_of(order.worker());
+        let start = self.life(&first).start();
+        let told = match order.worker().start() == start {
+            true => Outcome::Told(Told::Done),
+            false => Outcome::Replaced(Successor::Restarted(start)),
+        };
+        let worker = self.workers.entry(first).or_default();
+        if matches!(told, Outcome::Replaced(_)) {
+            match &order {
+                Order::Start { worker: life, task, run, .. } => {
+                    self.owners[cell].start_told(life, *task, *run, told, now);
+                }
+                Order::Stop { worker: life, task, run } => {
+                    self.owners[cell].stop_told(life, *task, *run, told, now);
+                }
+                Order::Pace { .. } => {}
+            }
+            return;
+        }
         match &order {
             Order::Start { worker: life, task, run, .. } => {
                 worker.runs.insert(*task, (*run, format!("saved-{}", task.index)));
--- a/crates/owner/tests/cells/chaos.rs
+++ b/crates/owner/tests/cells/chaos.rs
@@ -33,6 +33,30 @@
         self.run(6_000);
     }
 
+    /// As `chaos`, with workers that start anew under their ids at any moment.
+    pub fn restless_chaos(&mut self, seed: u64) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        for _ in 0..60 {
+            let (cell, worker) =
+                (rng.random_range(0..self.owners.len()), rng.random_range(0..WORKERS));
+            match rng.random_range(0..12) {
+                0 if self.leaving.len() < 4 && !self.leaving.contains(&name(cell, worker)) => {
+                    self.leave(cell, worker);
+                }
+                1 => self.take_over(cell),
+                2 => self.lossy = rng.random(),
+                3 => self.repeat_a_delivery(&mut rng),
+                4 | 5 => self.restart(cell, worker),
+                6 => (0..WORKERS).for_each(|worker| self.restart(cell, worker)),
+                _ => self.read_entry(cell, worker),
+            }
+            self.step();
+        }
+        self.lossy = false;
+        (0..self.owners.len()).for_each(|cell| self.take_over(cell));
+        self.run(8_000);
+    }
+
     /// As `chaos`, but every delivery takes its time, in any order, also those of owners that have
     /// died; owners die between writing and acting; the job is taken back at step `cancel`.
     pub fn slow_chaos(&mut self, seed: u64, cancel: Option<u64>) {
--- a/crates/owner/tests/cells/given.rs
+++ b/crates/owner/tests/cells/given.rs
@@ -11,9 +11,17 @@
 /// The job that fills the first cell.
 pub const JOB: JobId = JobId(7);
 
-/// The name of a worker.
+/// When every worker started at first.
+const FIRST: u64 = 1;
+
+/// The first incarnation of a worker.
 pub fn name(cell: usize, worker: u16) -> Incarnation {
-    Incarnation::new(format!("w{cell}-{worker}"), 0)
+    Incarnation::new(format!("w{cell}-{worker}"), FIRST)
+}
+
+/// The first incarnation of a worker that is meant.
+pub fn first_of(life: &Incarnation) -> Incarnation {
+    life.started(FIRST)
 }
 
 /// What a worker of 32 cores says of itself.
@@ -29,7 +37,7 @@
         machine: None,
         written: 1,
         cold: 0,
-        start: 0,
+        start: FIRST,
     }
 }
 
--- a/crates/owner/tests/cells/mod.rs
+++ b/crates/owner/tests/cells/mod.rs
@@ -12,7 +12,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use myrtle_job::{
-    Ended, How, Incarnation, JobId, Key, Part, PartId, PartTask, Progress, StepSpec, TaskId,
+    Ended, How, Incarnation, JobId, Key, Listing, Part, PartId, PartTask, Progress, StepSpec,
+    TaskId,
 };
 use myrtle_owner::{Cell, Delivery, Order};
 
@@ -49,6 +50,8 @@
     jobs: Vec<Vec<(Key, Vec<u8>)>>,
     progress: Vec<BTreeMap<JobId, Vec<u8>>>,
     workers: BTreeMap<Incarnation, Worker>,
+    /// When workers started that have started anew, by their first incarnations.
+    started: BTreeMap<Incarnation, u64>,
     /// Workers that leave.
     leaving: Vec<Incarnation>,
     /// Workers that have crashed, and when another life answers in their place.
@@ -85,6 +88,7 @@
             jobs: vec![vec![]; count],
             progress: vec![BTreeMap::new(); count],
             workers: BTreeMap::new(),
+            started: BTreeMap::new(),
             leaving: vec![],
             crashed: BTreeMap::new(),
             late: vec![],
@@ -118,10 +122,37 @@
     /// A worker says that it leaves.
     pub fn leave(&mut self, cell: usize, worker: u16) {
         let now = self.now;
-        self.owners[cell].list(name(cell, worker).id(), listing(cell, worker, true), now);
+        let entry = self.entry(cell, worker, true);
+        self.owners[cell].list(name(cell, worker).id(), entry, now);
         self.leaving.push(name(cell, worker));
     }
 
+    /// A worker starts anew under its id: it runs nothing, and its ends are numbered from 1. Only answers tell of
+    /// it until its entry is read.
+    pub fn restart(&mut self, cell: usize, worker: u16) {
+        let id = name(cell, worker);
+        self.workers.insert(id.clone(), Worker::default());
+        self.started.insert(id, self.now);
+    }
+
+    /// A worker's entry is read.
+    pub fn read_entry(&mut self, cell: usize, worker: u16) {
+        let leaves = self.leaving.contains(&name(cell, worker));
+        let (now, entry) = (self.now, self.entry(cell, worker, leaves));
+        self.owners[cell].list(name(cell, worker).id(), entry, now);
+    }
+
+    /// The incarnation of a worker that is there now.
+    fn life(&self, first: &Incarnation) -> Incarnation {
+        self.started.get(first).map_or_else(|| first.clone(), |start| first.started(*start))
+    }
+
+    /// What a worker says of itself now.
+    fn entry(&self, cell: usize, worker: u16, draining: bool) -> Listing {
+        let start = self.life(&name(cell, worker)).start();
+        Listing { start, ..listing(cell, worker, draining) }
+    }
+
     /// A run of a task ends well.
     pub fn finish(&mut self, task: TaskId) {
         for worker in self.workers.values_mut() {
@@ -181,7 +212,8 @@
     /// A worker that was to leave stays.
     pub fn stay(&mut self, cell: usize, worker: u16) {
         let now = self.now;
-        self.owners[cell].list(name(cell, worker).id(), listing(cell, worker, false), now);
+        let entry = self.entry(cell, worker, false);
+        self.owners[cell].list(name(cell, worker).id(), entry, now);
         self.leaving.retain(|id| *id != name(cell, worker));
     }
 
@@ -201,9 +233,10 @@
         parts.for_each(|(key, value)| self.admit(cell, *key, value));
         self.owners[cell].loaded = true;
         for worker in 0..WORKERS {
-            if self.leaving.contains(&name(cell, worker)) {
-                let now = self.now;
-                self.owners[cell].list(name(cell, worker).id(), listing(cell, worker, true), now);
+            let (now, leaves) = (self.now, self.leaving.contains(&name(cell, worker)));
+            if leaves || self.started.contains_key(&name(cell, worker)) {
+                let entry = self.entry(cell, worker, leaves);
+                self.owners[cell].list(name(cell, worker).id(), entry, now);
             }
         }
         let inherited = self.owners[cell].deliveries();
--- a/crates/owner/tests/handed.rs
+++ b/crates/owner/tests/handed.rs
@@ -199,7 +199,7 @@
     let owner = cells.owner(OTHER);
     for n in 0..Load::WORKERS as u16 {
         let held = Held { start: 0, clock: now, running: vec![], ended: vec![] };
-        let id = Incarnation::new(format!("x{n}"), 0);
+        let id = Incarnation::new(format!("x{n}"), listing(OTHER, n, false).start);
         owner.list(id.id(), listing(OTHER, 10 + n, false), now);
         owner.held(&id, held, now, now, now);
     }
@@ -207,7 +207,7 @@
     with.room.cpu = 16_000;
     with.room.accel = 8;
     let held = Held { start: 0, clock: now, running: vec![], ended: vec![] };
-    let id = Incarnation::new("gpu", 0);
+    let id = Incarnation::new("gpu", with.start);
     owner.list(id.id(), with, now);
     owner.held(&id, held, now, now, now);
     assert!(owner.load(now).free.iter().any(|free| free.room.accel > 0), "nobody learns of it");
--- a/crates/owner/tests/parts.rs
+++ b/crates/owner/tests/parts.rs
@@ -9,7 +9,7 @@
 
 mod cells;
 
-use myrtle_job::{Key, Load, Part, PartId, decode};
+use myrtle_job::{Key, Load, Part, PartId, State, decode};
 
 use cells::{Cells, JOB, listing, owner, starts, stops};
 
@@ -214,3 +214,27 @@
         assert_eq!(cells.living(), 0, "seed {seed}: a task goes on after the end of its job");
     }
 }
+
+/// How many workers are lost under a task before its job is given up, whatever the cause.
+const LOSSES: u8 = 5;
+
+/// The same while workers start anew under their ids. A task under which too many were lost ends the job, everywhere.
+#[test]
+fn every_task_is_looked_after_though_workers_start_anew() {
+    for seed in 0..200 {
+        let mut cells = Cells::full(3);
+        cells.restless_chaos(seed);
+        let mut runs: Vec<_> = cells.orders.iter().flat_map(|o| starts(o)).collect();
+        runs.sort();
+        let all = runs.len();
+        runs.dedup_by_key(|(task, run, _)| (*task, *run));
+        assert_eq!(runs.len(), all, "seed {seed}: a run was started twice");
+        let given_up = cells.owner(HOME).state(JOB) == Some(State::Failed);
+        let jobs = (0..3).filter_map(|cell| cells.owner(cell).jobs.get(&JOB).cloned());
+        let lost = jobs.flat_map(|job| job.progress.crashes.into_values().map(|c| c.seen));
+        let most = lost.max().unwrap_or_default();
+        assert!(!given_up || most >= LOSSES, "seed {seed}: given up after {most} losses");
+        let living = if given_up { 0 } else { 16 };
+        assert_eq!(cells.living(), living, "seed {seed}: a task runs nowhere, or twice");
+    }
+}
