--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -23,6 +23,7 @@
 use crate::hedge::{Outcome, hedged};
 use crate::host::Host;
 use crate::names::JOBS;
+use crate::pace::Pace;
 use crate::patience::Patience;
 
 /// How long a job waits for the call before its own; then it is refused, so that its client can
@@ -37,9 +38,6 @@
 /// store is slow.
 const PASS: Duration = Duration::from_millis(150);
 
-/// The least time in which an append may be acknowledged: nothing is sent for a client that has less.
-const LEAST: Duration = Duration::from_millis(40);
-
 /// A job that waits to be written.
 #[derive(Debug)]
 struct Waiting {
@@ -58,26 +56,6 @@
     work: Notify,
 }
 
-/// How long appends take.
-#[derive(Debug, Default, Clone, Copy)]
-struct Pace {
-    /// What the answers before took.
-    usual: Duration,
-    /// When the call that is under way began.
-    began: Option<Instant>,
-}
-
-impl Pace {
-    /// The least time after which a job that comes now can be acknowledged: what the call under way still
-    /// takes, and then as long again.
-    fn ahead(&self, now: Instant) -> Duration {
-        let passed = self.began.map(|began| now.saturating_duration_since(began));
-        let one = self.usual.max(passed.unwrap_or_default());
-        let rest = passed.map_or(Duration::ZERO, |passed| self.usual.saturating_sub(passed));
-        (rest + one).max(LEAST)
-    }
-}
-
 impl Intake {
     /// Puts a job into the queue and waits for its fate; refuses it at once if its time will not do.
     async fn put(&self, job: JobId, record: Vec<u8>, limit: Duration) -> Passed {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -28,6 +28,7 @@
 mod orders;
 mod owned;
 mod owners;
+mod pace;
 mod patience;
 mod peers;
 mod permits;
