--- a/crates/owner/src/workers/succession.rs
+++ b/crates/owner/src/workers/succession.rs
@@ -95,17 +95,7 @@
         let unnamed = life.start() == 0 && old.life == Life::Unmet;
         if !unnamed {
             self.counts.restarts += 1;
-            warn!(
-                "event=worker-restarted worker={} before={} after={} heard={heard} runs={} taken={} noted={} \
-                 silent_ms={}",
-                life.id(),
-                life.start(),
-                next.start(),
-                old.flights.len(),
-                old.taken,
-                old.noted,
-                now.saturating_sub(old.heard)
-            );
+            old.tell_restart(life, next, heard, now);
         }
         let heir = self.workers.entry(next.clone()).or_insert_with(|| Worker::new(now));
         if heir.listing.is_none() {
@@ -180,6 +170,21 @@
 }
 
 impl Worker {
+    /// Tells that the worker has started anew, and what was lost with the incarnation before.
+    fn tell_restart(&self, life: &Incarnation, next: &Incarnation, heard: Heard, now: u64) {
+        warn!(
+            "event=worker-restarted worker={} before={} after={} heard={heard} runs={} taken={} noted={} \
+             silent_ms={}",
+            life.id(),
+            life.start(),
+            next.start(),
+            self.flights.len(),
+            self.taken,
+            self.noted,
+            now.saturating_sub(self.heard)
+        );
+    }
+
     /// Notes that a start got no answer.
     pub(crate) fn note_unanswered(&mut self, task: TaskId, run: u32, now: u64) {
         self.unanswered.retain(|(.., at)| now < at + LATE);
