Sight: by which entry of the list a worker is taken for gone

The line worker-gone told neither which entry ended a worker nor where the two lie in the list; both are told now, with the incarnations and whether the worker's own entry was known from the list or from the log.

--- a/crates/owner/src/workers/list.rs
+++ b/crates/owner/src/workers/list.rs
@@ -22,6 +22,7 @@
         });
         let older: Vec<_> = older.map(|(id, _)| id.clone()).collect();
         for id in older {
+            self.tell_outlived(&id, &life, &listing);
             self.succeeded(&id, now);
         }
         self.comes_after_earlier(&life, now);
@@ -52,9 +53,25 @@
         let Some(own) = self.workers.get(life).and_then(|w| w.listing.as_ref()) else {
             return false;
         };
-        let listed = self.workers.values().filter(|w| w.listed);
-        let mut listings = listed.filter_map(|w| w.listing.as_ref());
-        listings.any(|l| l.address == own.address && l.written > own.written)
+        let listed = self.workers.iter().filter(|(_, w)| w.listed);
+        let mut listings = listed.filter_map(|(by, w)| Some((by, w.listing.as_ref()?)));
+        let later = listings.find(|(_, l)| l.address == own.address && l.written > own.written);
+        if let Some((by, listing)) = later {
+            self.tell_outlived(life, by, listing);
+        }
+        later.is_some()
+    }
+
+    /// Tells by which entry a worker is taken for gone.
+    fn tell_outlived(&self, life: &Incarnation, by: &Incarnation, entry: &Listing) {
+        let own = self.workers.get(life);
+        let written = own.and_then(|w| w.listing.as_ref()).map_or(0, |l| l.written);
+        let listed = own.is_some_and(|w| w.listed);
+        info!(
+            "event=worker-outlived worker={life} written={written} listed={listed} by={by} by_written={} \
+             address={}",
+            entry.written, entry.address
+        );
     }
 
     /// The list of workers could not be read: entries may lapse meanwhile though their workers live.
