Failing tests: an old entry that is written again ends the runs of the worker that is there

In virtual time: the same at an owner that takes over, and with a worker that is silent for a moment.

Ruled out: pages read in any order alone (of two entries read from the list the later one was the newer process), an answer of another process (none had come), starts and clocks (the ids differ).

--- a/crates/owner/tests/common/crash.rs
+++ b/crates/owner/tests/common/crash.rs
@@ -53,6 +53,15 @@
         }
     }
 
+    /// The list shows the entry of a worker that is gone as its newest.
+    pub fn relist(&mut self, id: &str) {
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.listed = true;
+            worker.listing.written = now;
+        }
+    }
+
     /// Crashed workers come back.
     pub(super) fn come_back(&mut self) {
         let (due, rest): (Vec<_>, Vec<_>) =
