A run ends only by proof that its process is over: no entry of another worker says so

Cause: of two entries at one address the one that lies later in the list was taken for the later worker. Entries lie in the order in which writes land, the last write of a worker that crashed may land after the first of the next, and what the log tells of a worker is the entry of the time when it was given work.

Change: an entry says nothing of another worker at its address; who is there is asked by each hold, on a connection that answers for its process. Entries of the same id with a later start are believed only of an incarnation that does not answer and whose own entry this owner has read earlier in the list; before, any later start ended what the log told of.

Left: a silent worker whose id is listed with a later start by a late write of a process before, on a host whose clock was set back, while this owner has not heard of that process. Suspected, not shown.

--- a/crates/owner/src/workers/crash.rs
+++ b/crates/owner/src/workers/crash.rs
@@ -49,8 +49,8 @@
 /// Why a life of a worker is taken to be over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum Cause {
-    /// Another life answers, or is listed, where it was.
-    #[display("another life is at its address")]
+    /// Another life answers where it was, or its machine is going down.
+    #[display("another life answers at its address")]
     Succeeded,
     /// The worker has started anew under its id.
     #[display("it has started anew")]
--- a/crates/owner/src/workers/held.rs
+++ b/crates/owner/src/workers/held.rs
@@ -59,9 +59,6 @@
             warn!("event=worker-silent worker={life} runs={}", worker.flights.len());
             worker.life = Life::Silent;
             self.note_silence(life, now);
-            if self.outlived(life) {
-                self.succeeded(life, now);
-            }
         }
     }
 
--- a/crates/owner/src/workers/list.rs
+++ b/crates/owner/src/workers/list.rs
@@ -2,30 +2,22 @@
 
 use log::{Level, debug, info, log};
 
-use myrtle_job::{Incarnation, Listing};
+use myrtle_job::Listing;
 
-use crate::{Cell, Life, Worker};
+use crate::{Cell, Worker};
 
 impl Cell {
     /// Takes in what a worker says of itself.
+    ///
+    /// It says nothing of another worker at the same address: entries outlast their workers, the last write of one that
+    /// has crashed may land after the first of the next, and what the log tells of a worker is older than either. Who is
+    /// there is asked.
     pub fn list(&mut self, id: &str, listing: Listing, now: u64) {
         let life = self.listed_as(id, listing.start);
         if self.is_past(&life) {
             return debug!("event=entry-past worker={life}");
         }
-        // An entry outlasts its worker's crash by some seconds, so that two may be listed at one
-        // address. One that answers says itself, by its next hold, when it is over.
-        let older = self.workers.iter().filter(|(id, w)| {
-            let at = w.listing.as_ref().filter(|l| l.address == listing.address);
-            let earlier = at.is_some_and(|l| l.written < listing.written);
-            earlier && id.id() != life.id() && matches!(w.life, Life::Unmet | Life::Silent)
-        });
-        let older: Vec<_> = older.map(|(id, _)| id.clone()).collect();
-        for id in older {
-            self.tell_outlived(&id, &life, &listing);
-            self.succeeded(&id, now);
-        }
-        self.comes_after_earlier(&life, now);
+        self.comes_after_earlier(&life, listing.written, now);
         let worker = self.workers.entry(life.clone()).or_insert_with(|| Worker::new(now));
         let news = worker.listing.as_ref().is_none_or(|l| l.draining != listing.draining);
         if news {
@@ -46,32 +38,7 @@
         worker.listing = Some(listing);
         worker.mark_emptied(&self.emptied);
         worker.listed = true;
-    }
-
-    /// Whether a later life is listed at the address of one.
-    pub(crate) fn outlived(&self, life: &Incarnation) -> bool {
-        let Some(own) = self.workers.get(life).and_then(|w| w.listing.as_ref()) else {
-            return false;
-        };
-        let listed = self.workers.iter().filter(|(_, w)| w.listed);
-        let mut listings = listed.filter_map(|(by, w)| Some((by, w.listing.as_ref()?)));
-        let later = listings.find(|(_, l)| l.address == own.address && l.written > own.written);
-        if let Some((by, listing)) = later {
-            self.tell_outlived(life, by, listing);
-        }
-        later.is_some()
-    }
-
-    /// Tells by which entry a worker is taken for gone.
-    fn tell_outlived(&self, life: &Incarnation, by: &Incarnation, entry: &Listing) {
-        let own = self.workers.get(life);
-        let written = own.and_then(|w| w.listing.as_ref()).map_or(0, |l| l.written);
-        let listed = own.is_some_and(|w| w.listed);
-        info!(
-            "event=worker-outlived worker={life} written={written} listed={listed} by={by} by_written={} \
-             address={}",
-            entry.written, entry.address
-        );
+        worker.read = true;
     }
 
     /// The list of workers could not be read: entries may lapse meanwhile though their workers live.
--- a/crates/owner/src/workers/succession.rs
+++ b/crates/owner/src/workers/succession.rs
@@ -5,8 +5,9 @@
 //! is followed there, until it is surely barred.
 //!
 //! Starts tell which incarnation is the later one only as long as nobody sets a clock back. So the list is believed
-//! if it shows a later start; one that shows an earlier start names one incarnation more, and each is asked. Who
-//! answers a question that was asked after an incarnation was known is later than that one, whatever its start.
+//! only of an incarnation that does not answer, and if it showed that one before it shows a later start. Any other
+//! entry names one incarnation more, and each is asked. Who answers a question that was asked after an incarnation
+//! was known is later than that one, whatever its start.
 
 use derive_more::Display;
 use log::{info, warn};
@@ -76,10 +77,18 @@
         self.workers.range(Incarnation::new(id, 0)..=Incarnation::new(id, u64::MAX))
     }
 
-    /// The list shows an incarnation: those that started earlier are over.
-    pub(crate) fn comes_after_earlier(&mut self, next: &Incarnation, now: u64) {
-        let earlier = self.of_id(next.id()).map(|(life, _)| life);
-        let earlier: Vec<_> = earlier.filter(|life| life.start() < next.start()).cloned().collect();
+    /// The list shows an incarnation in an entry that lies at `written`: those that started earlier and whose own
+    /// entries were read before are over.
+    ///
+    /// One that the log or an answer tells of may be the later one, on a host whose clock was set back; one that
+    /// answers says itself when it is over. Both are asked.
+    pub(crate) fn comes_after_earlier(&mut self, next: &Incarnation, written: u64, now: u64) {
+        let earlier = self.of_id(next.id()).filter(|(life, worker)| {
+            let before =
+                worker.read && worker.listing.as_ref().is_some_and(|l| l.written < written);
+            before && worker.life != Life::Well && life.start() < next.start()
+        });
+        let earlier: Vec<_> = earlier.map(|(life, _)| life.clone()).collect();
         earlier.iter().for_each(|life| self.restarted(life, next, Heard::List, now));
     }
 
--- a/crates/owner/src/workers/worker.rs
+++ b/crates/owner/src/workers/worker.rs
@@ -40,6 +40,8 @@
     pub listing: Option<Listing>,
     /// Whether the list shows it now.
     pub listed: bool,
+    /// Whether this owner has read its entry in the list; else it is known from the log or from an answer.
+    pub(crate) read: bool,
     /// When the list ceased to show it.
     pub unlisted: u64,
     /// Whether it can be given work.
@@ -94,6 +96,7 @@
         Self {
             listing: None,
             listed: false,
+            read: false,
             unlisted: now,
             life: Life::Unmet,
             heard: now,
--- a/crates/owner/tests/common/crash.rs
+++ b/crates/owner/tests/common/crash.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// The list shows a worker that is gone no more.
+    pub fn unlist(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id).filter(|w| w.gone) {
+            worker.listed = false;
+        }
+    }
+
     /// Crashed workers come back.
     pub(super) fn come_back(&mut self) {
         let (due, rest): (Vec<_>, Vec<_>) =
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -111,6 +111,8 @@
     pub stale: BTreeMap<Arc<str>, (u64, Listing)>,
     /// Whether entries tell no start of their workers.
     pub untold: bool,
+    /// Whether entries are read in any order, not in that of their ids.
+    pub shuffled: bool,
     /// By how much the clocks of hosts are set back whose workers start from now on, in milliseconds.
     pub set_back: u64,
     /// Data centres that are being emptied.
@@ -146,6 +148,7 @@
             crashes: BTreeMap::new(),
             stale: BTreeMap::new(),
             untold: false,
+            shuffled: false,
             set_back: 0,
             emptied: BTreeSet::new(),
             down: Vec::new(),
--- a/crates/owner/tests/takeovers.rs
+++ b/crates/owner/tests/takeovers.rs
@@ -94,3 +94,20 @@
     assert_eq!(world.owner().cell.state(id), Some(State::Completed));
     assert_eq!(world.judge.broken, Vec::<String>::new());
 }
+
+#[test]
+fn an_entry_of_before_with_a_later_start_ends_no_run_of_a_worker_that_answers() {
+    let mut world = World::new(7, 1);
+    world.run(500);
+    let mut before = world.workers["w0"].listing.clone();
+    world.set_back = 30_000;
+    world.restart(&"w0".into(), BACK - 100);
+    let id = begin(&mut world);
+    // The next owner has never heard of the one before.
+    world.owner().awake = false;
+    world.take_over();
+    world.run(500);
+    before.written = world.now;
+    world.stale.insert("w0".into(), (world.now + 2_000, before));
+    once(&mut world, id);
+}
