An owner outlasts a host that joins too late

Cause: two hosts that find a cell free within a few milliseconds both join. The late one is dealt the partition, holds nothing until the owner has heard, and leaves at once. The owner's next join names the generation of before, is not told the partition, and the owner gave the cell up: half a second of work lost, another takeover, and two owners within 0.84 s in the incident.

Change: an owner that is told that the cell is not its own joins once more, at once, with the generation it has heard. If another host has it, the second answer says so; until that answer the fencing token of the next owner bars this one, as in any takeover.

The stand-in of the store deals as the platform does: a partition that was dealt away is nobody's until its holder has joined with that generation. Test: an_owner_outlasts_a_host_that_joins_too_late, red before.

--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -141,6 +141,7 @@
     let (name, member) = (group(cell), host.member());
     let time = Duration::from_millis(ttl(host));
     let mut joined_at = now();
+    let mut again = false;
     while !host.stopping() {
         if host.take_asked(cell) && !host.strong() && host.owned(cell).is_some() {
             return hand_over(host, cell, "a stronger host asked for it").await;
@@ -163,6 +164,13 @@
                 joined_at = sent;
                 generation = joined.generation;
                 let mine = joined.holdings.iter().any(|h| h.part == cell);
+                // What was dealt to a newcomer that has left again is back only once its holder has joined with the
+                // generation of that.
+                again = !mine && !again && host.owned(cell).is_some_and(|owned| !owned.deposed());
+                if again {
+                    info!("event=join-again cell={cell} generation={generation}");
+                    continue;
+                }
                 if !settle(host, cell, mine, generation, sent).await {
                     return give_up(host, cell).await;
                 }
--- a/crates/front/tests/reach.rs
+++ b/crates/front/tests/reach.rs
@@ -106,3 +106,20 @@
     slow.completed("h1", id).await;
     assert!(site.book.runs().is_empty());
 });
+
+// Symptom: a cell changed hands twice within a second, and its second owner began while the first one's runs were new.
+// Sequence: two hosts find a cell free; the one that joins too late leaves at once.
+// Cause: what was dealt to it was the owner's again, but only for a join that knew of that; the next one did not, and
+// the owner gave the cell up.
+// Settled by: the owner joins once more with the generation that it has heard.
+case!(an_owner_outlasts_a_host_that_joins_too_late, site, {
+    until(|| async { site.runners.iter().all(|r| r.fence() > 0) }).await;
+    let (first, fence) = (owner(&site).await, site.runners[0].fence());
+    // Its name comes first, so the cell is dealt to it.
+    assert!(site.store.visit("cell-0", "a", 0));
+    let held = async || site.store.holds("cell-0", 0).is_some_and(|m| m.starts_with(&first));
+    until(held).await;
+    assert_eq!(site.submit("h1", "00000000000000b7", 2).await, 200);
+    site.completed("h2", "00000000000000b7").await;
+    assert!(site.runners.iter().all(|r| r.fence() == fence), "the cell changed hands");
+});
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -108,6 +108,11 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    /// The highest fencing token that it has seen.
+    pub fn fence(&self) -> u64 {
+        self.state.lock().expect("no holder panics").fence
+    }
+
     /// The name of its life now.
     pub fn life(&self) -> String {
         match self.crashes.load(Ordering::Relaxed) {
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -63,6 +63,8 @@
     member: String,
     topics: Vec<String>,
     ttl_ms: u64,
+    #[serde(default)]
+    generation: u64,
 }
 
 #[derive(Deserialize)]
@@ -113,6 +115,25 @@
         group.rows().map(|(part, member)| (part, member.to_string())).collect()
     }
 
+    /// A member joins a group and leaves it again at once, as one does that came too late; true if that dealt a
+    /// partition away from its holder.
+    pub fn visit(&self, group: &str, member: &str, part: u32) -> bool {
+        let mut groups = self.groups.lock().expect("no holder panics");
+        let group = groups.entry(group.into()).or_default();
+        let holder = group.rows().find(|(p, _)| *p == part).map(|(_, m)| m.to_string());
+        group.join(member, Duration::from_secs(1), PARTS, 0);
+        group.leave(member, PARTS);
+        holder.is_some_and(|holder| !group.held(&holder).contains(&part))
+    }
+
+    /// The member that a partition of a group is told to when it joins.
+    pub fn holds(&self, group: &str, part: u32) -> Option<String> {
+        let mut groups = self.groups.lock().expect("no holder panics");
+        let group = groups.entry(group.into()).or_default();
+        let member = group.rows().find(|(p, _)| *p == part).map(|(_, m)| m.to_string())?;
+        group.held(&member).contains(&part).then_some(member)
+    }
+
     /// Takes a partition from its holder without a word, as a rebalance does.
     pub fn rebalance(&self, group: &str) {
         if let Some(group) = self.groups.lock().expect("no holder panics").get_mut(group) {
@@ -240,7 +261,7 @@
         let mut groups = self.groups.lock().expect("no holder panics");
         let group = groups.entry(join.group).or_default();
         let ttl = Duration::from_millis(join.ttl_ms);
-        group.join(&join.member, ttl, PARTS);
+        group.join(&join.member, ttl, PARTS, join.generation);
         let topic = join.topics.first().cloned().unwrap_or_default();
         let parts = group.held(&join.member).into_iter().map(|part| json!([topic, part, 0]));
         let parts: Vec<_> = parts.collect();
