--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -105,6 +105,7 @@
 
 fn check(host: &Host, path: &str) -> Answer {
     if path.ends_with("/metrics") {
+        tally(host);
         return Response::new(Full::from(host.meter.text()));
     }
     let mut answer = Response::new(Full::<Bytes>::default());
@@ -113,3 +114,11 @@
     }
     answer
 }
+
+/// Brings the figures on calls to the store up to date.
+fn tally(host: &Host) {
+    for (kind, sum) in host.store.tally().sums() {
+        host.meter.level("myrtle_store_calls", &kind, sum.calls as i64);
+        host.meter.level("myrtle_store_bytes", &kind, sum.bytes as i64);
+    }
+}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -23,6 +23,9 @@
 /// second each, and some.
 const NOTICED: Duration = Duration::from_millis(2_300);
 
+/// The time between two lines on calls to the store.
+const TELL_EVERY: Duration = Duration::from_secs(30);
+
 /// What is kept of the time before the end by force.
 const SPARE: Duration = Duration::from_millis(700);
 
@@ -55,6 +58,7 @@
     tokio::spawn(answer_peers(host.clone(), peers));
     tokio::spawn(serve_cells(host.clone()));
     tokio::spawn(reload(path));
+    tokio::spawn(tell_calls(host.clone()));
     signal(SignalKind::terminate())?.recv().await;
     stop(&host, &closing, &tracker).await;
     Ok(())
@@ -74,6 +78,16 @@
     }
 }
 
+/// Writes how often the store was called into the log, by kind.
+async fn tell_calls(host: Arc<Host>) {
+    loop {
+        sleep(TELL_EVERY).await;
+        for (kind, sum) in host.store.tally().sums() {
+            info!("event=store-calls kind=\"{kind}\" calls={} bytes={}", sum.calls, sum.bytes);
+        }
+    }
+}
+
 /// Answers the calls of other front hosts.
 async fn answer_peers(host: Arc<Host>, listener: TcpListener) {
     let run = |channel: Wired<FrontPeerRequest, FrontPeerResponse>| {
