Who owns what: hosts look in turns, and owners write a directory that all follow

Cause: every host asked the store who owns each cell, 2.2 times a second for those of its own data centre and 0.4 times for all others: calls grew as hosts times cells, 8.3 a second and host at 584 hosts and ten cells.

Change: the time between two looks of a host grows with the number of hosts that look after the same cell (ten looks a second and cell at home, one from elsewhere, however many hosts). Owners write who they are into one topic, which all hosts follow by one waiting read; who finds a cell free writes that, and the strong hosts at home go first, then weak ones, then those of other data centres. The store's group decides, as before: every host asks it before it joins. Notices are part of the directory. The layout counts the hosts of each data centre; records without that are read, and hosts then look as often as before.

Weighed: three candidates a cell with doubling (as many looks; all of them lost at once is found only by time, and ranks need the list of hosts at every host: hosts times hosts); a claim by a conditional append (one partition of claims is contended by all cells when many owners are lost at once); word from peers (as many links as hosts).

Tests: turns.rs plays 81 drawn courses in virtual time (owners, half of all hosts, all strong ones, a data centre lost; a third turned away; the store away; owners that stand still; a directory that is late or wrong) and the looks a second at 9 to 480 hosts. The links of tests translate the directory as they do the groups.

--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -43,7 +43,17 @@
             layouts.into_iter().find(|layout| self.owns(layout, spare))
         };
         let weakest = || cut(strengths.first().copied().unwrap_or(usize::MAX));
-        fewest(true).or_else(|| fewest(false)).unwrap_or_else(weakest)
+        let layout = fewest(true).or_else(|| fewest(false)).unwrap_or_else(weakest);
+        layout.with_hosts(self.hosts_by_centre())
+    }
+
+    /// How many hosts each data centre has.
+    fn hosts_by_centre(&self) -> BTreeMap<String, usize> {
+        let mut hosts = BTreeMap::new();
+        for host in self.hosts.values() {
+            *hosts.entry(host.data_centre.clone()).or_default() += 1;
+        }
+        hosts
     }
 
     /// How many hosts carry more than one, or as much under a name that comes first.
--- a/crates/front/src/hold.rs
+++ b/crates/front/src/hold.rs
@@ -96,5 +96,5 @@
 
 /// How long the store keeps a silent member, in milliseconds.
 pub fn ttl(host: &Host) -> u64 {
-    host.settings.member_ttl.max(crate::member::TTL)
+    host.settings.member_ttl.max(crate::ownership::member::TTL)
 }
--- a/crates/front/src/layout.rs
+++ b/crates/front/src/layout.rs
@@ -16,6 +16,8 @@
     centres: BTreeMap<String, Span>,
     /// The workers of each cell when that was decided.
     sizes: Vec<usize>,
+    /// The hosts of each data centre when that was decided.
+    hosts: BTreeMap<String, usize>,
 }
 
 /// The cells of a data centre, by their numbers; several data centres may share one.
@@ -27,6 +29,13 @@
     pub count: u32,
 }
 
+/// How cells were written before hosts were counted.
+#[derive(Debug, Deserialize)]
+struct Uncounted {
+    centres: BTreeMap<String, Span>,
+    sizes: Vec<usize>,
+}
+
 /// How cells were written before data centres could share one.
 #[derive(Debug, Deserialize)]
 struct Unshared {
@@ -45,7 +54,7 @@
     ) -> Self {
         let all: usize = workers.values().sum();
         if cells == Cells::One || cells == Cells::Auto && all <= largest {
-            return Self { centres: BTreeMap::new(), sizes: vec![all] };
+            return Self { sizes: vec![all], ..Self::default() };
         }
         // Each cell has a partition of its own, and a topic has so many.
         let sum = |most: usize| workers.values().map(|n| n.div_ceil(most).max(1)).sum::<usize>();
@@ -76,13 +85,18 @@
             group.map(|&group| groups.insert(group, span));
             centres.insert(dc.clone(), span);
         }
-        let mut layout = Self { centres, sizes: Vec::new() };
+        let mut layout = Self { centres, ..Self::default() };
         layout.sizes = (0..next).map(|cell| layout.share(workers, cell)).collect();
         layout
     }
 
-    /// Reads a record, also one that was written before data centres could share a cell, or before
-    /// sizes were.
+    /// The same cells, decided when each data centre had so many hosts.
+    pub fn with_hosts(self, hosts: BTreeMap<String, usize>) -> Self {
+        Self { hosts, ..self }
+    }
+
+    /// Reads a record, also one that was written before hosts were counted, before data centres could share a
+    /// cell, or before sizes were.
     ///
     /// # Errors
     ///
@@ -90,11 +104,16 @@
     pub fn read(bytes: &[u8]) -> Result<Self, RecordError> {
         let unshared = || decode::<Unshared>(bytes).map(|old| (old.centres, old.size));
         let unsized_cells = || decode(bytes).map(|centres| (centres, 0));
-        decode(bytes).or_else(|e| {
+        let uncounted = || {
+            let old = decode::<Uncounted>(bytes);
+            old.map(|Uncounted { centres, sizes }| Self { centres, sizes, ..Self::default() })
+        };
+        decode(bytes).or_else(|_| uncounted()).or_else(|e| {
             let old = unshared().or_else(|_| unsized_cells()).map_err(|_| e);
             old.map(|(centres, size)| {
                 let cells = centres.values().sum::<u32>().max(1);
-                Self { centres: spans(centres), sizes: vec![size; cells as usize] }
+                let sizes = vec![size; cells as usize];
+                Self { centres: spans(centres), sizes, ..Self::default() }
             })
         })
     }
@@ -120,6 +139,12 @@
         self.sizes.get(cell as usize).copied().unwrap_or(0)
     }
 
+    /// How many hosts are at home in a cell's data centres, or are not, when the cells were decided; at least one.
+    pub fn hosts_of(&self, cell: u32, home: bool) -> usize {
+        let own = self.hosts.iter().filter(|(dc, _)| self.at_home(cell, dc) == home);
+        own.map(|(_, n)| n).sum::<usize>().max(1)
+    }
+
     /// How many cells there are.
     pub fn count(&self) -> u32 {
         self.centres.values().map(|span| span.first + span.count).max().unwrap_or(1)
--- a/crates/front/src/names.rs
+++ b/crates/front/src/names.rs
@@ -20,8 +20,8 @@
 /// What owners have learned of images and loads, one key a partition.
 pub const LESSONS: &str = "keyed.lessons";
 
-/// Notices that a cell is free, one partition a cell.
-pub const NOTICES: &str = "notices";
+/// Who owns each cell, by its number; written by its owners, and by whoever finds it free.
+pub const DIRECTORY: &str = "keyed.owners";
 
 /// The writer's name of every owner; the fencing token tells them apart.
 pub const OWNER: &str = "owner";
--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -13,8 +13,9 @@
 use crate::newest::newest;
 use crate::owned::Owned;
 
-/// How long a read waits for news; a cut that swallows the answer is noticed soon after.
-const WAIT: Duration = Duration::from_millis(1_500);
+/// How long a read waits for news; a cut that swallows the answer is noticed soon after, and a host that hears
+/// nothing from the store for half as long again is not ready.
+const WAIT: Duration = Duration::from_millis(1_000);
 
 /// What an answer may take beyond that.
 const BEYOND: Duration = Duration::from_millis(1_000);
--- a/crates/front/src/member.rs
+++ b/crates/front/src/ownership/member.rs
@@ -3,7 +3,6 @@
 //! A host joins only when nobody holds the cell, and so is the group's only member: whoever joins
 //! beside it could be dealt its partition, and each change of owner costs a takeover.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,16 +10,14 @@
 use tokio::time::{sleep, timeout};
 
 use myrtle_adapter::{Cause, StoreError};
-use myrtle_peer::FrontPeerClient;
 
+use super::{tell_free, tell_held};
 use crate::clock::now;
 use crate::hold::ttl;
 use crate::host::Host;
-use crate::layout::Layout;
 use crate::names::{PROGRESS, group};
 use crate::owned::Owned;
-use crate::owners::{address, carries};
-use crate::{notices, takeover};
+use crate::takeover;
 
 /// How long the store keeps a silent member, in milliseconds, unless the platform's least is more:
 /// a killed owner is replaced about as soon.
@@ -29,24 +26,6 @@
 /// Joins within that time.
 const JOINS: u64 = 4;
 
-/// The time between two looks at whether a cell has an owner.
-const LOOK: Duration = Duration::from_millis(450);
-
-/// The longest wait of a host that finds a cell without an owner, in milliseconds, so that seldom
-/// two join at once.
-const JITTER: u64 = 500;
-
-/// How long a host that is too weak for a cell leaves it to stronger ones, in milliseconds: they see
-/// it within a look, and wait for their own jitter.
-const WEAK_WAIT: u64 = 1_500;
-
-/// Looks in a row that show a weak owner before a stronger host asks for the cell: 2.7 s, so that
-/// hosts that come back together settle first.
-const WEAK_LOOKS: u32 = 6;
-
-/// How long a request for a cell may take.
-const ASK: Duration = Duration::from_millis(400);
-
 /// How long a join, a leave or a look may take.
 pub const LIMIT: Duration = Duration::from_millis(600);
 
@@ -60,83 +39,8 @@
 /// How long an owner that stops may take to write what it has.
 const HAND_OVER: Duration = Duration::from_millis(1_500);
 
-/// Who holds a cell, by the store.
-enum Standing {
-    /// Nobody.
-    Vacant,
-    /// A host that can own it.
-    Held,
-    /// A host that is too weak for it, where it answers peers.
-    Weak(SocketAddr),
-    /// The store does not tell.
-    Unknown,
-}
-
-/// Owns a cell whenever nobody else does, until the host stops.
-pub async fn take_part(host: Arc<Host>, cell: u32) {
-    let waker = host.waker(cell);
-    let mut weak = 0;
-    while !host.stopping() {
-        match standing(&host, cell).await {
-            Standing::Vacant => {
-                sleep(wait(&host)).await;
-                let still = matches!(standing(&host, cell).await, Standing::Vacant);
-                if !host.stopping() && still {
-                    stay(&host, cell).await;
-                }
-                weak = 0;
-            }
-            Standing::Weak(at) if host.strong() => {
-                weak += 1;
-                if weak >= WEAK_LOOKS {
-                    weak = 0;
-                    info!("event=cell-asked-for cell={cell} of={at}");
-                    let ask =
-                        |c: FrontPeerClient, context| async move { c.relieve(context, cell).await };
-                    let _ = host.owners.call(at, ASK, ask).await;
-                }
-            }
-            Standing::Unknown => {}
-            Standing::Held | Standing::Weak(_) => weak = 0,
-        }
-        let _ = timeout(LOOK, waker.notified()).await;
-    }
-}
-
-/// How long this host leaves a free cell to others.
-fn wait(host: &Host) -> Duration {
-    // Hosts that own a cell already leave the next one to others.
-    let wait = rand::random_range(0..JITTER) + JITTER * host.owned_count() as u64;
-    let weak = if host.strong() { 0 } else { WEAK_WAIT };
-    Duration::from_millis(wait + weak)
-}
-
-/// Who holds a cell.
-async fn standing(host: &Host, cell: u32) -> Standing {
-    let rows = match host.store.owners(&group(cell), LIMIT).await {
-        Ok(rows) => rows,
-        Err(e) => {
-            host.store_missed(&e);
-            return Standing::Unknown;
-        }
-    };
-    host.store_reached();
-    let Some(owner) = rows.into_iter().find(|r| r.part == cell) else {
-        return Standing::Vacant;
-    };
-    let size = host.layout().map_or(0, Layout::size);
-    if let Some(at) = address(&owner.member) {
-        host.owners.learn(cell, at);
-    }
-    let weak = carries(&owner.member).is_some_and(|most| most < size);
-    match address(&owner.member).filter(|_| weak) {
-        Some(at) => Standing::Weak(at),
-        None => Standing::Held,
-    }
-}
-
 /// Joins the group of a cell and stays in it until another host holds the cell.
-async fn stay(host: &Arc<Host>, cell: u32) {
+pub async fn stay(host: &Arc<Host>, cell: u32) {
     let mut generation = 0;
     let (name, member) = (group(cell), host.member());
     let time = Duration::from_millis(ttl(host));
@@ -171,8 +75,13 @@
                     info!("event=join-again cell={cell} generation={generation}");
                     continue;
                 }
+                let fence = host.owned(cell).map(|owned| owned.fence);
                 if !settle(host, cell, mine, generation, sent).await {
-                    return give_up(host, cell).await;
+                    give_up(host, cell).await;
+                    if let Some(fence) = fence {
+                        tell_free(host, cell, fence).await;
+                    }
+                    return;
                 }
             }
             Err(StoreError::Strange { status, text }) => {
@@ -211,14 +120,14 @@
 /// Begins or ends to own the cell as the store says; false if the host has to leave the group.
 async fn settle(host: &Arc<Host>, cell: u32, mine: bool, generation: u64, sent: u64) -> bool {
     match (mine, host.owned(cell)) {
-        (true, None) => drop(takeover::begin(host, cell, generation)),
+        (true, None) => begin(host, cell, generation),
         (true, Some(owned)) if owned.deposed() => {
             host.disown(cell);
             if generation <= owned.fence {
                 // The token is spent: another one comes with another membership.
                 return false;
             }
-            takeover::begin(host, cell, generation);
+            begin(host, cell, generation);
         }
         (true, Some(owned)) => owned.confirm(sent),
         (false, Some(owned)) => {
@@ -233,6 +142,12 @@
     true
 }
 
+/// Begins to own a cell, and tells all hosts.
+fn begin(host: &Arc<Host>, cell: u32, fence: u64) {
+    let owned = takeover::begin(host, cell, fence);
+    tokio::spawn(tell_held(host.clone(), owned));
+}
+
 /// Leaves the group, so that what is held passes on at once.
 async fn give_up(host: &Host, cell: u32) {
     match host.store.leave(&group(cell), &host.member(), LIMIT).await {
@@ -250,7 +165,7 @@
     finish(&owned).await;
     host.disown(cell);
     give_up(host, cell).await;
-    notices::tell(host, cell).await;
+    tell_free(host, cell, owned.fence).await;
 }
 
 /// Waits until the owner has written what it knew.
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -15,9 +15,10 @@
 
 use crate::host::Host;
 use crate::layout::Layout;
+use crate::ownership::{self, lookout, member};
 use crate::peers::Server;
 use crate::settings::Settings;
-use crate::{discover, intake, listen, member, notices, operator, watch};
+use crate::{discover, intake, listen, operator};
 
 /// How long new connections still come after a host says that it is not ready: two checks of a
 /// second each, and some.
@@ -69,13 +70,9 @@
     let layout = host.lay_out(discover::find(&host).await);
     for cell in 0..layout.count() {
         tokio::spawn(intake::run(host.clone(), cell));
-        if layout.at_home(cell, &host.settings.data_centre) {
-            tokio::spawn(member::take_part(host.clone(), cell));
-            tokio::spawn(notices::hear(host.clone(), cell));
-        } else {
-            tokio::spawn(watch::watch(host.clone(), cell));
-        }
+        tokio::spawn(lookout::run(host.clone(), cell));
     }
+    ownership::follow(host).await;
 }
 
 /// Writes how often the store was called into the log, by kind.
