The first hosts of the strongest class count a new deployment; the others wait for its cells

Change: hosts announce themselves in a partition of their class of strength (one more for each doubling of what they carry). The answer to that tells how many of the class came before; an append of nothing tells how many there are in a stronger one. Three hosts read the lists, twice as many after each 2.8 s without cells, as before; all others wait for the cells by one read. Weighed: a tail of the list at each host (a tenth of the bytes, still hosts times hosts), three by a hash of the name (weak ones may draw the list of workers over a slow link).

Tests: survey.rs, 300 drawn fleets in three orders each, late, lost, store away; the list of workers is read by few.

--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -21,6 +21,13 @@
     pub carries: usize,
 }
 
+impl Announced {
+    /// The host's class of strength, from 0 to below `classes`: one more for each doubling of what it carries.
+    pub fn class(&self, classes: u32) -> u32 {
+        self.carries.max(1).ilog2().min(classes.saturating_sub(1))
+    }
+}
+
 /// The hosts and workers of a deployment.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Fleet {
@@ -56,17 +63,6 @@
         hosts
     }
 
-    /// How many hosts carry more than one, or as much under a name that comes first.
-    pub fn rank(&self, name: &str) -> usize {
-        let Some(own) = self.hosts.get(name) else {
-            return self.hosts.len();
-        };
-        let before = |(other, host): &(&String, &Announced)| {
-            host.carries > own.carries || host.carries == own.carries && other.as_str() < name
-        };
-        self.hosts.iter().filter(before).count()
-    }
-
     /// Whether the hosts that look after the cells can own them, also without the strongest of them if
     /// one is to be `spare`.
     fn owns(&self, layout: &Layout, spare: bool) -> bool {
--- a/crates/front/src/names.rs
+++ b/crates/front/src/names.rs
@@ -14,7 +14,7 @@
 /// Which cells there are, under one key.
 pub const LAYOUT: &str = "keyed.layout";
 
-/// What each host carries, by its name; the cells follow from that.
+/// What each host carries, by its name, one partition a class of strength; the cells follow from that.
 pub const HOSTS: &str = "keyed.hosts";
 
 /// What owners have learned of images and loads, one key a partition.
--- a/crates/front/src/survey.rs
+++ b/crates/front/src/survey.rs
@@ -1,9 +1,9 @@
 //! When a new deployment knows enough of itself to cut its cells, and which hosts find that out.
 //!
-//! Every host of a fleet starts at once and knows no other. If all of them read the list of workers
-//! until it is steady, 300 hosts read 3,000 entries each 1.4 times a second: five times what the store
-//! gives to all readers, and the cells stood 21 s after the start. So the strongest few count, and
-//! others only after a while without cells.
+//! Load pattern: every host of a fleet starts at once and knows no other. Whatever all of them read of all hosts or
+//! of all workers grows as the square of the fleet. So the first few of the strongest class that announce themselves
+//! read both lists, and others only after a while without cells; a host learns its place from the answer to its
+//! announcement, without reading anything.
 
 use std::collections::BTreeMap;
 
@@ -15,7 +15,7 @@
 const COUNTERS: usize = 3;
 
 /// Looks without cells after which twice as many hosts count: 2.8 s.
-const DOUBLED: u32 = 4;
+pub const DOUBLED: u32 = 4;
 
 /// Looks in a row that show the same hosts before they count as all: hosts start within a second.
 const STEADY_HOSTS: u32 = 2;
@@ -37,13 +37,20 @@
 }
 
 impl Survey {
-    /// Takes in the hosts that are known now; true if the host of that name is to count the workers.
-    pub fn hosts(&mut self, name: &str, hosts: BTreeMap<String, Announced>) -> bool {
-        self.looks += 1;
+    /// Takes in that the time of so many looks has passed without cells.
+    pub fn pass(&mut self, looks: u32) {
+        self.looks += looks;
+    }
+
+    /// How many hosts count the workers by now: the first ones of the strongest class.
+    pub fn counters(&self) -> usize {
+        COUNTERS << (self.looks / DOUBLED).min(usize::BITS / 2)
+    }
+
+    /// Takes in the hosts that are known now.
+    pub fn hosts(&mut self, hosts: BTreeMap<String, Announced>) {
         self.steady_hosts = if hosts == self.fleet.hosts { self.steady_hosts + 1 } else { 0 };
         self.fleet.hosts = hosts;
-        let doubled = (self.looks / DOUBLED).min(usize::BITS / 2);
-        self.fleet.hosts.contains_key(name) && self.fleet.rank(name) < COUNTERS << doubled
     }
 
     /// Takes in how many workers each data centre has now; the cells, if that is enough to cut them.
--- a/crates/front/tests/survey.rs
+++ b/crates/front/tests/survey.rs
@@ -20,11 +20,15 @@
 /// Partitions of a topic.
 const PARTS: usize = 24;
 
+/// Classes of strength.
+const CLASSES: u32 = 12;
+
 /// A host that looks until it knows the cells.
 struct Host {
     name: String,
     dies: u64,
-    announced: bool,
+    /// How many hosts of its class were there before it, once it has announced itself.
+    place: Option<usize>,
     survey: Survey,
     layout: Option<Layout>,
     next: u64,
@@ -47,6 +51,8 @@
 struct Start {
     fleet: Fleet,
     known: BTreeMap<String, Announced>,
+    /// Announcements of each class.
+    classes: BTreeMap<u32, usize>,
     hosts: Vec<Host>,
     layout: Option<Layout>,
     /// How often a host has read the list of workers.
@@ -78,11 +84,12 @@
             let dies =
                 if rng.random_bool(trouble.die) { rng.random_range(500..4_000) } else { u64::MAX };
             let (name, survey) = (name.clone(), Survey::default());
-            Host { name, dies, announced: false, survey, layout: None, next: starts, writing: None }
+            Host { name, dies, place: None, survey, layout: None, next: starts, writing: None }
         });
         let hosts = hosts.collect();
         let full = rng.random_range(200..3_000);
-        Self { fleet, known: BTreeMap::new(), hosts, layout: None, counts: 0, full, rng }
+        let (known, classes) = (BTreeMap::new(), BTreeMap::new());
+        Self { fleet, known, classes, hosts, layout: None, counts: 0, full, rng }
     }
 
     /// Runs until a moment, in milliseconds.
@@ -114,13 +121,22 @@
         if host.layout.is_some() {
             return;
         }
-        if !host.announced {
-            host.announced = true;
-            self.known.insert(host.name.clone(), self.fleet.hosts[&host.name].clone());
+        let own = &self.fleet.hosts[&host.name];
+        let class = own.class(CLASSES);
+        if host.place.is_none() {
+            let before = self.classes.entry(class).or_default();
+            host.place = Some(*before);
+            *before += 1;
+            self.known.insert(host.name.clone(), own.clone());
         }
-        if !host.survey.hosts(&host.name, self.known.clone()) {
+        let stronger: usize = self.classes.range(class + 1..).map(|(_, n)| n).sum();
+        let rank = host.place.unwrap_or_default() + stronger;
+        let counts = rank < host.survey.counters();
+        host.survey.pass(1);
+        if !counts {
             return;
         }
+        host.survey.hosts(self.known.clone());
         self.counts += 1;
         let there = |n: &usize| *n * now.min(self.full) as usize / self.full as usize;
         let workers = self.fleet.workers.iter().map(|(dc, n)| (dc.clone(), there(n)));
