The progress of a job is written compressed

Change: records that get shorter by it are deflated (flate2); records of before are read as they are. A job of two steps of 40 tasks takes less than half (test).

Weighed: records of what changed only (a takeover would have to read the history, which the store forgets), worker numbers in place of names (a table to keep beside), lz4 (less than half is gained on names that are random).

--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -20,7 +20,7 @@
 pub use load::{Free, Load};
 pub use part::{Allowance, Key, Part, PartId, PartTask};
 pub use progress::{Handed, Moved, Progress, Round, State, Taken};
-pub use record::{RecordError, Submission, decode, encode};
+pub use record::{RecordError, Submission, decode, encode, encode_packed};
 pub use spec::{Advice, JobSpec, Policy, Repeat, StepSpec};
 pub use task::{Run, Step, Task};
 pub use worker::{Ended, Held, How, Listing, Running, Told};
--- a/crates/job/tests/model.rs
+++ b/crates/job/tests/model.rs
@@ -7,7 +7,7 @@
 use myrtle_base::Room;
 use myrtle_job::{
     Fault, Incarnation, JobId, JobSpec, Key, Listing, Moved, Part, PartId, Progress, Round, Run,
-    State, Step, StepSpec, Submission, Task, TaskId, decode, encode,
+    State, Step, StepSpec, Submission, Task, TaskId, decode, encode, encode_packed,
 };
 
 fn step(count: u16, estimate: u64, after: &[u16]) -> StepSpec {
@@ -173,3 +173,45 @@
     let part = Part::read(&old).unwrap();
     assert_eq!((part.tasks[0].last, part.allowances.len()), (2, 0));
 }
+
+/// The progress of a job of two steps of 40 tasks, of which the second is at work on as many workers.
+fn wide() -> Progress {
+    let spec = job(vec![step(40, 10, &[]), step(40, 10, &[0])]);
+    let mut round = Round::fresh(&spec);
+    round.steps[0].tasks.iter_mut().for_each(|t| (t.done, t.last) = (true, 1));
+    for (n, task) in round.steps[1].tasks.iter_mut().enumerate() {
+        let spread = (n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let id = format!("i-{:010x}", spread >> 24);
+        let worker = Incarnation::new(id, 1_786_508_800_000 + (spread >> 48));
+        *task = Task { last: 1, live: vec![Run { number: 1, worker }], ..Task::default() };
+    }
+    Progress { rounds: BTreeMap::from([(0, round)]), state: State::Running, ..Progress::default() }
+}
+
+#[test]
+fn a_record_of_many_tasks_takes_half_of_the_bytes() {
+    let progress = wide();
+    let (plain, packed) = (encode(&progress), encode_packed(&progress));
+    assert!(2 * packed.len() <= plain.len(), "{} of {} bytes", packed.len(), plain.len());
+    assert_eq!(Progress::read(&packed).unwrap(), progress);
+    assert_eq!(Progress::read(&plain).unwrap(), progress, "records of before are read");
+}
+
+#[test]
+fn a_short_record_is_not_made_longer() {
+    let short = Moved { to: 3, delivered: true };
+    assert_eq!(encode_packed(&short), encode(&short));
+    let progress = Progress::default();
+    assert!(encode_packed(&progress).len() <= encode(&progress).len());
+}
+
+#[test]
+fn a_torn_record_is_refused() {
+    let packed = encode_packed(&wide());
+    for cut in [1, 2, packed.len() / 2, packed.len() - 1] {
+        assert!(Progress::read(&packed[..cut]).is_err(), "{cut} bytes");
+    }
+    let mut changed = packed.clone();
+    changed[1] = 0xff;
+    assert!(Progress::read(&changed).is_err());
+}
--- a/crates/owner/src/orders/commit.rs
+++ b/crates/owner/src/orders/commit.rs
@@ -1,6 +1,6 @@
 //! What is written to the log, and what may follow once it is there.
 
-use myrtle_job::{Incarnation, JobId, Key, State, TaskId, encode};
+use myrtle_job::{Incarnation, JobId, Key, State, TaskId, encode_packed};
 
 use crate::{Cell, Order, Stage, Trace};
 
@@ -45,7 +45,7 @@
                 batch.records.push((id, self.bar_record(id)));
                 continue;
             };
-            batch.records.push((id, encode(&job.progress)));
+            batch.records.push((id, encode_packed(&job.progress)));
             batch.shown.push((id, job.progress.state));
             batch.due.extend(self.undelivered(id, job));
         }
