A job is sent only where somebody answers, so that a refusal is sure

Cause: as a data centre is cut off, each of its hosts is handed a job before it has noticed: it sends it to the owner, hears nothing, sends it to the store, hears nothing, and has to say that it may have been taken, since what a cut holds back may arrive once it heals.

Change: the owner is asked whether it writes before a job is passed on, and a store that has not answered for 0.5 s is asked to append nothing. Where neither answers nothing was sent, and the job is refused as not run. A host whose store is lost is not ready. An owner that could not be reached is tried again after a second (it was forgotten until the next look).

Weighed: asking for the job afterwards (an append in doubt may land later, so that not run would not be true), barring it (its client's next try under the same name would be barred too).

Test: slow.rs, 504 before.

--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -81,7 +81,7 @@
                 seen => return seen,
             }
         }
-        host.owners.forget(cell);
+        host.owners.doubt(cell);
         sleep(PAUSE.min(left(end))).await;
     }
     None
@@ -102,7 +102,7 @@
                 return Some(counts);
             }
         }
-        host.owners.forget(cell);
+        host.owners.doubt(cell);
         sleep(PAUSE.min(left(end))).await;
     }
     None
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -168,6 +168,12 @@
         }
     }
 
+    /// Notes that the store gave no good answer to a question that it was given time for.
+    pub fn store_silent(&self, why: &impl std::fmt::Display) {
+        self.failing.store(now().saturating_sub(FAILING).max(1), Ordering::Relaxed);
+        self.store_missed(why);
+    }
+
     /// Notes what a try of a call to the store came to.
     pub fn note(&self, seen: Seen<'_>) {
         match seen {
@@ -193,6 +199,7 @@
             && self.configuration().is_some()
             && self.layout().is_some()
             && self.store_age() <= READY_WITHIN
+            && !self.store_gone()
     }
 
     /// Whether the store has given no good answer for a while; other parts go on asking it.
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -38,6 +38,13 @@
 /// store is slow.
 const PASS: Duration = Duration::from_millis(150);
 
+/// How old the store's last answer may be for a job to be sent without a question before, in milliseconds: owners hear
+/// from it more often.
+const FRESH: u64 = 500;
+
+/// How long the store may take to answer that question: many times a usual answer, and what a slow store needs.
+const PROBE: Duration = Duration::from_millis(400);
+
 /// A job that waits to be written.
 #[derive(Debug)]
 struct Waiting {
@@ -198,7 +205,12 @@
         return write_here(host, cell, job, record, limit).await;
     };
     let end = Instant::now() + limit;
-    let mut by_owner = pin!(pass_on(host, cell, at, job, record.clone(), limit));
+    // What is sent and not answered may have been taken, and its client can't try elsewhere; a question does no harm.
+    if !writes(host, cell, at).await {
+        host.owners.doubt(cell);
+        return write_here(host, cell, job, record, left(end)).await;
+    }
+    let mut by_owner = pin!(pass_on(host, cell, at, job, record.clone(), left(end)));
     let early = loop {
         match timeout(PASS, &mut by_owner).await {
             Ok(passed) => break Some(passed),
@@ -226,6 +238,9 @@
 
 /// Writes a job here; while the store is out of reach nothing is sent, so that the refusal is sure
 /// and comes at once.
+///
+/// Load pattern: a data centre is cut off, and each of its hosts is handed a job before it has noticed. A store that
+/// has not answered lately is asked something harmless first.
 pub async fn write_here(
     host: &Host,
     cell: u32,
@@ -233,9 +248,25 @@
     record: Vec<u8>,
     limit: Duration,
 ) -> Passed {
-    match host.store_gone() {
-        true => Passed::Refused,
-        false => keep(host, cell, job, record, limit).await,
+    let end = Instant::now() + limit;
+    if host.store_gone() || host.store_age() > FRESH && !answers(host, cell).await {
+        return Passed::Refused;
+    }
+    keep(host, cell, job, record, left(end)).await
+}
+
+/// Whether the store answers this host by now.
+async fn answers(host: &Host, cell: u32) -> bool {
+    // An append of nothing goes the way of the job, whenever it arrives.
+    match host.store.append(JOBS, cell, None, Bytes::new(), PROBE).await {
+        Ok(_) => {
+            host.store_reached();
+            true
+        }
+        Err(e) => {
+            host.store_silent(&e);
+            false
+        }
     }
 }
 
@@ -249,7 +280,7 @@
     limit: Duration,
 ) -> Passed {
     if !host.owners.reach(at).await {
-        host.owners.forget(cell);
+        host.owners.doubt(cell);
         return Passed::Refused;
     }
     let call =
@@ -257,7 +288,7 @@
     match host.owners.call(at, limit, call).await {
         Some(passed) => passed,
         None => {
-            host.owners.forget(cell);
+            host.owners.doubt(cell);
             warn!("event=job-in-doubt job={job} cell={cell} peer={at}");
             Passed::Unknown
         }
--- a/crates/front/src/ownership/directory.rs
+++ b/crates/front/src/ownership/directory.rs
@@ -80,7 +80,7 @@
     }
     match address(&entry.member) {
         Some(at) => host.owners.learn(cell, at),
-        None => host.owners.forget(cell),
+        None => host.owners.remove(cell),
     }
     let own = host.owned(cell).filter(|o| !o.closed() && o.fence >= entry.fence);
     if let Some(owned) = own.filter(|_| entry.member != host.member()) {
--- a/crates/front/src/ownership/owners.rs
+++ b/crates/front/src/ownership/owners.rs
@@ -21,10 +21,22 @@
 /// How long the store may take to name an owner.
 const ASK_LIMIT: Duration = Duration::from_millis(500);
 
+/// For how long an owner that could not be reached is not tried again, in milliseconds, unless the store or the
+/// directory names it anew.
+const DOUBT: u64 = 1_000;
+
+/// An owner as last heard.
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    at: SocketAddr,
+    /// Until when it is not tried.
+    doubt: u64,
+}
+
 /// Who owns which cell, as last heard.
 #[derive(Debug, Default)]
 pub struct Owners {
-    known: Mutex<HashMap<u32, (SocketAddr, u64)>>,
+    known: Mutex<HashMap<u32, Known>>,
     asked: Mutex<HashMap<u32, u64>>,
     links: Mutex<HashMap<SocketAddr, Arc<Link<FrontPeerClient>>>>,
 }
@@ -37,14 +49,22 @@
 
     /// The owner of a cell as last heard.
     pub fn known(&self, cell: u32) -> Option<SocketAddr> {
-        self.known.lock().expect("no holder panics").get(&cell).map(|(at, _)| *at)
+        let known = self.known.lock().expect("no holder panics");
+        known.get(&cell).filter(|owner| owner.doubt <= now()).map(|owner| owner.at)
     }
 
-    /// Forgets who owns a cell.
-    pub fn forget(&self, cell: u32) {
+    /// Notes that a cell has no owner.
+    pub fn remove(&self, cell: u32) {
         self.known.lock().expect("no holder panics").remove(&cell);
     }
 
+    /// Notes that the owner of a cell could not be reached, or is another one by now.
+    pub fn doubt(&self, cell: u32) {
+        if let Some(owner) = self.known.lock().expect("no holder panics").get_mut(&cell) {
+            owner.doubt = now() + DOUBT;
+        }
+    }
+
     /// The owner of a cell, asked of the store if it is not known.
     pub async fn find(&self, host: &Host, cell: u32) -> Option<SocketAddr> {
         if let Some(at) = self.known(cell) {
@@ -75,7 +95,7 @@
 
     /// Notes who owns a cell.
     pub fn learn(&self, cell: u32, at: SocketAddr) {
-        self.known.lock().expect("no holder panics").insert(cell, (at, now()));
+        self.known.lock().expect("no holder panics").insert(cell, Known { at, doubt: 0 });
     }
 
     /// Whether a peer can be reached; if not, nothing was sent to it.
--- a/crates/front/tests/slow.rs
+++ b/crates/front/tests/slow.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
 use tokio::time::{sleep, timeout};
 
 use myrtle_standin::StoreMode;
@@ -90,3 +91,23 @@
         assert!(matches!(status, 503 | 504), "{host}: {status}");
     }
 }
+
+/// A host that is cut off from the store and from the owner does not know it yet as a job comes: what it sends may
+/// arrive once the cut heals, so it asks before it sends, and the refusal is sure.
+#[tokio::test]
+async fn what_comes_while_nobody_answers_is_refused_as_not_sent() {
+    let site = Site::start(Duration::from_millis(60)).await;
+    let owner = owner(&site).await;
+    let other = site.hosts.keys().find(|host| **host != owner).unwrap().clone();
+    assert_eq!(site.submit(&other, FIRST, 1).await, 200);
+    site.completed(&other, FIRST).await;
+    site.hosts[&owner].signal(Signal::SIGSTOP);
+    site.store.set(StoreMode::Silent);
+    sleep(Duration::from_millis(700)).await;
+    assert_eq!(site.submit(&other, NEXT, 1).await, 503);
+    site.store.set(StoreMode::Ok);
+    site.hosts[&owner].signal(Signal::SIGCONT);
+    until(|| async { site.submit(&other, "00000000000000c3", 1).await == 200 }).await;
+    site.completed(&other, "00000000000000c3").await;
+    assert_eq!(site.state(&other, NEXT).await, None, "it was taken all the same");
+}
