Reads that the store refuses come at growing pauses

Change: pauses double up to 0.8 and 2.4 s, within the time in which a host has to catch up; one type for this in place of the sum in the holds.

--- a/crates/front/src/hold.rs
+++ b/crates/front/src/hold.rs
@@ -10,6 +10,7 @@
 use myrtle_job::Incarnation;
 use myrtle_owner::HoldArgs;
 
+use crate::backoff::Backoff;
 use crate::busy::Work;
 use crate::clock::{now, wall};
 use crate::host::Host;
@@ -32,7 +33,7 @@
 
 /// Holds one incarnation of a worker until it is gone or the cell is another host's.
 pub async fn keep(host: Arc<Host>, owned: Arc<Owned>, life: Incarnation) {
-    let mut pause = FIRST_PAUSE;
+    let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     while !owned.closed() {
         let renew = owned.unconfirmed() < ttl(&host);
         let Some((args, wait)) = next(&owned, &life).await else {
@@ -49,7 +50,7 @@
         }
         match result {
             Ok(Ok(held)) => {
-                pause = FIRST_PAUSE;
+                backoff.reset();
                 let mut cell = owned.state();
                 owned.busy.spend(Work::Held, || cell.held(&life, held, sent, now(), wall()));
                 drop(cell);
@@ -59,7 +60,7 @@
                 if owned.state().hold_refused(&life, told) {
                     owned.depose("a worker that has seen a higher fencing token");
                 }
-                sleep(pause).await;
+                sleep(backoff.pause()).await;
             }
             Err(e) => {
                 debug!("event=hold-failed worker={life} reason=\"{e}\"");
@@ -72,8 +73,7 @@
                     _ => owned.state().hold_failed(&life, now()),
                 }
                 owned.work.notify_one();
-                sleep(pause).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                sleep(backoff.pause()).await;
             }
         }
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod apart;
 mod ask;
+mod backoff;
 mod balance;
 mod busy;
 mod capacity;
@@ -39,6 +40,7 @@
 mod tick;
 mod upkeep;
 
+pub use backoff::Backoff;
 pub use capacity::Capacity;
 pub use fleet::{Announced, Fleet};
 pub use hedge::{Outcome, Seen, beside, hedged};
--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -9,6 +9,7 @@
 
 use myrtle_adapter::{StoreError, read_configuration, read_wave, topics, unframe_keyed};
 
+use crate::backoff::Backoff;
 use crate::host::Host;
 use crate::newest::newest;
 use crate::owned::Owned;
@@ -20,15 +21,19 @@
 /// What an answer may take beyond that.
 const BEYOND: Duration = Duration::from_millis(1_000);
 
-/// The pause after a failed read.
+/// The first pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// The longest pause between reads that fail, short against the time in which a host has to catch up.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
 /// How long the newest records may take.
 const NEWEST: Duration = Duration::from_millis(2_000);
 
 /// Keeps the host's configuration up to date, for good.
 pub async fn follow(host: Arc<Host>) {
     let mut from = None;
+    let mut backoff = Backoff::new(PAUSE, LONGEST_PAUSE);
     loop {
         let step = match from {
             None => whole(&host).await,
@@ -37,6 +42,7 @@
         match step {
             Ok(next) => {
                 host.store_reached();
+                backoff.reset();
                 from = Some(next);
             }
             Err(StoreError::Gone { first }) => {
@@ -45,7 +51,7 @@
             }
             Err(e) => {
                 host.store_missed(&e);
-                sleep(PAUSE).await;
+                sleep(backoff.pause()).await;
             }
         }
     }
--- a/crates/front/src/ownership/directory.rs
+++ b/crates/front/src/ownership/directory.rs
@@ -13,6 +13,7 @@
 use super::entry::Entry;
 use super::member::{LIMIT, PAUSE};
 use super::owners::address;
+use crate::backoff::Backoff;
 use crate::host::Host;
 use crate::names::DIRECTORY;
 use crate::newest::newest;
@@ -24,12 +25,16 @@
 /// What an answer may take beyond that.
 const BEYOND: Duration = Duration::from_millis(1_000);
 
+/// The longest pause between reads that fail.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2_400);
+
 /// How long the newest records may take.
 const NEWEST: Duration = Duration::from_millis(2_000);
 
 /// Keeps up with the directory, for good.
 pub async fn follow(host: Arc<Host>) {
     let mut from = None;
+    let mut backoff = Backoff::new(PAUSE, LONGEST_PAUSE);
     loop {
         let step = match from {
             None => whole(&host).await,
@@ -38,6 +43,7 @@
         match step {
             Ok(next) => {
                 host.store_reached();
+                backoff.reset();
                 from = Some(next);
             }
             Err(StoreError::Gone { first }) => {
@@ -46,7 +52,7 @@
             }
             Err(e) => {
                 host.store_missed(&e);
-                sleep(PAUSE).await;
+                sleep(backoff.pause()).await;
             }
         }
     }
