--- a/crates/front/src/backoff.rs
+++ b/crates/front/src/backoff.rs
@@ -1,7 +1,7 @@
 //! Pauses between tries that fail, each twice as long as the one before.
 //!
-//! Load pattern: the store turns a third of 584 hosts away for nine seconds; at a tenth of a second each they asked it
-//! 2,000 times a second, and every refusal has its price.
+//! Load pattern: the store turns many hosts of a large fleet away for seconds; each refusal costs as much as an answer,
+//! and what all of them ask at a short pause takes the store's time from the others.
 
 use std::time::Duration;
 
--- a/crates/front/src/capacity.rs
+++ b/crates/front/src/capacity.rs
@@ -1,18 +1,14 @@
 //! How large a cell a host can own, by its processors and its link.
 //!
-//! A deployment has hosts of unlike strength. Cells as large as the strong ones carry earn 0.716 of
-//! what is owed where six cells of 82 workers earned 0.681 (490 workers, mean of nine days), and a
-//! cell of 163 workers at hosts of 0.12 cores and links of 10 megabits a second earns 0.44.
+//! Load pattern: hosts of unlike strength, of which the strong ones own cells. Small cells are uneven and learn slowly;
+//! an owner that has too little link or processor time falls behind. docs/CAPACITY.md holds the figures.
 
 use serde::Deserialize;
 
-/// The link that an owner needs for each worker, in megabits a second. Measured: an owner of 490
-/// workers with 14 runs each hears 1.9 MB/s, most of it answers to holds.
+/// The link that an owner needs for each worker, in megabits a second: most of it answers to holds.
 const LINK_EACH: f64 = 0.031;
 
-/// The processors that an owner needs for each worker, in cores. Measured: at most 0.075 cores at an
-/// owner of 82 workers, with what it does for clients; what plans cost grows faster than the cell,
-/// and an owner of 490 workers with 0.5 cores falls behind.
+/// The processors that an owner needs for each worker, in cores; what plans cost grows faster than the cell.
 const CORES_EACH: f64 = 0.001_2;
 
 /// The share of its link that a host gives to a cell; the rest is for clients and for bursts.
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -1,9 +1,7 @@
 //! What the cells of a deployment follow from: its workers, and what its hosts carry.
 //!
-//! Ten cells of 54 workers, as one weak host of a fleet cut them, earned 0.591 of what is owed on days
-//! with trouble; five of 108, one for each data centre, 0.690 (540 workers, mean of five days, one play
-//! each). Two, of 324 and 216, as large as strong hosts carry, earned 0.642 where those five earned 0.589
-//! (one day of high load, three seeds).
+//! Load pattern: hosts of any strength start at the same time, and whichever cuts the cells decides for all; many small
+//! cells lose most at high load. So they follow from all hosts. docs/CAPACITY.md holds the figures.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -57,12 +57,6 @@
         }
         let planned = Instant::now();
         let (orders, questions, batch) = plan(&owned);
-        let restarts = owned.state().counts.restarts;
-        host.meter.level(
-            "myrtle_worker_restarts",
-            &format!("cell {}", owned.cell),
-            restarts as i64,
-        );
         rest = planned.elapsed().clamp(GATHER, REST);
         owned.dispatch(orders);
         permits::ask_all(&host, &owned, questions);
@@ -89,9 +83,17 @@
         }
         owned.write(false);
         owned.committed.send_modify(|n| *n += 1);
+        tell_restarts(&host, &owned);
     }
 }
 
+/// Brings the figure on restarts of workers up to date.
+fn tell_restarts(host: &Host, owned: &Owned) {
+    let restarts = owned.state().counts.restarts;
+    let label = format!("cell {}", owned.cell);
+    host.meter.level("myrtle_worker_restarts", &label, restarts as i64);
+}
+
 /// Plans, and gathers what has to go out.
 fn plan(owned: &Owned) -> (Vec<Order>, Vec<Question>, Batch) {
     let mut cell = owned.state();
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -145,8 +145,7 @@
                     _ = looks.tick() => {}
                 }
                 intake.purge(host.store_gone());
-                // Its clients have time to try elsewhere: on two days that cut a data centre off 9 and 0 tries
-                // end with their clients' time in place of 14 and 2.
+                // Its clients have time to try elsewhere.
                 if host.store_gone() {
                     break Passed::Unknown;
                 }
@@ -190,8 +189,7 @@
 /// Accepts a job: the cell's owner writes it, or this host if the owner does not answer soon.
 ///
 /// A partition takes its appends in turn, so while the store is slow 29 hosts that write by
-/// themselves wait for each other; by way of the owner a day with a slow store earns 0.67 of what
-/// is owed in place of 0.64 (mean of three plays).
+/// themselves wait for each other.
 ///
 /// A record that both write is the same under the same key, so it does no harm.
 pub async fn accept(
--- a/crates/owner/src/disruption/model.rs
+++ b/crates/owner/src/disruption/model.rs
@@ -7,8 +7,7 @@
 /// twenty seconds of one image on 48 workers.
 const KEEP: f64 = 0.9995;
 
-/// The coefficient that is taken for a pair before anything is known: images that do no harm were
-/// measured between 0 and 0.25.
+/// The coefficient that is taken for a pair before anything is known, as of images that do no harm.
 pub(crate) const USUAL: f64 = 0.15;
 
 /// The variance of a coefficient before anything is known.
--- a/crates/owner/src/disruption/outlook.rs
+++ b/crates/owner/src/disruption/outlook.rs
@@ -16,7 +16,7 @@
 const MARGIN: f64 = 0.16;
 
 /// The coefficient of a pair of images below which a filler is light: it may always run, and only
-/// slows down while loads are highest. Measured: 0 to 0.4, or 0.7 and more.
+/// slows down while loads are highest.
 const LIGHT: f64 = 0.5;
 
 /// How far below its limit a pressure is kept by slowing light fillers.
--- a/crates/owner/src/disruption/sine.rs
+++ b/crates/owner/src/disruption/sine.rs
@@ -2,13 +2,13 @@
 
 use crate::disruption::squares::{bounded, dot};
 
-/// The mean load that is taken before any was seen; measured: 0.24 to 0.72 of a task's processors.
+/// The mean load that is taken before any was seen, as a share of a task's processors.
 const USUAL: f64 = 0.48;
 
 /// The variance of the mean before any load was seen.
 const MEAN_PRIOR: f64 = 0.02;
 
-/// The variance of each half of the wave before any load was seen; measured: 0.24 at its crest.
+/// The variance of each half of the wave before any load was seen.
 const WAVE_PRIOR: f64 = 0.03;
 
 /// The variance of each coefficient of a fit that an earlier owner left: a standard deviation of
--- a/crates/owner/src/jobs/balance.rs
+++ b/crates/owner/src/jobs/balance.rs
@@ -4,9 +4,7 @@
 //! the job's progress that another cell looks after it, and only then puts it into that cell's log:
 //! exactly one cell starts its tasks, whichever owner dies in between.
 //!
-//! By their names alone one cell of three got 877 tasks and another 716: tasks of the fullest waited
-//! for ever while the others had room. Handed on, no task waits so, and 0.753 of what is owed is
-//! earned in place of 0.723 (490 workers, mean of nine days).
+//! Load pattern: names fill cells unevenly, and lasting tasks of the fullest one wait for ever while others have room.
 
 use std::cmp::Reverse;
 
--- a/crates/owner/src/placing/fit.rs
+++ b/crates/owner/src/placing/fit.rs
@@ -29,9 +29,7 @@
 
 /// The share of its speed that a filler must be able to keep on a worker.
 ///
-/// One that is slowed holds its job up, and what waits a moment longer often finds a better place: runs taken back fall
-/// from 0.004 to 0.003 of all, and filling jobs of a calm course earn 0.926 in place of 0.914 (mean of ten draws of
-/// `myrtle-load overload`), against 0.85, both with paces that let forecasts come up to the limit.
+/// One that is slowed holds its job up, and what waits a moment longer often finds a better place.
 const BEARABLE: f64 = 0.95;
 
 /// The same for one that has waited for long.
--- a/crates/owner/src/placing/reserve.rs
+++ b/crates/owner/src/placing/reserve.rs
@@ -5,10 +5,6 @@
 //! which would be done in a second, find no room at all. What short jobs ask for is measured as it
 //! comes; lasting tasks that never ran leave a multiple of it. Those that ran before take of it, since
 //! users miss them, and so do those that are more urgent than the short jobs.
-//!
-//! In a cell of 60 workers that is asked for 1.2 times what it has, short jobs earn 0.81 of what they
-//! could in place of 0.15, all jobs together 0.733 in place of 0.728 (`myrtle-load overload`, scene
-//! `wave`, mean of six draws); in a burst of 2.4 times the usual 0.68 in place of 0.35.
 
 use std::collections::BTreeMap;
 
--- a/crates/owner/src/workers/crash.rs
+++ b/crates/owner/src/workers/crash.rs
@@ -5,9 +5,6 @@
 //! that had been there for as long when an earlier worker was lost. What is doubted is tried by itself:
 //! for a while nothing else begins where it has begun, so the next crash tells it from those that merely
 //! began beside it.
-//!
-//! Fourteen such jobs beside usual load on 60 workers take 42 workers along in place of 79 in 34 s, and
-//! the other jobs earn 0.734 of what they could in place of 0.687 (mean of ten draws, `myrtle-load overload`).
 
 use derive_more::Display;
 use log::{info, warn};
