--- a/crates/load/src/overload/crash.rs
+++ b/crates/load/src/overload/crash.rs
@@ -1,6 +1,6 @@
 //! Workers that crash by what they start, and come back at their addresses: under other ids, or under their own.
 
-use myrtle_job::{Incarnation, Listing, TaskId};
+use myrtle_job::{Incarnation, Listing, Successor, TaskId};
 
 use super::draw::CRASHES;
 use super::machine::Machine;
@@ -51,10 +51,12 @@
         let back = self.crashes.away.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>();
         for (at, life, listing) in back {
             // Every other one keeps its id.
-            let id = match (at / STEP).is_multiple_of(2) {
-                true => life.id().clone(),
-                false => format!("w{}-{now}", listing.address.port()).into(),
+            let (id, by) = match (at / STEP).is_multiple_of(2) {
+                true => (life.id().clone(), Successor::Restarted(now)),
+                false => (format!("w{}-{now}", listing.address.port()).into(), Successor::Other),
             };
+            // Calls to the one that crashed reach whoever is there by now.
+            self.cell.replaced(&life, by, now);
             let listing = Listing { written: now, start: now, ..listing };
             self.machines.insert(Incarnation::new(id, now), Machine::new(listing));
         }
