--- a/crates/front/src/ownership/watch.rs
+++ b/crates/front/src/ownership/watch.rs
@@ -1,9 +1,9 @@
 //! When a host looks whether a cell has an owner, and when it takes one that has none.
 //!
 //! Load pattern: a fleet in which every host looks at every cell asks the store as often as hosts times cells, and cells
-//! grow with the fleet. So hosts take turns: the time between two looks of
-//! a host grows with the number of those that look after the same cell, so that each cell is looked at as often
-//! however many they are. Who finds a cell free tells all, and the strong ones of its data centres go first.
+//! grow with the fleet. So hosts take turns: the time between two looks of a host grows with the number of those that
+//! look after the same cell, so that each cell is looked at as often however many they are. Who finds a cell free tells
+//! all, and the strong ones of its data centres go first.
 
 use std::net::SocketAddr;
 
