Sight: which inherited workers are not met, ends that were heard and not logged, runs of a cancelled job out of reach

Lines: worker-unmet with the wait that is left, ends-unlogged when an owner ends, unreached on job-cancelled.

--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -45,6 +45,15 @@
 
 /// Runs until the cell is another host's; what was planned last is written before it ends.
 pub async fn run(host: Arc<Host>, owned: Arc<Owned>) {
+    write_all(&host, &owned).await;
+    let unlogged = owned.state().unlogged();
+    if unlogged > 0 {
+        warn!("event=ends-unlogged cell={} fence={} count={unlogged}", owned.cell, owned.fence);
+    }
+}
+
+/// Plans and writes until the cell is another host's.
+async fn write_all(host: &Arc<Host>, owned: &Arc<Owned>) {
     let mut number = 1;
     let mut patience = Patience::new();
     let mut rest = GATHER;
@@ -56,34 +65,34 @@
             sleep(rest).await;
         }
         let planned = Instant::now();
-        let (orders, questions, batch) = plan(&owned);
+        let (orders, questions, batch) = plan(owned);
         rest = planned.elapsed().clamp(GATHER, REST);
         owned.dispatch(orders);
-        permits::ask_all(&host, &owned, questions);
+        permits::ask_all(host, owned, questions);
         if batch.is_empty() {
             continue;
         }
         let began = now();
         for body in bodies(&batch) {
-            if !append(&host, &owned, number, body, &mut patience).await {
+            if !append(host, owned, number, body, &mut patience).await {
                 return;
             }
             number += 1;
         }
-        drop_jobs(&host, &owned, &batch.drops).await;
+        drop_jobs(host, owned, &batch.drops).await;
         let took = now() - began;
         host.meter.took("myrtle_commit_micros", "", Duration::from_millis(took));
         let (starts, deliveries) = {
             let mut cell = owned.state();
             (cell.committed(batch, now()), cell.deliveries())
         };
-        balance::deliver_all(&host, &owned, deliveries);
+        balance::deliver_all(host, owned, deliveries);
         if !owned.closed() {
             owned.dispatch(starts);
         }
         owned.write(false);
         owned.committed.send_modify(|n| *n += 1);
-        tell_restarts(&host, &owned);
+        tell_restarts(host, owned);
     }
 }
 
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -164,6 +164,11 @@
         self.dirty.is_empty() && self.workers.values().all(|w| w.taken <= w.noted)
     }
 
+    /// How many ends were heard that the log does not hold yet.
+    pub fn unlogged(&self) -> u64 {
+        self.workers.values().map(|w| w.taken.saturating_sub(w.noted)).sum()
+    }
+
     /// Whether something waits to be placed, written or sent.
     pub fn restless(&self) -> bool {
         !self.open.is_empty() || !self.orders.is_empty() || !self.idle()
--- a/crates/owner/src/jobs/over.rs
+++ b/crates/owner/src/jobs/over.rs
@@ -14,12 +14,22 @@
             return false;
         };
         if !job.progress.state.over() {
-            info!("event=job-cancelled job={id} state={}", job.progress.state);
+            let state = job.progress.state;
+            let (runs, unreached) = self.reach(id);
+            info!("event=job-cancelled job={id} state={state} runs={runs} unreached={unreached}");
             self.finish(id, State::Cancelled, now, wall);
         }
         true
     }
 
+    /// How many runs a job has, and on workers that don't answer.
+    fn reach(&self, id: JobId) -> (usize, usize) {
+        let runs = self.jobs.get(&id).map_or_else(Vec::new, |job| job.runs(id));
+        let met = |life| self.workers.get(life).is_some_and(|w| w.life == Life::Well);
+        let unreached = runs.iter().filter(|(_, run)| !met(&run.worker)).count();
+        (runs.len(), unreached)
+    }
+
     /// Ends a job, for good; what still runs is told to stop.
     pub(crate) fn finish(&mut self, id: JobId, state: State, now: u64, wall: u64) {
         let Some(job) = self.jobs.get_mut(&id) else {
--- a/crates/owner/src/workers/crash.rs
+++ b/crates/owner/src/workers/crash.rs
@@ -75,7 +75,7 @@
         let Some(worker) = self.workers.get(life) else {
             return;
         };
-        if self.silences.iter().any(|s| s.life == *life) {
+        if self.silent(life) {
             return;
         }
         // Those that were not met may have been lost together before this owner began.
@@ -85,6 +85,11 @@
         self.silences.push(Silence { life: life.clone(), at, plain });
     }
 
+    /// Whether a worker is known not to answer.
+    pub(crate) fn silent(&self, life: &Incarnation) -> bool {
+        self.silences.iter().any(|s| s.life == *life)
+    }
+
     /// Notes that a worker which was silent answers again.
     pub(crate) fn note_word(&mut self, life: &Incarnation) {
         self.silences.retain(|s| s.life != *life);
--- a/crates/owner/src/workers/held.rs
+++ b/crates/owner/src/workers/held.rs
@@ -51,6 +51,7 @@
     /// A hold had no answer.
     pub fn hold_failed(&mut self, life: &Incarnation, now: u64) {
         if self.workers.get(life).is_some_and(|w| w.life == Life::Unmet) {
+            self.tell_unmet(life, now);
             self.note_silence(life, now);
         }
         if let Some(worker) = self.workers.get_mut(life)
@@ -62,6 +63,20 @@
         }
     }
 
+    /// Tells once of a worker with inherited runs that can't be reached, and how long they are waited for.
+    fn tell_unmet(&self, life: &Incarnation, now: u64) {
+        let worker = self.workers.get(life).filter(|w| !w.flights.is_empty());
+        let Some(worker) = worker.filter(|_| !self.silent(life)) else {
+            return;
+        };
+        let left = self.over_at(worker).saturating_sub(now);
+        info!(
+            "event=worker-unmet worker={life} runs={} listed={} left_ms={left}",
+            worker.flights.len(),
+            worker.listed
+        );
+    }
+
     /// A hold was refused; true if a later owner is the reason.
     pub fn hold_refused(&mut self, life: &Incarnation, told: Told) -> bool {
         warn!("event=hold-refused worker={life} told=\"{told}\"");
--- a/crates/owner/src/workers/lease.rs
+++ b/crates/owner/src/workers/lease.rs
@@ -5,7 +5,7 @@
 use myrtle_job::Incarnation;
 
 use crate::workers::crash::Cause;
-use crate::{Cell, Life};
+use crate::{Cell, Life, Worker};
 
 /// How much slower than the host's a worker's clock may run, as a share; the platform's figure.
 const DRIFT: f64 = 0.02;
@@ -93,14 +93,24 @@
     }
 
     fn lapsed(&self, life: &Incarnation, now: u64) -> bool {
-        let Some(worker) = self.workers.get(life) else {
-            return true;
-        };
+        self.workers.get(life).is_none_or(|worker| now >= self.over_at(worker))
+    }
+
+    /// When every lease of a worker is surely over, if none is given out from now on.
+    pub(crate) fn over_at(&self, worker: &Worker) -> u64 {
         let Some((clock, at)) = worker.clock else {
-            let longest = (self.bounds.hold as f64 * (1.0 + DRIFT)) as u64 + MARGIN;
-            return now >= self.began.max(worker.heard) + longest;
+            return self.began.max(worker.heard) + self.longest();
         };
-        let passed = now.saturating_sub(at).saturating_sub(MARGIN) as f64 * (1.0 - DRIFT);
-        clock as f64 + passed >= worker.until as f64
+        at + MARGIN + slowed(worker.until.saturating_sub(clock))
     }
+
+    /// For how long a lease may last that is given out now, in milliseconds of the host's clock.
+    pub(crate) fn longest(&self) -> u64 {
+        slowed(self.bounds.hold) + MARGIN
+    }
+}
+
+/// How long a worker's clock may take for a time.
+fn slowed(time: u64) -> u64 {
+    (time as f64 / (1.0 - DRIFT)).ceil() as u64
 }
