An owner goes on with the wait of the owners before it

Cause: an owner that can't reach a worker with inherited runs waited for the longest lease from its own beginning, since it could not know when a lease was last given out there. So each change of owner, the wanted ones too, began the wait anew. Class: a wait that is known only to the process that waits.

Change: the record of a worker in the log now also says for how long no lease has been given out there. The next owner goes on from that. It is a time that has passed, not a time of day, so it needs no common clock, and nothing makes it wrong but a lease that is given later: an owner gives none to a worker of which the log says so, and no work, until the log has taken that back. The log is told each second of a wait, so a change of owner costs a second at most beside its own gap.

--- a/crates/owner/src/workers/held.rs
+++ b/crates/owner/src/workers/held.rs
@@ -29,6 +29,7 @@
             let running = held.running.len();
             log!(level, "event=worker-met worker={life} running={running} silent_ms={silent}");
             worker.life = Life::Well;
+            worker.wait.end();
             self.note_word(life);
             self.bar_late(life, now);
         }
--- a/crates/owner/src/workers/lease.rs
+++ b/crates/owner/src/workers/lease.rs
@@ -22,7 +22,7 @@
     pub seen: u64,
     /// The end of the lease on the worker's clock, if that clock is known.
     pub until: Option<u64>,
-    /// Whether ends were taken in that the log does not hold yet.
+    /// Whether the log has to be written first: ends were taken in that it does not hold yet, or it bars leases.
     pub behind: bool,
 }
 
@@ -34,17 +34,21 @@
         if worker.life == Life::Gone && !worker.listed {
             return None;
         }
-        let behind = worker.taken > worker.noted;
+        let barred = worker.life == Life::Well && worker.wait.bars();
+        let behind = worker.taken > worker.noted || barred;
         Some(HoldArgs { fence: self.fence, seen: worker.noted, until, behind })
     }
 
     /// The end of a lease that begins now, on the worker's clock; remembered as given out.
     ///
     /// A worker that does not answer gets none: each one would put off the moment from which on
-    /// its runs are surely over.
+    /// its runs are surely over. Nor does one of which the log says that none has been given out.
     pub fn until(&mut self, life: &Incarnation, now: u64) -> Option<u64> {
         let hold = self.bounds.hold;
-        let worker = self.workers.get_mut(life).filter(|w| w.life == Life::Well)?;
+        let worker = self.workers.get_mut(life)?;
+        if worker.life != Life::Well || worker.wait.bars() {
+            return None;
+        }
         let (clock, at) = worker.clock?;
         let until = clock + now.saturating_sub(at) + hold;
         worker.until = worker.until.max(until);
@@ -79,6 +83,7 @@
         for life in over {
             self.lose(&life, Cause::Lapsed, now);
         }
+        self.note_waits(now);
         let before = self.workers.len();
         self.workers.retain(|life, w| {
             let kept = w.listed || w.life != Life::Gone;
@@ -99,7 +104,8 @@
     /// When every lease of a worker is surely over, if none is given out from now on.
     pub(crate) fn over_at(&self, worker: &Worker) -> u64 {
         let Some((clock, at)) = worker.clock else {
-            return self.began.max(worker.heard) + self.longest();
+            let wait = &worker.wait;
+            return (wait.since + self.longest()).saturating_sub(wait.before);
         };
         at + MARGIN + slowed(worker.until.saturating_sub(clock))
     }
--- a/crates/owner/src/workers/mod.rs
+++ b/crates/owner/src/workers/mod.rs
@@ -9,5 +9,6 @@
 pub(crate) mod list;
 pub(crate) mod succession;
 pub(crate) mod trace;
+mod wait;
 pub(crate) mod wave;
 pub(crate) mod worker;
--- a/crates/owner/src/workers/trace.rs
+++ b/crates/owner/src/workers/trace.rs
@@ -4,13 +4,34 @@
 //! then had no address for it, and its runs went on unheard for up to 10 s, until every lease there
 //! was over. One short record a life of a worker costs less than an address in each run.
 
+use serde::{Deserialize, Serialize};
+
 use myrtle_job::{Incarnation, Listing, RecordError, decode, encode};
 
+use crate::workers::wait::Wait;
+
 use crate::{Cell, Worker};
 
 /// A worker's description for the log; an empty value drops it.
 pub type Trace = (Incarnation, Vec<u8>);
 
+/// What the log holds of a worker; what came later was added at the end.
+#[derive(Debug, Serialize, Deserialize)]
+struct Record {
+    /// Its description.
+    listing: Listing,
+    /// For how long no lease had been given out when this was written, in milliseconds.
+    waited: u64,
+}
+
+impl Record {
+    /// Reads a record, also one of a description alone.
+    fn read(bytes: &[u8]) -> Result<Self, RecordError> {
+        let alone = || decode(bytes).map(|listing| Self { listing, waited: 0 });
+        decode(bytes).or_else(|_| alone())
+    }
+}
+
 impl Cell {
     /// Takes what an earlier owner wrote of a worker that was given work.
     ///
@@ -23,8 +44,10 @@
         record: &[u8],
         now: u64,
     ) -> Result<(), RecordError> {
-        let listing: Listing = decode(record)?;
+        let Record { listing, waited } = Record::read(record)?;
+        let began = self.began;
         let worker = self.workers.entry(life.clone()).or_insert_with(|| Worker::new(now));
+        worker.wait = Wait::inherited(began, waited);
         worker.listing.get_or_insert(listing);
         worker.mark_emptied(&self.emptied);
         worker.traced = true;
@@ -35,9 +58,14 @@
     pub(crate) fn traces(&mut self) -> Vec<Trace> {
         let forgotten = std::mem::take(&mut self.untraced);
         let mut traces: Vec<_> = forgotten.into_iter().map(|life| (life, Vec::new())).collect();
-        let fresh = self.workers.iter().filter(|(_, w)| !w.traced && !w.flights.is_empty());
-        let fresh = fresh.filter_map(|(life, w)| Some((life.clone(), encode(w.listing.as_ref()?))));
-        traces.extend(fresh);
+        let fresh = |w: &Worker| !w.traced && !w.flights.is_empty() || w.wait.due();
+        for (life, worker) in self.workers.iter_mut().filter(|(_, w)| fresh(w)) {
+            let Some(listing) = worker.listing.clone() else {
+                continue;
+            };
+            let record = Record { listing, waited: worker.wait.write() };
+            traces.push((life.clone(), encode(&record)));
+        }
         traces
     }
 
@@ -46,7 +74,10 @@
         for (life, record) in traces {
             let there = !record.is_empty();
             match self.workers.get_mut(&life) {
-                Some(worker) => worker.traced = there,
+                Some(worker) => {
+                    worker.traced = there;
+                    worker.wait.written();
+                }
                 // It was forgotten while its description was on the way.
                 None if there => self.untraced.push(life),
                 None => {}
--- a/crates/owner/src/workers/worker.rs
+++ b/crates/owner/src/workers/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::disruption::harm::Uses;
 use crate::disruption::outlook::Outlook;
+use crate::workers::wait::Wait;
 use crate::{Flight, Flights, Stage};
 
 /// Whether a life of a worker can be given work.
@@ -52,6 +53,8 @@
     pub clock: Option<(u64, u64)>,
     /// The end of every lease there, on its clock.
     pub until: u64,
+    /// How long it has been waited for.
+    pub(crate) wait: Wait,
     /// The runs there.
     pub flights: Flights,
     /// Ends up to this number were taken in.
@@ -102,6 +105,7 @@
             heard: now,
             clock: None,
             until: 0,
+            wait: Wait::new(now),
             flights: Flights::default(),
             taken: 0,
             noted: 0,
@@ -170,6 +174,7 @@
             && !self.draining()
             && !self.closing
             && !self.emptied
+            && !self.wait.bars()
             && self.aside <= now
     }
 
