Ends that an owner heard and could not log are told to the next one

What callers saw: after owners had changed while the store was away, lasting tasks of workers that had left in good order had no run for many seconds though there was room (LOST).

Cause: an owner hears that a leaving worker's runs have ended, can't log it, and loses the cell; the worker goes, and the next owner waits for its leases.

Change: ends that the log does not hold yet are kept, and told to the host that owns the cell later, for as long as the longest lease. That takes them for runs that it knows of, on workers that it has not met; of a worker that answers, its own word counts. It keeps them as its own until the log has them, so they survive the next change too.

--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -18,7 +18,7 @@
 use crate::names::{JOBS, OWNER, PROGRESS, worker_key};
 use crate::owned::Owned;
 use crate::patience::Patience;
-use crate::{balance, permits};
+use crate::{balance, bequest, permits};
 
 /// How long changes are gathered before they are written; adds little to the store's own time.
 const GATHER: Duration = Duration::from_millis(2);
@@ -46,9 +46,10 @@
 /// Runs until the cell is another host's; what was planned last is written before it ends.
 pub async fn run(host: Arc<Host>, owned: Arc<Owned>) {
     write_all(&host, &owned).await;
-    let unlogged = owned.state().unlogged();
-    if unlogged > 0 {
-        warn!("event=ends-unlogged cell={} fence={} count={unlogged}", owned.cell, owned.fence);
+    let ends = owned.state().unlogged().to_vec();
+    if !ends.is_empty() {
+        warn!("event=ends-unlogged cell={} fence={} count={}", owned.cell, owned.fence, ends.len());
+        bequest::pass_on(&host, owned.cell, owned.fence, ends).await;
     }
 }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,7 @@
 mod ask;
 mod backoff;
 mod balance;
+mod bequest;
 mod busy;
 mod capacity;
 pub mod clock;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -7,14 +7,14 @@
 use tarpc::context::Context;
 use tokio::time::timeout;
 
-use myrtle_job::{JobId, Load};
+use myrtle_job::{JobId, Load, RunEnd};
 use myrtle_peer::{FrontPeer, Passed, Seen};
 
 use crate::clock::{now, wall};
 use crate::host::Host;
-use crate::intake;
 use crate::owned::Owned;
 use crate::takeover::read_on;
+use crate::{bequest, intake};
 
 /// How long a host that passes a job on waits for the store.
 const PASS: Duration = Duration::from_millis(2_500);
@@ -60,6 +60,10 @@
         self.0.owned(cell).is_some_and(|owned| !owned.closed()) && !self.0.store_gone()
     }
 
+    async fn ended(self, _: Context, cell: u32, fence: u64, ends: Vec<RunEnd>) -> bool {
+        bequest::take(&self.0, cell, fence, &ends)
+    }
+
     async fn explain(self, _: Context, cell: u32, job: JobId) -> Vec<String> {
         self.0.owned(cell).map_or_else(Vec::new, |o| o.state().explain(job, now()))
     }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -23,4 +23,4 @@
 pub use record::{RecordError, Submission, decode, encode, encode_packed};
 pub use spec::{Advice, JobSpec, Policy, Repeat, StepSpec};
 pub use task::{Run, Step, Task};
-pub use worker::{Ended, Held, How, Listing, Running, Told};
+pub use worker::{Ended, Held, How, Listing, RunEnd, Running, Told};
--- a/crates/job/src/worker.rs
+++ b/crates/job/src/worker.rs
@@ -7,7 +7,7 @@
 
 use myrtle_base::Room;
 
-use crate::TaskId;
+use crate::{Incarnation, TaskId};
 
 /// A worker's own description.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -81,7 +81,7 @@
 }
 
 /// A run that has ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ended {
     /// Rises within a life of the worker.
     pub number: u64,
@@ -95,8 +95,17 @@
     pub saved: String,
 }
 
+/// The end of a run, and where it was.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunEnd {
+    /// The worker.
+    pub life: Incarnation,
+    /// What it said of the end.
+    pub ended: Ended,
+}
+
 /// How a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 pub enum How {
     /// Its work is done.
     #[display("done")]
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -1,6 +1,6 @@
 //! The state of a cell: its jobs and its workers.
 
-use myrtle_job::{Incarnation, JobId, Key, State, TaskId};
+use myrtle_job::{Incarnation, JobId, Key, RunEnd, State, TaskId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::jobs::balance::Told;
@@ -91,6 +91,8 @@
     pub(crate) open: BTreeSet<JobId>,
     /// Jobs that changed since the last batch.
     pub(crate) dirty: BTreeSet<JobId>,
+    /// Ends that the log does not hold yet, in the order in which they were heard.
+    pub(crate) unlogged: Vec<RunEnd>,
     /// Orders that need no record.
     pub(crate) orders: Vec<Order>,
     /// Jobs with repetitions still to come.
@@ -135,6 +137,7 @@
             counts: Counts::default(),
             open: BTreeSet::new(),
             dirty: BTreeSet::new(),
+            unlogged: Vec::new(),
             orders: Vec::new(),
             timed: BTreeSet::new(),
             waves: BTreeMap::new(),
@@ -164,11 +167,6 @@
         self.dirty.is_empty() && self.workers.values().all(|w| w.taken <= w.noted)
     }
 
-    /// How many ends were heard that the log does not hold yet.
-    pub fn unlogged(&self) -> u64 {
-        self.workers.values().map(|w| w.taken.saturating_sub(w.noted)).sum()
-    }
-
     /// Whether something waits to be placed, written or sent.
     pub fn restless(&self) -> bool {
         !self.open.is_empty() || !self.orders.is_empty() || !self.idle()
--- a/crates/owner/src/jobs/ends.rs
+++ b/crates/owner/src/jobs/ends.rs
@@ -2,7 +2,7 @@
 
 use log::{Level, info, log, warn};
 
-use myrtle_job::{Ended, How, Incarnation, JobId, State, TaskId};
+use myrtle_job::{Ended, How, Incarnation, JobId, RunEnd, State, TaskId};
 
 use crate::Cell;
 
@@ -34,6 +34,13 @@
         let level = if how == How::Done { Level::Debug } else { Level::Info };
         log!(level, "event=run-ended task={task} run={run} worker={life} how={how} took_ms={took}");
         self.judge(life, how, task, now);
+        self.unlogged.push(RunEnd { life: life.clone(), ended: ended.clone() });
+        self.take_end(life, ended, now, wall);
+    }
+
+    /// What follows from the end of a run that is off its worker.
+    pub(crate) fn take_end(&mut self, life: &Incarnation, ended: Ended, now: u64, wall: u64) {
+        let Ended { task, run, how, .. } = ended;
         let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
--- a/crates/owner/src/jobs/mod.rs
+++ b/crates/owner/src/jobs/mod.rs
@@ -10,3 +10,4 @@
 pub(crate) mod job;
 pub(crate) mod over;
 pub(crate) mod part;
+pub(crate) mod unlogged;
--- a/crates/owner/src/jobs/over.rs
+++ b/crates/owner/src/jobs/over.rs
@@ -126,7 +126,7 @@
     }
 
     /// Whether a task's record says that a run may be going on at an incarnation.
-    fn holds(&self, life: &Incarnation, task: TaskId, run: u32) -> bool {
+    pub(crate) fn holds(&self, life: &Incarnation, task: TaskId, run: u32) -> bool {
         let record = self.jobs.get(&task.job).and_then(|job| job.progress.task(task));
         record.and_then(|t| t.run(run)).is_some_and(|r| r.worker == *life)
     }
--- a/crates/owner/src/orders/commit.rs
+++ b/crates/owner/src/orders/commit.rs
@@ -21,6 +21,8 @@
     due: Vec<Key>,
     /// Records of forgotten jobs.
     pub drops: Vec<Key>,
+    /// How many ends the records tell of that were not in the log.
+    ends: usize,
 }
 
 impl Batch {
@@ -39,7 +41,8 @@
     /// Everything that changed since the last batch.
     pub fn batch(&mut self) -> Batch {
         let drops = std::mem::take(&mut self.drops);
-        let mut batch = Batch { drops, traces: self.traces(), ..Batch::default() };
+        let (traces, ends) = (self.traces(), self.unlogged.len());
+        let mut batch = Batch { drops, traces, ends, ..Batch::default() };
         for id in std::mem::take(&mut self.dirty) {
             let Some(job) = self.jobs.get(&id) else {
                 batch.records.push((id, self.bar_record(id)));
@@ -63,6 +66,7 @@
     pub fn committed(&mut self, batch: Batch, now: u64) -> Vec<Order> {
         self.traced(batch.traces);
         self.bars_logged(batch.records.iter().map(|(id, _)| *id));
+        self.unlogged.drain(..batch.ends.min(self.unlogged.len()));
         for (life, number) in batch.notes {
             if let Some(worker) = self.workers.get_mut(&life) {
                 worker.noted = worker.noted.max(number);
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -211,6 +211,13 @@
         self.take_over()
     }
 
+    /// An earlier owner tells the newest one what it has heard and could not log.
+    pub fn pass_on(&mut self, from: usize) {
+        let ends = self.owners[from].cell.unlogged().to_vec();
+        let now = self.now;
+        ends.iter().for_each(|end| self.owner().cell.hear_end(end, now, now));
+    }
+
     /// The newest owner.
     pub fn owner(&mut self) -> &mut Owner {
         self.owners.last_mut().unwrap()
--- a/crates/peer/src/front.rs
+++ b/crates/peer/src/front.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use myrtle_job::{JobId, Load, State};
+use myrtle_job::{JobId, Load, RunEnd, State};
 
 /// What a host says of a job in one of its cells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,4 +67,8 @@
 
     /// Whether the host owns a cell and reaches the store, so that what it was passed is on its way.
     async fn writes(cell: u32) -> bool;
+
+    /// Tells the owner of a cell which ends an earlier one, under this fencing token, has heard and could not log;
+    /// false if the host is no later owner, or has not read the log yet.
+    async fn ended(cell: u32, fence: u64, ends: Vec<RunEnd>) -> bool;
 }
--- a/crates/peer/tests/common/mod.rs
+++ b/crates/peer/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
-use myrtle_job::{JobId, Load};
+use myrtle_job::{JobId, Load, RunEnd};
 use myrtle_peer::{
     FrontPeer, FrontPeerClient, FrontPeerRequest, FrontPeerResponse, Link, Passed, Seen, Wired,
     listen_while,
@@ -73,6 +73,10 @@
     async fn writes(self, _: Context, _: u32) -> bool {
         false
     }
+
+    async fn ended(self, _: Context, _: u32, _: u64, _: Vec<RunEnd>) -> bool {
+        false
+    }
 }
 
 /// A peer behind a relay, and a link to it.
