Tests: what one owner has waited for starts nothing twice at the next

lease_waits.rs: workers with clocks two percent slow that are cut off from owners in a row, met again with and without the log, renewed by an owner between, given new work after a wait, or met by an owner that was followed.

The world has workers with slow clocks and a bound on how long an owner that was followed renews leases, which is none unless a test sets one.

--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -92,6 +92,8 @@
     /// Holds every worker for an owner.
     fn hold_all(&mut self, at: usize) {
         let now = self.now;
+        let renews =
+            self.owners[at].followed.is_none_or(|since| now < since.saturating_add(self.renews));
         let known = self.owners[at].cell.workers.iter().filter(|(_, w)| w.listing.is_some());
         for life in known.map(|(life, _)| life.clone()).collect::<Vec<_>>() {
             let Some(args) = self.owners[at].cell.hold_args(&life, now) else {
@@ -105,10 +107,11 @@
                 self.replace(at, &life, by);
                 continue;
             }
+            let until = args.until.filter(|_| renews);
             let Some(worker) = self.workers.get_mut(life.id()) else {
                 continue;
             };
-            match worker.hold(args.fence, args.seen, args.until, now, &mut self.judge) {
+            match worker.hold(args.fence, args.seen, until, now, &mut self.judge) {
                 Ok(held) => self.owners[at].cell.held(&life, held, now - 1, now, now),
                 Err(_) => self.owners[at].deposed = true,
             }
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -73,6 +73,8 @@
     pub logged: bool,
     /// Whether it runs at all.
     pub awake: bool,
+    /// When another one followed it.
+    followed: Option<u64>,
     batch: Option<Batch>,
 }
 
@@ -113,6 +115,9 @@
     pub untold: bool,
     /// Whether entries are read in any order, not in that of their ids.
     pub shuffled: bool,
+    /// For how long an owner that another one has followed renews leases without knowing of it, in milliseconds: its
+    /// host does so only while the store has confirmed the ownership lately.
+    pub renews: u64,
     /// By how much the clocks of hosts are set back whose workers start from now on, in milliseconds.
     pub set_back: u64,
     /// Data centres that are being emptied.
@@ -149,6 +154,7 @@
             stale: BTreeMap::new(),
             untold: false,
             shuffled: false,
+            renews: u64::MAX,
             set_back: 0,
             emptied: BTreeSet::new(),
             down: Vec::new(),
@@ -201,7 +207,12 @@
             cell.recall(&lessons, now, wall).unwrap();
         }
         cell.loaded = true;
-        self.owners.push(Owner { cell, deposed: false, logged: true, awake: true, batch: None });
+        if let Some(last) = self.owners.last_mut() {
+            last.followed = Some(now);
+        }
+        let fresh =
+            Owner { cell, deposed: false, logged: true, awake: true, followed: None, batch: None };
+        self.owners.push(fresh);
         self.owners.len() - 1
     }
 
--- a/crates/owner/tests/common/worker.rs
+++ b/crates/owner/tests/common/worker.rs
@@ -14,6 +14,9 @@
 /// The longest lease, in milliseconds.
 const HOLD: u64 = 10_000;
 
+/// What a slow clock shows of the time that has passed, in percent; the platform's figure.
+const SLOW: u64 = 98;
+
 /// A run on a worker.
 #[derive(Clone)]
 struct FakeRun {
@@ -40,6 +43,8 @@
     pub tail: Option<f64>,
     /// Starts what it is told to, whatever its room.
     pub unguarded: bool,
+    /// Whether its clock is as slow as the platform allows; set before time passes.
+    pub slow: bool,
     /// What it has had lately, and since when.
     rooms: Vec<(u64, Room)>,
     /// How many runs were ever started here.
@@ -70,6 +75,7 @@
             hanging: false,
             tail: None,
             unguarded: false,
+            slow: false,
             rooms,
             ever: 0,
             began: now,
@@ -84,6 +90,12 @@
         }
     }
 
+    /// Its clock, which began with its life.
+    fn clock(&self, now: u64) -> u64 {
+        let passed = now - self.began;
+        if self.slow { passed * SLOW / 100 } else { passed }
+    }
+
     /// Its room is another one from now on; its entry says so at once.
     pub fn resize(&mut self, room: Room, now: u64) {
         self.listing.room = room;
@@ -159,7 +171,7 @@
         if self.gone {
             return;
         }
-        if now - self.began > self.until && !self.runs.is_empty() {
+        if self.clock(now) > self.until && !self.runs.is_empty() {
             let tasks: Vec<_> = self.runs.keys().copied().collect();
             tasks.into_iter().for_each(|t| self.end(t, How::Lapsed, judge));
         }
@@ -195,7 +207,7 @@
                 .broken
                 .push(format!("{now}: {} is told to forget ends that it never had", self.name));
         }
-        let clock = now - self.began;
+        let clock = self.clock(now);
         self.lease(until.unwrap_or(0), clock, judge);
         for end in self.ends.iter().filter(|e| e.number <= seen) {
             match end.how {
@@ -245,7 +257,7 @@
             return Told::Fenced;
         }
         self.fence = fence;
-        let clock = now - self.began;
+        let clock = self.clock(now);
         if until <= clock {
             return Told::Late;
         }
--- a/crates/owner/tests/lease_waits.rs
+++ b/crates/owner/tests/lease_waits.rs
@@ -44,14 +44,21 @@
     world.workers.iter().max_by_key(|(_, w)| w.count()).unwrap().0.clone()
 }
 
-/// Lets a worker with runs of a step crash for good; what ran there.
-fn lose(world: &mut World, spec: StepSpec) -> Vec<TaskId> {
+/// Lets a step begin on workers with slow clocks; one of these and what runs there.
+fn place(world: &mut World, spec: StepSpec) -> (Arc<str>, Vec<TaskId>) {
+    world.workers.values_mut().for_each(|w| w.slow = true);
     world.run(2_000);
     world.submit(job(vec![spec]));
     world.run(1_000);
-    let lost = fullest(world);
-    let tasks = world.workers[&lost].tasks();
+    let worker = fullest(world);
+    let tasks = world.workers[&worker].tasks();
     assert!(!tasks.is_empty(), "something runs on it");
+    (worker, tasks)
+}
+
+/// Lets a worker with runs of a step crash for good; what ran there.
+fn lose(world: &mut World, spec: StepSpec) -> Vec<TaskId> {
+    let (lost, tasks) = place(world, spec);
     world.vanish(&lost);
     tasks
 }
@@ -135,3 +142,231 @@
     let waited = world.now - crashed;
     assert!(waited <= LEASE + MARGIN + BEGIN, "{waited} ms");
 });
+
+/// Cuts the newest owner off from a worker, or heals that.
+fn cut(world: &mut World, worker: &str, cut: bool) {
+    let owner = world.owners.len() - 1;
+    world.cut(owner, worker, cut);
+}
+
+/// Another owner follows, which reaches a worker or does not.
+fn follow(world: &mut World, worker: &str, reaches: bool) {
+    world.succeed();
+    cut(world, worker, !reaches);
+}
+
+/// How often tasks were started in all.
+fn starts(world: &World, tasks: &[TaskId]) -> u32 {
+    tasks.iter().map(|task| world.judge.starts[task]).sum()
+}
+
+/// Waits for longer than any lease; asks that each task was started once more, and is at work.
+fn started_again(world: &mut World, tasks: &[TaskId]) {
+    world.run(2 * LEASE);
+    assert_eq!(starts(world, tasks), 2 * tasks.len() as u32, "each starts once more");
+    assert!(at_work(world, tasks));
+}
+
+/// Waits for longer than any lease; asks that each task goes on where it was.
+fn goes_on(world: &mut World, worker: &str, tasks: &[TaskId]) {
+    world.run(2 * LEASE);
+    assert_eq!(starts(world, tasks), tasks.len() as u32, "each was started once");
+    assert!(tasks.iter().all(|&task| world.workers[worker].runs(task)));
+}
+
+/// Lets owners follow one another that are all cut off from a worker which lives.
+fn cut_from_all(world: &mut World, spec: StepSpec, term: u64) {
+    let (worker, tasks) = place(world, spec);
+    cut(world, &worker, true);
+    for _ in 0..CHANGES {
+        world.run(term);
+        follow(world, &worker, false);
+    }
+    started_again(world, &tasks);
+}
+
+/// Tasks that are far from their end when a lease is over.
+fn long() -> StepSpec {
+    StepSpec { estimate: 60_000, ..apart() }
+}
+
+case!(a_worker_that_owners_in_a_row_are_cut_off_from_runs_nothing_twice, world, {
+    cut_from_all(&mut world, lasting(), TERM);
+});
+
+case!(a_worker_that_owners_in_a_row_are_cut_off_from_runs_no_short_task_twice, world, {
+    cut_from_all(&mut world, long(), TERM);
+});
+
+case!(a_worker_that_owners_within_a_second_are_cut_off_from_runs_nothing_twice, world, {
+    cut_from_all(&mut world, lasting(), 330);
+});
+
+case!(a_worker_that_owners_are_cut_off_from_for_half_a_lease_each_runs_nothing_twice, world, {
+    cut_from_all(&mut world, lasting(), LEASE / 2);
+});
+
+case!(
+    /// The owner between renews the lease, so what was waited before counts no more.
+    a_lease_that_an_owner_between_has_renewed_is_waited_for_in_whole,
+    world,
+    {
+        let (worker, tasks) = place(&mut world, lasting());
+        cut(&mut world, &worker, true);
+        world.run(6_000);
+        follow(&mut world, &worker, true);
+        world.run(3_000);
+        follow(&mut world, &worker, false);
+        started_again(&mut world, &tasks);
+    }
+);
+
+case!(
+    /// As above, and the owner between is there for one hold.
+    a_lease_that_an_owner_between_has_renewed_once_is_waited_for_in_whole,
+    world,
+    {
+        let (worker, tasks) = place(&mut world, lasting());
+        cut(&mut world, &worker, true);
+        world.run(6_000);
+        follow(&mut world, &worker, true);
+        world.run(200);
+        follow(&mut world, &worker, false);
+        started_again(&mut world, &tasks);
+    }
+);
+
+case!(
+    /// The log says how long no lease was given, and can't be told that one is given again.
+    a_worker_that_is_met_without_the_log_runs_nothing_twice,
+    world,
+    {
+        let (worker, tasks) = place(&mut world, lasting());
+        cut(&mut world, &worker, true);
+        world.run(6_000);
+        world.owner().logged = false;
+        cut(&mut world, &worker, false);
+        world.run(2_000);
+        follow(&mut world, &worker, false);
+        started_again(&mut world, &tasks);
+    }
+);
+
+case!(
+    /// As above, and it is the next owner that meets the worker.
+    a_worker_that_the_next_owner_meets_without_the_log_runs_nothing_twice,
+    world,
+    {
+        let (worker, tasks) = place(&mut world, lasting());
+        cut(&mut world, &worker, true);
+        world.run(6_000);
+        follow(&mut world, &worker, true);
+        world.owner().logged = false;
+        world.run(2_000);
+        follow(&mut world, &worker, false);
+        started_again(&mut world, &tasks);
+    }
+);
+
+case!(
+    /// What the log is to say is on its way while the worker is met, and comes in after that.
+    a_wait_that_is_written_late_starts_nothing_twice,
+    world,
+    {
+        let (worker, tasks) = place(&mut world, lasting());
+        world.owner().logged = false;
+        cut(&mut world, &worker, true);
+        world.run(3_000);
+        cut(&mut world, &worker, false);
+        world.run(3_000);
+        world.owner().logged = true;
+        world.run(STEP);
+        follow(&mut world, &worker, false);
+        started_again(&mut world, &tasks);
+    }
+);
+
+case!(
+    /// The wait of before is over, and its worker has been given other work since.
+    a_wait_that_was_over_begins_anew_with_new_work,
+    world,
+    {
+        let (worker, _) = place(&mut world, StepSpec { estimate: 3_000, ..apart() });
+        cut(&mut world, &worker, true);
+        world.run(2 * LEASE);
+        cut(&mut world, &worker, false);
+        world.run(1_000);
+        world.submit(job(vec![StepSpec { estimate: 60_000, ..step(64) }]));
+        world.run(1_000);
+        let tasks = world.workers[&worker].tasks();
+        assert!(!tasks.is_empty(), "it is given work again");
+        follow(&mut world, &worker, false);
+        world.run(2 * LEASE);
+        assert!(tasks.iter().all(|task| !world.workers[&worker].runs(*task)), "its lease is over");
+    }
+);
+
+case!(
+    /// An owner that has written the wait goes on after the next one's beginning, and meets the worker again.
+    an_owner_that_was_followed_gives_no_lease_once_it_has_waited,
+    world,
+    {
+        let (worker, tasks) = place(&mut world, lasting());
+        cut(&mut world, &worker, true);
+        world.run(6_000);
+        let before = world.owners.len() - 1;
+        world.take_over();
+        cut(&mut world, &worker, true);
+        world.cut(before, &worker, false);
+        started_again(&mut world, &tasks);
+    }
+);
+
+case!(
+    /// Its host renews none any more by itself, as the store has not confirmed it.
+    an_owner_that_was_followed_and_not_confirmed_starts_nothing_twice,
+    world,
+    {
+        world.renews = 0;
+        let (worker, tasks) = place(&mut world, lasting());
+        cut(&mut world, &worker, true);
+        world.run(6_000);
+        let before = world.owners.len() - 1;
+        world.take_over();
+        cut(&mut world, &worker, true);
+        world.cut(before, &worker, false);
+        started_again(&mut world, &tasks);
+    }
+);
+
+case!(a_worker_that_is_met_again_goes_on, world, {
+    let (worker, tasks) = place(&mut world, lasting());
+    cut(&mut world, &worker, true);
+    world.run(6_000);
+    cut(&mut world, &worker, false);
+    goes_on(&mut world, &worker, &tasks);
+});
+
+case!(a_worker_that_the_next_owner_meets_goes_on, world, {
+    let (worker, tasks) = place(&mut world, lasting());
+    cut(&mut world, &worker, true);
+    world.run(6_000);
+    follow(&mut world, &worker, true);
+    goes_on(&mut world, &worker, &tasks);
+});
+
+case!(
+    /// The log is back before the lease is over.
+    a_worker_that_is_met_again_goes_on_once_the_log_is_back,
+    world,
+    {
+        let (worker, tasks) = place(&mut world, lasting());
+        cut(&mut world, &worker, true);
+        world.run(4_000);
+        world.owner().logged = false;
+        cut(&mut world, &worker, false);
+        world.run(4_000);
+        world.owner().logged = true;
+        goes_on(&mut world, &worker, &tasks);
+    }
+);
