Test: a wait counts from when the owner before was barred from the log

An owner that begins while the log is slow bars the one before seconds later; until then that one still writes and starts, and each start is a lease. Passes on the code of today, which counts from the reading of the log.

Trial on, which counts from the owner's beginning: red, a task runs on two workers at 13,520 ms, 10.5 s after that beginning, while its old run still goes on under the lease that its start gave.

--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -74,7 +74,7 @@
     /// Whether it runs at all.
     pub awake: bool,
     /// When another one followed it.
-    followed: Option<u64>,
+    pub followed: Option<u64>,
     batch: Option<Batch>,
 }
 
@@ -189,8 +189,13 @@
 
     /// A new owner reads the log; earlier ones go on until they learn of it.
     pub fn take_over(&mut self) -> usize {
+        self.take_over_since(self.now)
+    }
+
+    /// A new owner that began earlier bars the others from the log only now, and reads it.
+    pub fn take_over_since(&mut self, began: u64) -> usize {
         self.fence += 1;
-        let mut cell = Cell::new(Bounds::default(), self.fence, self.now);
+        let mut cell = Cell::new(Bounds::default(), self.fence, began);
         cell.empty_centres(&self.emptied);
         for (life, record) in &self.traces {
             cell.recall_worker(life, record, self.now).unwrap();
@@ -208,7 +213,7 @@
         }
         cell.loaded = true;
         if let Some(last) = self.owners.last_mut() {
-            last.followed = Some(now);
+            last.followed = last.followed.or(Some(began));
         }
         let fresh =
             Owner { cell, deposed: false, logged: true, awake: true, followed: None, batch: None };
--- a/crates/owner/tests/lease_waits.rs
+++ b/crates/owner/tests/lease_waits.rs
@@ -48,6 +48,11 @@
 fn place(world: &mut World, spec: StepSpec) -> (Arc<str>, Vec<TaskId>) {
     world.workers.values_mut().for_each(|w| w.slow = true);
     world.run(2_000);
+    given(world, spec)
+}
+
+/// Lets a step begin; one of the workers and what runs there.
+fn given(world: &mut World, spec: StepSpec) -> (Arc<str>, Vec<TaskId>) {
     world.submit(job(vec![spec]));
     world.run(1_000);
     let worker = fullest(world);
@@ -339,6 +344,25 @@
     }
 );
 
+case!(
+    /// The next owner begins while the log is slow; until that one has barred it, the one before writes and starts,
+    /// and each start is a lease.
+    an_owner_waits_from_when_the_one_before_was_barred_from_the_log,
+    world,
+    {
+        world.renews = 0;
+        world.run(2_000);
+        let began = world.now;
+        world.owner().followed = Some(began);
+        world.run(6_000);
+        let (worker, tasks) = given(&mut world, lasting());
+        world.owner().awake = false;
+        world.take_over_since(began);
+        cut(&mut world, &worker, true);
+        started_again(&mut world, &tasks);
+    }
+);
+
 case!(a_worker_that_is_met_again_goes_on, world, {
     let (worker, tasks) = place(&mut world, lasting());
     cut(&mut world, &worker, true);
