--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -73,6 +73,8 @@
     pub logged: bool,
     /// Whether it runs at all.
     pub awake: bool,
+    /// When another one followed it.
+    pub followed: Option<u64>,
     batch: Option<Batch>,
 }
 
@@ -113,6 +115,9 @@
     pub untold: bool,
     /// Whether entries are read in any order, not in that of their ids.
     pub shuffled: bool,
+    /// For how long an owner that another one has followed renews leases without knowing of it, in milliseconds: its
+    /// host does so only while the store has confirmed the ownership lately.
+    pub renews: u64,
     /// By how much the clocks of hosts are set back whose workers start from now on, in milliseconds.
     pub set_back: u64,
     /// Data centres that are being emptied.
@@ -149,6 +154,7 @@
             stale: BTreeMap::new(),
             untold: false,
             shuffled: false,
+            renews: u64::MAX,
             set_back: 0,
             emptied: BTreeSet::new(),
             down: Vec::new(),
@@ -183,8 +189,13 @@
 
     /// A new owner reads the log; earlier ones go on until they learn of it.
     pub fn take_over(&mut self) -> usize {
+        self.take_over_since(self.now)
+    }
+
+    /// A new owner that began earlier bars the others from the log only now, and reads it.
+    pub fn take_over_since(&mut self, began: u64) -> usize {
         self.fence += 1;
-        let mut cell = Cell::new(Bounds::default(), self.fence, self.now);
+        let mut cell = Cell::new(Bounds::default(), self.fence, began);
         cell.empty_centres(&self.emptied);
         for (life, record) in &self.traces {
             cell.recall_worker(life, record, self.now).unwrap();
@@ -201,7 +212,12 @@
             cell.recall(&lessons, now, wall).unwrap();
         }
         cell.loaded = true;
-        self.owners.push(Owner { cell, deposed: false, logged: true, awake: true, batch: None });
+        if let Some(last) = self.owners.last_mut() {
+            last.followed = last.followed.or(Some(began));
+        }
+        let fresh =
+            Owner { cell, deposed: false, logged: true, awake: true, followed: None, batch: None };
+        self.owners.push(fresh);
         self.owners.len() - 1
     }
 
