An owner gives no lease, by a start either, once the store may have given its cell away

The next owner counts the leases of earlier ones from its own beginning or reading, so none may be given after that. A hold looked whether the store had confirmed the ownership before it waited for the log, not when it gave the lease; a start didn't look at all; and a join that may give the cell away, as it names the generation in which another host has it, left the leases on until its answer came.

All three now ask when the lease is given. No test: the window is one of moments between a host and the store; the owner's world models hosts that keep to it (renews).

--- a/crates/front/src/hold.rs
+++ b/crates/front/src/hold.rs
@@ -35,14 +35,13 @@
 pub async fn keep(host: Arc<Host>, owned: Arc<Owned>, life: Incarnation) {
     let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     while !owned.closed() {
-        let renew = owned.unconfirmed() < ttl(&host);
         let Some((args, wait)) = next(&owned, &life).await else {
             break;
         };
         let Some(line) = owned.line(&life) else {
             break;
         };
-        let until = args.until.filter(|_| renew);
+        let until = args.until.filter(|_| owned.leases());
         let sent = now();
         let result = line.client.hold(args.fence, args.seen, until, wait, wait + BEYOND).await;
         if owned.closed() {
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -34,7 +34,8 @@
     let fence = owned.fence;
     let result = match order {
         Order::Start { worker, task, run, body, saved, ticket } => {
-            let Some(until) = owned.state().until(worker, now()) else {
+            let until = owned.state().until(worker, now()).filter(|_| owned.leases());
+            let Some(until) = until else {
                 return Outcome::Unsent;
             };
             let (task, ticket) = (task.to_string(), ticket.as_deref());
--- a/crates/front/src/owned.rs
+++ b/crates/front/src/owned.rs
@@ -45,14 +45,16 @@
     held: Mutex<BTreeSet<Incarnation>>,
     lines: Mutex<HashMap<Incarnation, Arc<Line>>>,
     confirmed: AtomicU64,
+    /// How long the store keeps a silent owner, in milliseconds.
+    ttl: u64,
     closed: AtomicBool,
     deposed: AtomicBool,
     writing: AtomicBool,
 }
 
 impl Owned {
-    /// A cell just taken over.
-    pub fn new(cell: u32, fence: u64, state: Cell) -> Self {
+    /// A cell just taken over; the store keeps its owner for `ttl` milliseconds without a word.
+    pub fn new(cell: u32, fence: u64, state: Cell, ttl: u64) -> Self {
         Self {
             cell,
             fence,
@@ -64,6 +66,7 @@
             held: Mutex::default(),
             lines: Mutex::default(),
             confirmed: AtomicU64::new(now()),
+            ttl,
             closed: AtomicBool::new(false),
             deposed: AtomicBool::new(false),
             writing: AtomicBool::new(false),
@@ -97,6 +100,17 @@
         self.lines.lock().expect("no holder panics").remove(worker);
     }
 
+    /// Whether leases may be given out: the next owner counts on it that none is once the store may have given the
+    /// cell away.
+    pub fn leases(&self) -> bool {
+        self.unconfirmed() < self.ttl
+    }
+
+    /// Notes that the store may give the cell away from now on.
+    pub fn unconfirm(&self) {
+        self.confirmed.store(0, Ordering::Relaxed);
+    }
+
     /// Notes that the store confirmed the ownership at a moment.
     pub fn confirm(&self, at: u64) {
         self.confirmed.fetch_max(at, Ordering::Relaxed);
--- a/crates/front/src/ownership/member.rs
+++ b/crates/front/src/ownership/member.rs
@@ -72,6 +72,8 @@
                 // generation of that.
                 again = !mine && !again && host.owned(cell).is_some_and(|owned| !owned.deposed());
                 if again {
+                    // The store gives the cell away with that join, unless it is back.
+                    host.owned(cell).iter().for_each(|owned| owned.unconfirm());
                     info!("event=join-again cell={cell} generation={generation}");
                     continue;
                 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -154,6 +154,6 @@
 async fn current(host: &Host, owned: &Owned) -> bool {
     owned.state().loaded && read_on(host, owned, Duration::ZERO).await.is_ok() && {
         // The owner may have been replaced without a word while it was cut off.
-        !owned.closed() && owned.unconfirmed() < crate::hold::ttl(host)
+        !owned.closed() && owned.leases()
     }
 }
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -17,7 +17,7 @@
 use crate::names::{JOBS, OWNER, PROGRESS, worker_of};
 use crate::newest::newest;
 use crate::owned::Owned;
-use crate::{balance, flush, lessons, operator, roster, tick, upkeep};
+use crate::{balance, flush, hold, lessons, operator, roster, tick, upkeep};
 
 /// How long the store may take for an append or a page during a takeover.
 const LIMIT: Duration = Duration::from_millis(2_000);
@@ -41,7 +41,7 @@
     let mut state = Cell::new(host.settings.owner_bounds(), fence, now());
     state.number = cell;
     state.alone = host.layout().is_none_or(|layout| layout.count() < 2);
-    let owned = Arc::new(Owned::new(cell, fence, state));
+    let owned = Arc::new(Owned::new(cell, fence, state, hold::ttl(host)));
     host.own(cell, owned.clone());
     // After it is known as owned, so that nothing that comes meanwhile is missed.
     operator::empty(host, &owned);
--- a/crates/front/src/upkeep.rs
+++ b/crates/front/src/upkeep.rs
@@ -15,7 +15,6 @@
 use myrtle_owner::{Upkeep, Wave};
 
 use crate::clock::now;
-use crate::hold::ttl;
 use crate::host::Host;
 use crate::names::{OWNER, WAVES};
 use crate::newest::newest;
@@ -80,7 +79,7 @@
         warn!("event=no-machine-service wave={wave} machine={machine}");
         return;
     };
-    if owned.unconfirmed() >= ttl(host) {
+    if !owned.leases() {
         // It stood still, and another host may own the cell by now; not every machine service looks at tokens.
         return owned.state().upkeep_told(wave, machine, Upkeep::Again, now());
     }
