A host that saw an earlier owner begin counts a worker's wait from then

Change: the log also says since which owner, by its fencing token, no lease has been given out there, at once when a worker can't be reached. Every host hears of owners by the directory; one that has known of that owner, or of a later one, for a time counts from then, on its own clock. The wait of an owner that has only the log counts from its reading, as before the mend, no more from its beginning: until it is barred an earlier owner may start work (the test that was red is green).

--- a/crates/front/src/ownership/directory.rs
+++ b/crates/front/src/ownership/directory.rs
@@ -14,6 +14,7 @@
 use super::member::{LIMIT, PAUSE};
 use super::owners::address;
 use crate::backoff::Backoff;
+use crate::clock::now;
 use crate::host::Host;
 use crate::names::DIRECTORY;
 use crate::newest::newest;
@@ -81,6 +82,7 @@
     let (Ok(cell), Ok(entry)) = (key.parse::<u32>(), decode::<Entry>(value)) else {
         return warn!("event=directory-unread key={key} bytes={}", value.len());
     };
+    host.directory.see(cell, entry.fence, now());
     if !host.directory.take(cell, entry.clone()) {
         return;
     }
--- a/crates/front/src/ownership/entry.rs
+++ b/crates/front/src/ownership/entry.rs
@@ -1,11 +1,14 @@
 //! What the directory says of each cell.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
+/// Owners that are remembered of a cell: more than there are in the time of a lease.
+const REMEMBERED: usize = 32;
+
 /// What was last said of a cell.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -26,6 +29,7 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: Mutex<HashMap<u32, (Entry, u64)>>,
+    seen: Mutex<HashMap<u32, BTreeMap<u64, u64>>>,
     wakes: Mutex<HashMap<u32, Arc<Notify>>>,
 }
 
@@ -36,6 +40,21 @@
         self.entries.lock().expect("no holder panics").get(&cell).cloned()
     }
 
+    /// When this host first knew of owners of a cell, by their fencing tokens; some of the latest ones.
+    pub fn seen(&self, cell: u32) -> BTreeMap<u64, u64> {
+        self.seen.lock().expect("no holder panics").get(&cell).cloned().unwrap_or_default()
+    }
+
+    /// Notes that an owner of a cell has begun by now.
+    pub fn see(&self, cell: u32, fence: u64, now: u64) {
+        let mut seen = self.seen.lock().expect("no holder panics");
+        let seen = seen.entry(cell).or_default();
+        seen.entry(fence).or_insert(now);
+        while seen.len() > REMEMBERED {
+            seen.pop_first();
+        }
+    }
+
     /// Takes in what a record says; false if a later owner is known.
     ///
     /// Records are read in the order of the log, so of two with one token the later one holds.
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -40,6 +40,8 @@
     info!("event=owner-begins cell={cell} fence={fence}");
     let mut state = Cell::new(host.settings.owner_bounds(), fence, now());
     state.number = cell;
+    host.directory.see(cell, fence, state.began);
+    state.known = host.directory.seen(cell);
     state.alone = host.layout().is_none_or(|layout| layout.count() < 2);
     let owned = Arc::new(Owned::new(cell, fence, state, hold::ttl(host)));
     host.own(cell, owned.clone());
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -47,6 +47,8 @@
     pub number: u32,
     /// When this owner took over.
     pub began: u64,
+    /// When this owner's host first knew of owners of the cell, by their fencing tokens.
+    pub known: BTreeMap<u64, u64>,
     /// Whether there is no other cell to hand jobs on to.
     pub alone: bool,
     /// Whether the log has been read as far as it went at the takeover.
@@ -115,6 +117,7 @@
             fence,
             number: 0,
             began: now,
+            known: BTreeMap::new(),
             alone: true,
             loaded: false,
             jobs: HashMap::new(),
--- a/crates/owner/src/workers/lease.rs
+++ b/crates/owner/src/workers/lease.rs
@@ -104,8 +104,7 @@
     /// When every lease of a worker is surely over, if none is given out from now on.
     pub(crate) fn over_at(&self, worker: &Worker) -> u64 {
         let Some((clock, at)) = worker.clock else {
-            let wait = &worker.wait;
-            return (wait.since + self.longest()).saturating_sub(wait.before);
+            return worker.wait.over(self.longest());
         };
         at + MARGIN + slowed(worker.until.saturating_sub(clock))
     }
--- a/crates/owner/src/workers/trace.rs
+++ b/crates/owner/src/workers/trace.rs
@@ -8,7 +8,7 @@
 
 use myrtle_job::{Incarnation, Listing, RecordError, decode, encode};
 
-use crate::workers::wait::Wait;
+use crate::workers::wait::{Told, Wait};
 
 use crate::{Cell, Worker};
 
@@ -20,14 +20,14 @@
 struct Record {
     /// Its description.
     listing: Listing,
-    /// For how long no lease had been given out when this was written, in milliseconds.
-    waited: u64,
+    /// How long it has been waited for.
+    wait: Told,
 }
 
 impl Record {
     /// Reads a record, also one of a description alone.
     fn read(bytes: &[u8]) -> Result<Self, RecordError> {
-        let alone = || decode(bytes).map(|listing| Self { listing, waited: 0 });
+        let alone = || decode(bytes).map(|listing| Self { listing, wait: Told::default() });
         decode(bytes).or_else(|_| alone())
     }
 }
@@ -44,10 +44,10 @@
         record: &[u8],
         now: u64,
     ) -> Result<(), RecordError> {
-        let Record { listing, waited } = Record::read(record)?;
-        let began = self.began;
+        let Record { listing, wait } = Record::read(record)?;
+        let wait = Wait::inherited(wait, now, &self.known);
         let worker = self.workers.entry(life.clone()).or_insert_with(|| Worker::new(now));
-        worker.wait = Wait::inherited(began, waited);
+        worker.wait = wait;
         worker.listing.get_or_insert(listing);
         worker.mark_emptied(&self.emptied);
         worker.traced = true;
@@ -63,7 +63,7 @@
             let Some(listing) = worker.listing.clone() else {
                 continue;
             };
-            let record = Record { listing, waited: worker.wait.write() };
+            let record = Record { listing, wait: worker.wait.write() };
             traces.push((life.clone(), encode(&record)));
         }
         traces
--- a/crates/owner/src/workers/wait.rs
+++ b/crates/owner/src/workers/wait.rs
@@ -1,11 +1,14 @@
 //! How long no lease has been given out to a worker that does not answer; the log keeps it for the next owner.
 //!
 //! An owner that can't reach a worker waits until every lease there is surely over. The next owner goes on with that
-//! wait: what the log holds is a time that has passed, so it needs no common clock, and it only grows while nobody
-//! gives a lease out. An owner therefore gives none to a worker of which the log says so, until the log has taken it
-//! back.
+//! wait. What the log holds needs no common clock: times that have passed, which only grow while nobody gives a lease
+//! out, and since which owner nobody has, so that a host which saw that one begin counts from then on. An owner
+//! therefore gives no lease to a worker of which the log says so, until the log has taken it back.
+
+use std::collections::BTreeMap;
 
 use myrtle_job::Incarnation;
+use serde::{Deserialize, Serialize};
 
 use crate::{Cell, Life, Worker};
 
@@ -13,17 +16,30 @@
 /// owner costs of the wait.
 const STEP: u64 = 1_000;
 
-/// The wait for a worker, in milliseconds.
+/// What the log says of the wait for a worker; nothing if all is 0.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Told {
+    /// For how long no lease had been given out when this was written, in milliseconds.
+    waited: u64,
+    /// The fencing token from which on no owner has given one out; 0 if that is not known.
+    from: u64,
+    /// For how long none had been when that owner began, in milliseconds.
+    before: u64,
+}
+
+/// The wait for a worker, on this host's clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Wait {
-    /// From when on this owner waits.
-    pub(crate) since: u64,
-    /// What earlier owners had waited by then.
-    pub(crate) before: u64,
+    /// From when on it is counted.
+    since: u64,
+    /// What had been waited by then, in milliseconds.
+    before: u64,
+    /// What the log said of that at the takeover; nothing of a worker that was heard of later.
+    inherited: Option<u64>,
     /// What is to be written.
-    due: Option<u64>,
-    /// The most that the log may hold.
-    told: u64,
+    due: Option<Told>,
+    /// What the log may say.
+    told: Told,
     /// Whether a record is on its way that takes it back.
     clearing: bool,
 }
@@ -31,17 +47,29 @@
 impl Wait {
     /// Nobody has waited yet.
     pub(crate) fn new(now: u64) -> Self {
-        Self { since: now, before: 0, due: None, told: 0, clearing: false }
+        let told = Told::default();
+        Self { since: now, before: 0, inherited: None, due: None, told, clearing: false }
+    }
+
+    /// An owner that has barred the earlier ones goes on with what the log says; its host knew of those, by their
+    /// fencing tokens, from some times on.
+    pub(crate) fn inherited(told: Told, now: u64, known: &BTreeMap<u64, u64>) -> Self {
+        let later = (told.from > 0).then(|| known.range(told.from..).map(|(_, &at)| at).min());
+        let seen = later.flatten().map(|at| (at, told.before));
+        let ways = seen.into_iter().chain([(now, told.waited)]);
+        let start = |&(at, before): &(u64, u64)| at as i64 - before as i64;
+        let (since, before) = ways.min_by_key(start).unwrap_or((now, 0));
+        Self { before, inherited: Some(told.waited), told, ..Self::new(since) }
     }
 
-    /// An owner that began at a time goes on with what the log holds.
-    pub(crate) fn inherited(began: u64, before: u64) -> Self {
-        Self { before, told: before, ..Self::new(began) }
+    /// When leases are over of which the longest lasts for `longest` milliseconds.
+    pub(crate) fn over(&self, longest: u64) -> u64 {
+        (self.since + longest).saturating_sub(self.before)
     }
 
     /// Whether the log may say that no lease has been given out; none may be then.
     pub(crate) fn bars(&self) -> bool {
-        self.told > 0
+        self.told != Told::default()
     }
 
     /// Whether something is to be written.
@@ -49,30 +77,40 @@
         self.due.is_some()
     }
 
-    /// The worker answers: the log is to take back what it holds.
+    /// The worker answers: the log is to take back what it says.
     pub(crate) fn end(&mut self) {
-        self.due = self.bars().then_some(0);
+        self.due = self.bars().then(Told::default);
     }
 
-    /// The worker does not answer, and every lease has been running down for a time.
+    /// The worker does not answer, and every lease has been running down for `waited` milliseconds.
     fn go_on(&mut self, waited: u64) {
-        if waited >= self.told + STEP {
-            self.due = Some(waited);
+        if waited >= self.told.waited + STEP {
+            self.due = Some(Told { waited, ..self.told });
+        }
+    }
+
+    /// The same of a worker that has never answered the owner under a fencing token.
+    fn go_on_unmet(&mut self, waited: u64, fence: u64) {
+        match self.inherited.filter(|_| self.told.from == 0) {
+            Some(before) => self.due = Some(Told { waited, from: fence, before }),
+            None => self.go_on(waited),
         }
     }
 
     /// What the next record says; it counts as told from now on, as it may land at any time.
-    pub(crate) fn write(&mut self) -> u64 {
-        let waited = self.due.take().unwrap_or(self.told);
-        self.told = self.told.max(waited);
-        self.clearing = waited == 0;
-        waited
+    pub(crate) fn write(&mut self) -> Told {
+        let next = self.due.take().unwrap_or(self.told);
+        self.clearing = next == Told::default();
+        if !self.clearing {
+            self.told = next;
+        }
+        next
     }
 
     /// The record is in the log.
     pub(crate) fn written(&mut self) {
         if std::mem::take(&mut self.clearing) {
-            self.told = 0;
+            self.told = Told::default();
         }
     }
 }
@@ -81,17 +119,26 @@
     /// Notes what the log is to be told of workers with runs that do not answer.
     pub(crate) fn note_waits(&mut self, now: u64) {
         let longest = self.longest();
-        let lost = |w: &Worker| matches!(w.life, Life::Unmet | Life::Silent);
-        let waits = |w: &Worker| lost(w) && !w.flights.is_empty();
-        let waiting = self.workers.iter().filter(|(_, w)| waits(w));
+        let lost = |life: &Incarnation, w: &Worker| match w.life {
+            Life::Unmet => self.silent(life),
+            Life::Silent => true,
+            Life::Well | Life::Gone => false,
+        };
+        let waiting =
+            self.workers.iter().filter(|(life, w)| !w.flights.is_empty() && lost(life, w));
         let waited = waiting.map(|(life, worker)| {
             let left = self.over_at(worker).saturating_sub(now);
             (life.clone(), longest.saturating_sub(left))
         });
         let waited: Vec<(Incarnation, u64)> = waited.collect();
+        let fence = self.fence;
         for (life, waited) in waited {
-            if let Some(worker) = self.workers.get_mut(&life) {
-                worker.wait.go_on(waited);
+            let Some(worker) = self.workers.get_mut(&life) else {
+                continue;
+            };
+            match worker.life {
+                Life::Unmet => worker.wait.go_on_unmet(waited, fence),
+                _ => worker.wait.go_on(waited),
             }
         }
     }
--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -89,11 +89,16 @@
         self.send_all(at, starts);
     }
 
+    /// Whether an owner's host lets it renew leases: it does so for a while after another owner has followed.
+    fn renews(&self, at: usize) -> bool {
+        let followed = self.owners[at].followed;
+        followed.is_none_or(|since| self.now < since.saturating_add(self.renews))
+    }
+
     /// Holds every worker for an owner.
     fn hold_all(&mut self, at: usize) {
         let now = self.now;
-        let renews =
-            self.owners[at].followed.is_none_or(|since| now < since.saturating_add(self.renews));
+        let renews = self.renews(at);
         let known = self.owners[at].cell.workers.iter().filter(|(_, w)| w.listing.is_some());
         for life in known.map(|(life, _)| life.clone()).collect::<Vec<_>>() {
             let Some(args) = self.owners[at].cell.hold_args(&life, now) else {
@@ -170,7 +175,8 @@
         let now = self.now;
         let id = order.worker().clone();
         let fence = self.owners[at].cell.fence;
-        let until = self.owners[at].cell.until(&id, now);
+        let leases = !self.seen || self.renews(at);
+        let until = self.owners[at].cell.until(&id, now).filter(|_| leases);
         let start = matches!(order, Order::Start { .. });
         if !self.reaches(at, &id) || (start && until.is_none()) {
             return self.tell(at, &order, Outcome::Unsent);
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -122,6 +122,11 @@
     pub set_back: u64,
     /// Data centres that are being emptied.
     emptied: BTreeSet<String>,
+    /// Whether every host sees each owner begin; they know nothing of each other unless it is set. Hosts of such a
+    /// kind let owners that were followed give no lease with a start either.
+    pub seen: bool,
+    /// When owners began, by their fencing tokens.
+    began: BTreeMap<u64, u64>,
     /// Crashed workers, when something is at their address again, and as what.
     down: Vec<(u64, Arc<str>, Back)>,
     jobs: BTreeMap<JobId, Submission>,
@@ -157,6 +162,8 @@
             renews: u64::MAX,
             set_back: 0,
             emptied: BTreeSet::new(),
+            seen: false,
+            began: BTreeMap::new(),
             down: Vec::new(),
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -197,6 +204,10 @@
         self.fence += 1;
         let mut cell = Cell::new(Bounds::default(), self.fence, began);
         cell.empty_centres(&self.emptied);
+        self.began.insert(self.fence, began);
+        if self.seen {
+            cell.known = self.began.clone();
+        }
         for (life, record) in &self.traces {
             cell.recall_worker(life, record, self.now).unwrap();
         }
--- a/crates/owner/tests/lease_waits.rs
+++ b/crates/owner/tests/lease_waits.rs
@@ -394,3 +394,46 @@
         goes_on(&mut world, &worker, &tasks);
     }
 );
+
+/// Lets owners follow one another that are away for as long as they are there.
+fn wait_with_gaps(world: &mut World, tasks: &[TaskId]) -> u64 {
+    let crashed = world.now;
+    world.run(TERM);
+    while !at_work(world, tasks) {
+        assert!(world.now < crashed + 60_000, "the tasks never start again");
+        world.owner().awake = false;
+        world.run(TERM / 2);
+        world.take_over();
+        world.run(TERM / 2);
+    }
+    world.now - crashed
+}
+
+case!(
+    /// The first owner after the crash is the last one of which only the log tells.
+    a_host_that_saw_an_earlier_owner_begin_counts_from_then,
+    world,
+    {
+        (world.seen, world.renews) = (true, 0);
+        let tasks = lose(&mut world, lasting());
+        let waited = wait_with_gaps(&mut world, &tasks);
+        let most = LEASE + MARGIN + BEGIN + TOLD_EVERY + WRITTEN + TERM / 2 + TERM;
+        assert!(waited <= most, "{waited} ms, at most {most} ms");
+    }
+);
+
+case!(
+    /// An owner between gave leases, so the sight of the one before it says nothing.
+    a_host_that_saw_an_owner_begin_whose_successor_met_the_worker_waits_in_whole,
+    world,
+    {
+        (world.seen, world.renews) = (true, 0);
+        let (worker, tasks) = place(&mut world, lasting());
+        follow(&mut world, &worker, false);
+        world.run(6_000);
+        follow(&mut world, &worker, true);
+        world.run(2_000);
+        follow(&mut world, &worker, false);
+        started_again(&mut world, &tasks);
+    }
+);
--- a/crates/owner/tests/wait_courses.rs
+++ b/crates/owner/tests/wait_courses.rs
@@ -22,6 +22,17 @@
 /// The time in which everything has to be at work or at its end after that, in milliseconds.
 const REST: u64 = 40_000;
 
+/// What the hosts of owners do.
+#[derive(Debug, Clone, Copy)]
+enum Hosts {
+    /// They know nothing of each other.
+    Apart,
+    /// They renew leases although another owner has followed.
+    Renewing,
+    /// They see owners begin, and tell the next one what they could not log.
+    Talking,
+}
+
 /// A course under way.
 struct Course {
     world: World,
@@ -39,13 +50,16 @@
 }
 
 impl Course {
-    /// A course with 4 to 14 workers, some of whose clocks are slow; owners that were followed renew leases for
-    /// `renews` milliseconds more.
-    fn new(seed: u64, renews: u64) -> Self {
+    /// A course with 4 to 14 workers, some of whose clocks are slow.
+    fn new(seed: u64, hosts: Hosts) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let ever = rng.random_range(4..=14);
         let mut world = World::new(seed, usize::from(ever));
-        world.renews = renews;
+        (world.renews, world.seen) = match hosts {
+            Hosts::Apart => (0, false),
+            Hosts::Renewing => (u64::MAX, false),
+            Hosts::Talking => (0, true),
+        };
         world.faults = Faults { unanswered: 0.05, late: 0.03, queued: 0.03, outlive: false };
         world.workers.values_mut().for_each(|w| w.slow = rng.random_bool(0.5));
         world.run(1_000);
@@ -114,6 +128,18 @@
         self.world.take_over();
         self.world.owner().logged = self.rng.random_bool(0.8);
         self.cut();
+        if self.world.seen {
+            self.pass_on();
+        }
+    }
+
+    /// Some earlier owners tell the newest one what they could not log.
+    fn pass_on(&mut self) {
+        for from in 0..self.world.owners.len() - 1 {
+            if self.rng.random_bool(0.3) {
+                self.world.pass_on(from);
+            }
+        }
     }
 
     /// Lets time pass; workers that said so leave, and others come.
@@ -180,8 +206,8 @@
 }
 
 /// Plays a course; what was broken, in words.
-fn play(seed: u64, renews: u64) -> Vec<String> {
-    let mut course = Course::new(seed, renews);
+fn play(seed: u64, hosts: Hosts) -> Vec<String> {
+    let mut course = Course::new(seed, hosts);
     for _ in 0..CHANGES {
         course.term();
         course.follow();
@@ -193,10 +219,10 @@
 }
 
 /// Plays courses and tells which broke something.
-fn courses(seeds: std::ops::Range<u64>, renews: u64) {
+fn courses(seeds: std::ops::Range<u64>, hosts: Hosts) {
     let mut red = Vec::new();
     for seed in seeds {
-        let broken = play(seed, renews);
+        let broken = play(seed, hosts);
         if let Some(first) = broken.first() {
             println!("seed {seed}: {} broken, the first: {first}", broken.len());
             red.push(seed);
@@ -207,17 +233,28 @@
 
 #[test]
 fn in_ten_courses_of_waits_every_promise_holds() {
-    courses(0..10, 0);
+    courses(0..10, Hosts::Apart);
 }
 
 #[test]
 #[ignore = "by hand: cargo test -p myrtle-owner --test wait_courses -- --ignored --nocapture"]
 fn in_two_hundred_courses_of_waits_every_promise_holds() {
-    courses(10..210, 0);
+    courses(10..210, Hosts::Apart);
 }
 
 #[test]
 #[ignore = "by hand: cargo test -p myrtle-owner --test wait_courses -- --ignored --nocapture"]
 fn in_two_hundred_courses_of_owners_that_renew_on_every_promise_holds() {
-    courses(10..210, u64::MAX);
+    courses(10..210, Hosts::Renewing);
+}
+
+#[test]
+fn in_ten_courses_of_hosts_that_talk_every_promise_holds() {
+    courses(0..10, Hosts::Talking);
+}
+
+#[test]
+#[ignore = "by hand: cargo test -p myrtle-owner --test wait_courses -- --ignored --nocapture"]
+fn in_two_hundred_courses_of_hosts_that_talk_every_promise_holds() {
+    courses(10..210, Hosts::Talking);
 }
