An owner that gives a cell up tells all hosts, and the log says who may have given leases

Change: an owner that gives its cell up writes that into the directory beside the notice that the cell is free, in the same call; owners below the next token have ended for every host that reads it. An owner bars the earlier ones with a record that tells its token, so that the next one knows by which token a lease may last have been given out.

--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -15,7 +15,7 @@
 use crate::clock::now;
 use crate::hedge::{Outcome, hedged};
 use crate::host::Host;
-use crate::names::{JOBS, OWNER, PROGRESS, worker_key};
+use crate::names::{JOBS, OWNER, PROGRESS, owner_key, worker_key};
 use crate::owned::Owned;
 use crate::patience::Patience;
 use crate::{balance, bequest, permits};
@@ -118,11 +118,13 @@
 
 /// Records framed for appends, each below the bound.
 fn bodies(batch: &Batch) -> Vec<Bytes> {
-    let traces = batch.traces.iter().map(|(life, value)| (worker_key(life), value));
-    let records = batch.records.iter().map(|(id, value)| (id.to_string(), value));
+    let traces = batch.traces.iter().map(|(life, value)| (worker_key(life), value.as_slice()));
+    // A record without a value drops its key.
+    let owners = batch.owners.iter().map(|fence| (owner_key(*fence), &[][..]));
+    let records = batch.records.iter().map(|(id, value)| (id.to_string(), value.as_slice()));
     let mut bodies = Vec::new();
     let mut body = BytesMut::new();
-    for (key, value) in traces.chain(records) {
+    for (key, value) in owners.chain(traces).chain(records) {
         if body.len() + value.len() > LARGEST {
             bodies.push(body.split().freeze());
         }
--- a/crates/front/src/names.rs
+++ b/crates/front/src/names.rs
@@ -5,7 +5,7 @@
 /// Accepted jobs, by their names; a cell's jobs lie in its partition.
 pub const JOBS: &str = "keyed.jobs";
 
-/// The progress of jobs, by their names, and the workers that were given work; written only by the owners of the cells.
+/// The progress of jobs, by their names, the workers that were given work, and the owners, which alone write it.
 pub const PROGRESS: &str = "keyed.progress";
 
 /// The machines that waves of upkeep have seen through, by the waves' numbers.
@@ -29,6 +29,19 @@
 /// What the keys of workers begin with in the topic of progress; no job's name does.
 const WORKER: &str = "worker.";
 
+/// What the keys of owners begin with in the topic of progress; no job's name does.
+const OWNERS: &str = "owner.";
+
+/// The key of an owner that has barred the earlier ones, by its fencing token.
+pub fn owner_key(fence: u64) -> String {
+    format!("{OWNERS}{fence}")
+}
+
+/// The fencing token of the owner that a key tells of; nothing if it is another record's.
+pub fn owner_of(key: &str) -> Option<u64> {
+    key.strip_prefix(OWNERS)?.parse().ok()
+}
+
 /// The key of a worker's description beside the progress of jobs.
 pub fn worker_key(life: &Incarnation) -> String {
     format!("{WORKER}{life}")
--- a/crates/front/src/owned.rs
+++ b/crates/front/src/owned.rs
@@ -103,7 +103,7 @@
     /// Whether leases may be given out: the next owner counts on it that none is once the store may have given the
     /// cell away.
     pub fn leases(&self) -> bool {
-        self.unconfirmed() < self.ttl
+        !self.closed() && self.unconfirmed() < self.ttl
     }
 
     /// Notes that the store may give the cell away from now on.
--- a/crates/front/src/ownership/directory.rs
+++ b/crates/front/src/ownership/directory.rs
@@ -29,6 +29,9 @@
 /// The longest pause between reads that fail.
 const LONGEST_PAUSE: Duration = Duration::from_millis(2_400);
 
+/// What follows the cell in the keys of records that tell of owners' ends.
+const OVER: &str = ".over";
+
 /// How long the newest records may take.
 const NEWEST: Duration = Duration::from_millis(2_000);
 
@@ -79,10 +82,13 @@
 
 /// Takes in a record.
 fn take(host: &Arc<Host>, key: &str, value: &[u8]) {
+    if let Some((cell, fence)) = over(key, value) {
+        return host.directory.end(cell, fence + 1, now());
+    }
     let (Ok(cell), Ok(entry)) = (key.parse::<u32>(), decode::<Entry>(value)) else {
         return warn!("event=directory-unread key={key} bytes={}", value.len());
     };
-    host.directory.see(cell, entry.fence, now());
+    host.directory.end(cell, entry.fence, now());
     if !host.directory.take(cell, entry.clone()) {
         return;
     }
@@ -119,6 +125,25 @@
     }
 }
 
+/// Tells all hosts that this one no longer owns a cell under a token, for good, and that it is free; a failure costs
+/// time only.
+pub async fn tell_over(host: &Host, cell: u32, fence: u64) {
+    host.directory.end(cell, fence + 1, now());
+    let entry = Entry { fence, member: String::new() };
+    let mut body = BytesMut::new();
+    frame_keyed(&mut body, &format!("{cell}{OVER}"), &encode(&fence));
+    frame_keyed(&mut body, &cell.to_string(), &encode(&entry));
+    if let Err(e) = host.store.append(DIRECTORY, 0, None, body.freeze(), LIMIT).await {
+        warn!("event=notice-failed cell={cell} reason=\"{e}\"");
+    }
+}
+
+/// The cell and the token of a record that tells of an owner's end.
+fn over(key: &str, value: &[u8]) -> Option<(u32, u64)> {
+    let cell = key.strip_suffix(OVER)?.parse().ok()?;
+    Some((cell, decode(value).ok()?))
+}
+
 async fn write(host: &Host, cell: u32, entry: &Entry) -> Result<(), StoreError> {
     let mut body = BytesMut::new();
     frame_keyed(&mut body, &cell.to_string(), &encode(entry));
--- a/crates/front/src/ownership/entry.rs
+++ b/crates/front/src/ownership/entry.rs
@@ -29,7 +29,7 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: Mutex<HashMap<u32, (Entry, u64)>>,
-    seen: Mutex<HashMap<u32, BTreeMap<u64, u64>>>,
+    ended: Mutex<HashMap<u32, BTreeMap<u64, u64>>>,
     wakes: Mutex<HashMap<u32, Arc<Notify>>>,
 }
 
@@ -40,18 +40,18 @@
         self.entries.lock().expect("no holder panics").get(&cell).cloned()
     }
 
-    /// When this host first knew of owners of a cell, by their fencing tokens; some of the latest ones.
-    pub fn seen(&self, cell: u32) -> BTreeMap<u64, u64> {
-        self.seen.lock().expect("no holder panics").get(&cell).cloned().unwrap_or_default()
+    /// From when on this host knew that the owners of a cell below some fencing tokens had ended; the latest tokens.
+    pub fn ended(&self, cell: u32) -> BTreeMap<u64, u64> {
+        self.ended.lock().expect("no holder panics").get(&cell).cloned().unwrap_or_default()
     }
 
-    /// Notes that an owner of a cell has begun by now.
-    pub fn see(&self, cell: u32, fence: u64, now: u64) {
-        let mut seen = self.seen.lock().expect("no holder panics");
-        let seen = seen.entry(cell).or_default();
-        seen.entry(fence).or_insert(now);
-        while seen.len() > REMEMBERED {
-            seen.pop_first();
+    /// Notes that every owner of a cell below a fencing token has ended by now.
+    pub fn end(&self, cell: u32, fence: u64, now: u64) {
+        let mut ended = self.ended.lock().expect("no holder panics");
+        let ended = ended.entry(cell).or_default();
+        ended.entry(fence).or_insert(now);
+        while ended.len() > REMEMBERED {
+            ended.pop_first();
         }
     }
 
--- a/crates/front/src/ownership/member.rs
+++ b/crates/front/src/ownership/member.rs
@@ -11,7 +11,7 @@
 
 use myrtle_adapter::{Cause, StoreError};
 
-use super::{tell_free, tell_held};
+use super::{tell_held, tell_over};
 use crate::clock::now;
 use crate::hold::ttl;
 use crate::host::Host;
@@ -81,7 +81,7 @@
                 if !settle(host, cell, mine, generation, sent).await {
                     give_up(host, cell).await;
                     if let Some(fence) = fence {
-                        tell_free(host, cell, fence).await;
+                        tell_over(host, cell, fence).await;
                     }
                     return;
                 }
@@ -167,7 +167,7 @@
     finish(&owned).await;
     host.disown(cell);
     give_up(host, cell).await;
-    tell_free(host, cell, owned.fence).await;
+    tell_over(host, cell, owned.fence).await;
 }
 
 /// Waits until the owner has written what it knew.
--- a/crates/front/src/ownership/mod.rs
+++ b/crates/front/src/ownership/mod.rs
@@ -11,6 +11,6 @@
 mod standing;
 mod watch;
 
-pub use directory::{follow, tell_free, tell_held};
+pub use directory::{follow, tell_free, tell_held, tell_over};
 pub use entry::{Directory, Entry};
 pub use watch::{Place, Seen, Step, Watch};
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -4,17 +4,17 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::BytesMut;
 use log::{info, warn};
 use tokio::time::sleep;
 
-use myrtle_adapter::{Item, StoreError, Writer, unframe_keyed};
-use myrtle_job::{Incarnation, JobId, Key, Part, Progress, Submission, decode};
+use myrtle_adapter::{Item, StoreError, Writer, frame_keyed, unframe_keyed};
+use myrtle_job::{Incarnation, JobId, Key, Part, Progress, Submission, decode, encode};
 use myrtle_owner::Cell;
 
 use crate::clock::{now, wall};
 use crate::host::Host;
-use crate::names::{JOBS, OWNER, PROGRESS, worker_of};
+use crate::names::{JOBS, OWNER, PROGRESS, owner_key, owner_of, worker_of};
 use crate::newest::newest;
 use crate::owned::Owned;
 use crate::{balance, flush, hold, lessons, operator, roster, tick, upkeep};
@@ -40,8 +40,8 @@
     info!("event=owner-begins cell={cell} fence={fence}");
     let mut state = Cell::new(host.settings.owner_bounds(), fence, now());
     state.number = cell;
-    host.directory.see(cell, fence, state.began);
-    state.known = host.directory.seen(cell);
+    host.directory.end(cell, fence, state.began);
+    state.ended = host.directory.ended(cell);
     state.alone = host.layout().is_none_or(|layout| layout.count() < 2);
     let owned = Arc::new(Owned::new(cell, fence, state, hold::ttl(host)));
     host.own(cell, owned.clone());
@@ -98,11 +98,15 @@
     }
 }
 
-/// Bars every earlier owner from the log; false if a later one has come.
+/// Bars every earlier owner from the log, and tells later ones that this one may have given leases out; false if a
+/// later one has come.
 async fn bar(host: &Host, owned: &Owned) -> bool {
+    let mut body = BytesMut::new();
+    frame_keyed(&mut body, &owner_key(owned.fence), &encode(&owned.fence));
+    let body = body.freeze();
     while !owned.closed() {
         let writer = Writer { name: OWNER, epoch: owned.fence, number: 0 };
-        let done = host.store.append(PROGRESS, owned.cell, Some(writer), Bytes::new(), LIMIT).await;
+        let done = host.store.append(PROGRESS, owned.cell, Some(writer), body.clone(), LIMIT).await;
         match done {
             Ok(_) => return true,
             Err(StoreError::Fenced) => owned.depose("the log"),
@@ -119,6 +123,8 @@
 #[derive(Debug, Default)]
 struct Read {
     progress: Vec<(JobId, Progress)>,
+    /// What earlier owners wrote of workers.
+    workers: Vec<(Incarnation, Vec<u8>)>,
     /// Jobs whose progress makes no sense, with the reason.
     unread: Vec<(JobId, String)>,
 }
@@ -158,7 +164,10 @@
     let mut read = Read::default();
     let take = |Item { key, value, .. }| {
         if let Some(life) = worker_of(&key) {
-            return recall(owned, &life, &value);
+            return read.workers.push((life, value));
+        }
+        if let Some(fence) = owner_of(&key) {
+            return owned.state().follow_owner(fence);
         }
         let Ok(id) = key.parse::<JobId>() else {
             return warn!("event=record-unread topic={PROGRESS} key={key}");
@@ -169,6 +178,8 @@
         }
     };
     newest(host, PROGRESS, owned.cell, LIMIT, take).await?;
+    // Only now are all earlier owners known.
+    read.workers.iter().for_each(|(life, value)| recall(owned, life, value));
     Ok(read)
 }
 
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -47,8 +47,10 @@
     pub number: u32,
     /// When this owner took over.
     pub began: u64,
-    /// When this owner's host first knew of owners of the cell, by their fencing tokens.
-    pub known: BTreeMap<u64, u64>,
+    /// From when on this owner's host knew that the owners below some fencing tokens had ended.
+    pub ended: BTreeMap<u64, u64>,
+    /// The earlier owners that may have given leases out, by their fencing tokens.
+    pub(crate) earlier: BTreeSet<u64>,
     /// Whether there is no other cell to hand jobs on to.
     pub alone: bool,
     /// Whether the log has been read as far as it went at the takeover.
@@ -117,7 +119,8 @@
             fence,
             number: 0,
             began: now,
-            known: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            earlier: BTreeSet::new(),
             alone: true,
             loaded: false,
             jobs: HashMap::new(),
--- a/crates/owner/src/orders/commit.rs
+++ b/crates/owner/src/orders/commit.rs
@@ -11,6 +11,8 @@
     pub records: Vec<(JobId, Vec<u8>)>,
     /// The descriptions of workers that are given work for the first time.
     pub traces: Vec<Trace>,
+    /// Earlier owners of which the log need not tell any more, by their fencing tokens.
+    pub owners: Vec<u64>,
     /// Runs to start once the records are in the log.
     starts: Vec<(Incarnation, TaskId, u32)>,
     /// Ends up to these numbers are told by the records.
@@ -42,7 +44,8 @@
     pub fn batch(&mut self) -> Batch {
         let drops = std::mem::take(&mut self.drops);
         let (traces, ends) = (self.traces(), self.unlogged.len());
-        let mut batch = Batch { drops, traces, ends, ..Batch::default() };
+        let owners = self.earlier.iter().copied().collect();
+        let mut batch = Batch { drops, traces, owners, ends, ..Batch::default() };
         for id in std::mem::take(&mut self.dirty) {
             let Some(job) = self.jobs.get(&id) else {
                 batch.records.push((id, self.bar_record(id)));
@@ -65,6 +68,7 @@
     /// The batch is in the log: returns the starts that may go out now.
     pub fn committed(&mut self, batch: Batch, now: u64) -> Vec<Order> {
         self.traced(batch.traces);
+        self.earlier.retain(|fence| !batch.owners.contains(fence));
         self.bars_logged(batch.records.iter().map(|(id, _)| *id));
         self.unlogged.drain(..batch.ends.min(self.unlogged.len()));
         for (life, number) in batch.notes {
--- a/crates/owner/src/workers/trace.rs
+++ b/crates/owner/src/workers/trace.rs
@@ -45,7 +45,8 @@
         now: u64,
     ) -> Result<(), RecordError> {
         let Record { listing, wait } = Record::read(record)?;
-        let wait = Wait::inherited(wait, now, &self.known);
+        let last = self.earlier.last().copied();
+        let wait = Wait::inherited(wait, last, &self.ended, now);
         let worker = self.workers.entry(life.clone()).or_insert_with(|| Worker::new(now));
         worker.wait = wait;
         worker.listing.get_or_insert(listing);
--- a/crates/owner/src/workers/wait.rs
+++ b/crates/owner/src/workers/wait.rs
@@ -51,11 +51,17 @@
         Self { since: now, before: 0, inherited: None, due: None, told, clearing: false }
     }
 
-    /// An owner that has barred the earlier ones goes on with what the log says; its host knew of those, by their
-    /// fencing tokens, from some times on.
-    pub(crate) fn inherited(told: Told, now: u64, known: &BTreeMap<u64, u64>) -> Self {
-        let later = (told.from > 0).then(|| known.range(told.from..).map(|(_, &at)| at).min());
-        let seen = later.flatten().map(|at| (at, told.before));
+    /// An owner goes on with what the log says, and by which token the `last` owner before it may have given leases
+    /// out; its host knew that owners below some tokens had `ended` from some times on.
+    pub(crate) fn inherited(
+        told: Told,
+        last: Option<u64>,
+        ended: &BTreeMap<u64, u64>,
+        now: u64,
+    ) -> Self {
+        let none_from = (told.from > 0).then_some(told.from).or(last.map(|fence| fence + 1));
+        let over = none_from.and_then(|from| ended.range(from..).map(|(_, &at)| at).min());
+        let seen = over.map(|at| (at, told.before));
         let ways = seen.into_iter().chain([(now, told.waited)]);
         let start = |&(at, before): &(u64, u64)| at as i64 - before as i64;
         let (since, before) = ways.min_by_key(start).unwrap_or((now, 0));
@@ -116,6 +122,13 @@
 }
 
 impl Cell {
+    /// Notes that an earlier owner may have given leases out, by its fencing token.
+    pub fn follow_owner(&mut self, fence: u64) {
+        if fence < self.fence {
+            self.earlier.insert(fence);
+        }
+    }
+
     /// Notes what the log is to be told of workers with runs that do not answer.
     pub(crate) fn note_waits(&mut self, now: u64) {
         let longest = self.longest();
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -206,7 +206,8 @@
         cell.empty_centres(&self.emptied);
         self.began.insert(self.fence, began);
         if self.seen {
-            cell.known = self.began.clone();
+            cell.ended = self.began.clone();
+            self.began.keys().for_each(|&fence| cell.follow_owner(fence));
         }
         for (life, record) in &self.traces {
             cell.recall_worker(life, record, self.now).unwrap();
