Test: a cancellation that comes while an owner reads its log is lost (fails)

An owner is known to its host before it has read the log. From the moment when it has read what was handed in and until it has read how far that has come, `peers::cancel` finds the job, `Cell::cancel` takes it back and returns true, and `inherit` then puts the log's older progress in its place. The job runs on.

The world gets `take_over_while`; `take_over` does what it did.

--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -183,6 +183,11 @@
 
     /// A new owner reads the log; earlier ones go on until they learn of it.
     pub fn take_over(&mut self) -> usize {
+        self.take_over_while(|_, _| {})
+    }
+
+    /// The same, with something that comes to the owner once it knows the jobs and not yet their progress.
+    pub fn take_over_while(&mut self, meanwhile: impl FnOnce(&mut Cell, u64)) -> usize {
         self.fence += 1;
         let mut cell = Cell::new(Bounds::default(), self.fence, self.now);
         cell.empty_centres(&self.emptied);
@@ -192,6 +197,7 @@
         for (&id, submission) in &self.jobs {
             cell.admit(id, submission.clone(), self.now, self.now);
         }
+        meanwhile(&mut cell, self.now);
         for (&id, bytes) in &self.progress {
             let progress: Progress = decode(bytes).unwrap();
             cell.inherit(id, progress, self.now);
