--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -196,11 +196,20 @@
 
     /// A new owner reads the log; earlier ones go on until they learn of it.
     pub fn take_over(&mut self) -> usize {
-        self.take_over_since(self.now)
+        self.read_log(self.now, |_, _| {})
     }
 
     /// A new owner that began earlier bars the others from the log only now, and reads it.
     pub fn take_over_since(&mut self, began: u64) -> usize {
+        self.read_log(began, |_, _| {})
+    }
+
+    /// A new owner to which something comes once it knows the jobs and not yet their progress.
+    pub fn take_over_while(&mut self, meanwhile: impl FnOnce(&mut Cell, u64)) -> usize {
+        self.read_log(self.now, meanwhile)
+    }
+
+    fn read_log(&mut self, began: u64, meanwhile: impl FnOnce(&mut Cell, u64)) -> usize {
         self.fence += 1;
         let mut cell = Cell::new(Bounds::default(), self.fence, began);
         cell.empty_centres(&self.emptied);
@@ -215,6 +224,7 @@
         for (&id, submission) in &self.jobs {
             cell.admit(id, submission.clone(), self.now, self.now);
         }
+        meanwhile(&mut cell, self.now);
         for (&id, bytes) in &self.progress {
             let progress: Progress = decode(bytes).unwrap();
             cell.inherit(id, progress, self.now);
