Lasting tasks that ran before go by how long they have been missed

They were placed by when their jobs came and, within a job, by their numbers.

An owner notes when it hears the end of a run. A task whose run ended under an earlier owner or in another cell, or whose worker was lost, counts as missed for longer than any of these.

--- a/crates/owner/src/jobs/ends.rs
+++ b/crates/owner/src/jobs/ends.rs
@@ -76,6 +76,9 @@
         if record.done {
             return false;
         }
+        if lasting {
+            job.freed.insert(task, now);
+        }
         match how {
             How::Done if !lasting => record.done = true,
             How::Failed => {
--- a/crates/owner/src/jobs/job.rs
+++ b/crates/owner/src/jobs/job.rs
@@ -24,6 +24,8 @@
     pub stuck: Option<u64>,
     /// When tasks may be tried again, after a refusal or a failure.
     pub retry: BTreeMap<TaskId, u64>,
+    /// When the last runs of tasks that wait have ended, as far as this owner was told.
+    pub freed: BTreeMap<TaskId, u64>,
     /// Where a task failed or stood still, so that it goes elsewhere.
     pub shunned: BTreeMap<TaskId, Vec<Incarnation>>,
     /// What the policy service said of steps.
@@ -56,6 +58,7 @@
             handed_at: None,
             stuck: None,
             retry: BTreeMap::new(),
+            freed: BTreeMap::new(),
             shunned: BTreeMap::new(),
             tickets: BTreeMap::new(),
         }
@@ -91,13 +94,25 @@
         lasting && self.progress.task(task).is_some_and(|t| t.last > 0)
     }
 
-    /// Whether a task that lasts waits to be started again; the job's name is `id`.
-    pub fn resuming(&self, id: JobId) -> bool {
-        self.submission.spec.lasts()
-            && self.progress.tasks().any(|(round, step, index, t)| {
-                let task = TaskId { job: id, round, step, index };
-                self.waits(task, t) && self.resumes(task)
-            })
+    /// Since when users miss a task that waits: 0 for longer than this owner knows, the largest number
+    /// for one that nobody relies on yet.
+    pub fn missed(&self, task: TaskId) -> u64 {
+        if !self.resumes(task) {
+            return u64::MAX;
+        }
+        self.freed.get(&task).copied().unwrap_or(0)
+    }
+
+    /// The same of whichever waiting task is missed longest; the job's name is `id`.
+    pub fn longest_missed(&self, id: JobId) -> u64 {
+        if !self.submission.spec.lasts() {
+            return u64::MAX;
+        }
+        let tasks = self.progress.tasks();
+        let named =
+            tasks.map(|(round, step, index, t)| (TaskId { job: id, round, step, index }, t));
+        let waiting = named.filter(|(task, t)| self.waits(*task, t));
+        waiting.map(|(task, _)| self.missed(task)).min().unwrap_or(u64::MAX)
     }
 
     /// The work still ahead on the longest chain of the oldest repetition, in milliseconds.
--- a/crates/owner/src/jobs/part.rs
+++ b/crates/owner/src/jobs/part.rs
@@ -102,7 +102,7 @@
             return;
         };
         let mut waiting: Vec<_> = waiting(id, job, now).collect();
-        waiting.sort_by_key(|task| !job.resumes(*task));
+        waiting.sort_by_key(|task| job.missed(*task));
         let mut parts: BTreeMap<u32, Vec<TaskId>> = BTreeMap::new();
         for task in waiting {
             if let Some(to) = self.claim_elsewhere(task, now) {
--- a/crates/owner/src/placing/place.rs
+++ b/crates/owner/src/placing/place.rs
@@ -54,7 +54,7 @@
         left
     }
 
-    /// The tasks of a step that wait, or want a copy; those that ran before come first.
+    /// The tasks of a step that wait, or want a copy; those that users have missed longest come first.
     fn waiting(&self, id: JobId, round: u32, step: u16, now: u64) -> Vec<TaskId> {
         let job = &self.jobs[&id];
         let tasks = &job.progress.rounds[&round].steps[usize::from(step)].tasks;
@@ -65,7 +65,7 @@
             .filter(|(task, t)| job.waits(*task, t) || self.wants_copy(*task, t, now))
             .map(|(task, _)| task)
             .collect();
-        waiting.sort_by_key(|task| !job.resumes(*task));
+        waiting.sort_by_key(|task| job.missed(*task));
         waiting
     }
 
@@ -128,6 +128,7 @@
         record.last = run;
         record.live.push(Run { number: run, worker: life.clone() });
         job.retry.remove(&task);
+        job.freed.remove(&task);
         if !spec.lasting {
             job.stuck = None;
         }
--- a/crates/owner/src/placing/plan.rs
+++ b/crates/owner/src/placing/plan.rs
@@ -21,8 +21,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     priority: u32,
-    /// Whether none of its tasks has to be started again: users miss what ran before.
-    fresh: bool,
+    /// Since when users miss a task of it that ran before. By when jobs came, what was stopped a moment ago
+    /// went before what had waited for 16 s.
+    missed: u64,
     /// 0 while the job can be in time, 1 while it can be late, 2 when it earns nothing any more.
     tier: u8,
     /// The work left for each credit; 0 for lasting jobs.
@@ -154,5 +155,6 @@
         true => 0,
         false => (COST_SCALE * job.work_left() / credit.max(1.0)) as u64,
     };
-    Rank { priority: job.submission.policy.priority, fresh: !job.resuming(id), tier, cost, due, id }
+    let (priority, missed) = (job.submission.policy.priority, job.longest_missed(id));
+    Rank { priority, missed, tier, cost, due, id }
 }
