--- a/crates/owner/src/placing/plan.rs
+++ b/crates/owner/src/placing/plan.rs
@@ -21,8 +21,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     priority: u32,
-    /// Since when users miss a task of it that ran before. By when jobs came, what was stopped a moment ago
-    /// went before what had waited for 16 s.
+    /// Since when users miss a task of it that ran before: by when jobs came, what was stopped a moment ago would go
+    /// before what has waited for long.
     missed: u64,
     /// 0 while the job can be in time, 1 while it can be late, 2 when it earns nothing any more.
     tier: u8,
