--- a/crates/owner/tests/lease_waits.rs
+++ b/crates/owner/tests/lease_waits.rs
@@ -363,6 +363,47 @@
     }
 );
 
+case!(
+    /// The next owner begins while the log is slow; until that one has barred it, the one before goes on to write for
+    /// how long it has waited. The third one's host saw the second one begin.
+    what_an_owner_waits_after_its_successor_began_counts_once,
+    world,
+    {
+        (world.seen, world.renews) = (true, 0);
+        let (worker, tasks) = place(&mut world, lasting());
+        cut(&mut world, &worker, true);
+        let began = world.now;
+        world.owner().followed = Some(began);
+        world.run(5_000);
+        world.owner().awake = false;
+        world.take_over_since(began);
+        cut(&mut world, &worker, true);
+        world.run(500);
+        follow(&mut world, &worker, false);
+        started_again(&mut world, &tasks);
+    }
+);
+
+case!(
+    /// An owner is followed by another one, which ends; the store finds the cell vacant and confirms the first one
+    /// again, which goes on under its token and meets a worker. The third one's host saw the second one begin.
+    a_lease_of_an_owner_that_is_confirmed_again_is_waited_for_in_whole,
+    world,
+    {
+        (world.seen, world.renews) = (true, 0);
+        let (worker, tasks) = place(&mut world, lasting());
+        let first = world.owners.len() - 1;
+        follow(&mut world, &worker, false);
+        world.run(4_000);
+        world.owner().awake = false;
+        world.owners[first].awake = true;
+        world.owners[first].followed = None;
+        world.run(200);
+        follow(&mut world, &worker, false);
+        started_again(&mut world, &tasks);
+    }
+);
+
 case!(a_worker_that_is_met_again_goes_on, world, {
     let (worker, tasks) = place(&mut world, lasting());
     cut(&mut world, &worker, true);
--- a/crates/owner/tests/unlogged.rs
+++ b/crates/owner/tests/unlogged.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 
 use common::{World, case, job, step};
+use myrtle_base::Room;
 use myrtle_job::{JobId, State, StepSpec, TaskId};
 
 /// The time until tasks are at work again whose runs are known to be over, in milliseconds.
@@ -103,3 +104,27 @@
     assert_eq!(world.owner().cell.state(id), Some(State::Completed));
     assert!(world.owner().cell.unlogged().is_empty());
 });
+
+case!(
+    /// The worker on which a gang has failed is met after the next owner was told of it, and tells it again.
+    an_end_that_is_told_twice_stops_no_later_run_of_its_gang,
+    world,
+    {
+        let room = Room { cpu: 20_000, mem: 1_000, accel: 0 };
+        let gang = StepSpec { gang: true, room, estimate: 60_000, ..step(2) };
+        let (_, task, worker) = begin(&mut world, gang);
+        world.owner().logged = false;
+        world.workers.get_mut(&worker).unwrap().failing = true;
+        world.run(400);
+        world.workers.get_mut(&worker).unwrap().failing = false;
+        world.succeed();
+        world.cut(1, &worker, true);
+        world.run(200);
+        world.pass_on(0);
+        world.run(3_000);
+        assert_eq!(world.judge.starts[&task], 2, "the gang has begun again");
+        world.cut(1, &worker, false);
+        world.run(3_000);
+        assert_eq!(world.judge.starts[&task], 2, "and goes on");
+    }
+);
