An end that is told once more stops no later run of its gang

Found by the review, by a test that failed: an earlier owner told the next one of a failed gang, which began anew; then the worker answered, told the end again, and the gang that had begun since was stopped (work thrown away, no rule broken). Owners that follow one another without passing on ends could do the same. An end of a run that the record no longer holds still counts as a failure, once, and stops nothing.

--- a/crates/owner/src/jobs/ends.rs
+++ b/crates/owner/src/jobs/ends.rs
@@ -47,14 +47,21 @@
         let step = job.submission.spec.steps.get(usize::from(task.step));
         let lasting = step.is_some_and(|s| s.lasting);
         let gang = step.is_some_and(|s| s.gang);
+        // An end that is told once more says nothing of the runs that have begun since.
+        let known = job.progress.task(task).is_some_and(|t| t.run(run).is_some());
         if !self.note_end(life, ended, lasting, now) {
             return;
         }
         self.open.insert(task.job);
         match how {
             How::Done if !lasting => self.done(task, gang, now, wall),
-            How::Failed if !lasting => self.failed(task, run, gang, now, wall),
-            _ if gang => self.regroup(task, now),
+            How::Failed if !lasting => {
+                let anew = self.failed(task, run, gang, now, wall);
+                if anew && known {
+                    self.regroup(task, now);
+                }
+            }
+            _ if gang && known => self.regroup(task, now),
             _ => {}
         }
     }
@@ -139,15 +146,15 @@
         self.finish(id, State::Completed, now, wall);
     }
 
-    /// A run has failed: its task is tried again or the job has failed.
-    fn failed(&mut self, task: TaskId, run: u32, gang: bool, now: u64, wall: u64) {
+    /// A run has failed: its task is tried again or the job has failed; true if a gang has to begin anew.
+    fn failed(&mut self, task: TaskId, run: u32, gang: bool, now: u64, wall: u64) -> bool {
         self.counts.failed += 1;
         let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
+            return false;
         };
         let attempts = job.submission.policy.attempts.max(1);
         let Some(round) = job.progress.rounds.get_mut(&task.round) else {
-            return;
+            return false;
         };
         let step = &mut round.steps[usize::from(task.step)];
         if gang && !step.failed.contains(&run) {
@@ -160,9 +167,9 @@
             let job = task.job;
             warn!("event=job-failed job={job} task={task} fails={fails}");
             self.finish(job, State::Failed, now, wall);
-        } else if gang {
-            self.regroup(task, now);
+            return false;
         }
+        gang
     }
 
     /// One of a gang has ended without success: the others stop, so that all can start again.
