What is waited counts once

Found by the review, by a test that failed (TWICE): the log said for how long no lease had been given when the owner read it, and the next host counted that from when it had seen the owner begin. Until an owner has barred the one before, that one goes on to write, so the time between counted twice.

Change: from the sight of an owner nothing is counted that was waited before; from the log alone it is, as before.

--- a/crates/owner/src/workers/wait.rs
+++ b/crates/owner/src/workers/wait.rs
@@ -23,8 +23,6 @@
     waited: u64,
     /// The fencing token from which on no owner has given one out; 0 if that is not known.
     from: u64,
-    /// For how long none had been when that owner began, in milliseconds.
-    before: u64,
 }
 
 /// The wait for a worker, on this host's clock.
@@ -34,8 +32,8 @@
     since: u64,
     /// What had been waited by then, in milliseconds.
     before: u64,
-    /// What the log said of that at the takeover; nothing of a worker that was heard of later.
-    inherited: Option<u64>,
+    /// Whether the log told of the worker at the takeover.
+    inherited: bool,
     /// What is to be written.
     due: Option<Told>,
     /// What the log may say.
@@ -48,7 +46,7 @@
     /// Nobody has waited yet.
     pub(crate) fn new(now: u64) -> Self {
         let told = Told::default();
-        Self { since: now, before: 0, inherited: None, due: None, told, clearing: false }
+        Self { since: now, before: 0, inherited: false, due: None, told, clearing: false }
     }
 
     /// An owner goes on with what the log says, and by which token the `last` owner before it may have given leases
@@ -61,11 +59,11 @@
     ) -> Self {
         let none_from = (told.from > 0).then_some(told.from).or(last.map(|fence| fence + 1));
         let over = none_from.and_then(|from| ended.range(from..).map(|(_, &at)| at).min());
-        let seen = over.map(|at| (at, told.before));
+        let seen = over.map(|at| (at, 0));
         let ways = seen.into_iter().chain([(now, told.waited)]);
         let start = |&(at, before): &(u64, u64)| at as i64 - before as i64;
         let (since, before) = ways.min_by_key(start).unwrap_or((now, 0));
-        Self { before, inherited: Some(told.waited), told, ..Self::new(since) }
+        Self { before, inherited: true, told, ..Self::new(since) }
     }
 
     /// When leases are over of which the longest lasts for `longest` milliseconds.
@@ -97,9 +95,10 @@
 
     /// The same of a worker that has never answered the owner under a fencing token.
     fn go_on_unmet(&mut self, waited: u64, fence: u64) {
-        match self.inherited.filter(|_| self.told.from == 0) {
-            Some(before) => self.due = Some(Told { waited, from: fence, before }),
-            None => self.go_on(waited),
+        if self.inherited && self.told.from == 0 {
+            self.due = Some(Told { waited, from: fence });
+        } else {
+            self.go_on(waited);
         }
     }
 
