A host goes on under its token only if nobody can have owned the cell in between

A host whose membership had run out, or whose join may have given the cell away and got no answer, and that found itself the holder again, went on under its old token. Another owner may have begun and ended meanwhile; hosts that saw that one begin count from then on that no earlier owner gives leases. It now begins anew, under a new token, if the group has changed since. And an owner that has just begun is confirmed as of when its join was sent, not of when the answer was read: a host may stand still in between.

Cost: a takeover after a membership that really ran out, of which the log has to be read. No test of its own yet.

--- a/crates/front/src/owned.rs
+++ b/crates/front/src/owned.rs
@@ -53,8 +53,9 @@
 }
 
 impl Owned {
-    /// A cell just taken over; the store keeps its owner for `ttl` milliseconds without a word.
-    pub fn new(cell: u32, fence: u64, state: Cell, ttl: u64) -> Self {
+    /// A cell just taken over, which the store `confirmed` then; it keeps the owner for `ttl` milliseconds without a
+    /// word.
+    pub fn new(cell: u32, fence: u64, state: Cell, confirmed: u64, ttl: u64) -> Self {
         Self {
             cell,
             fence,
@@ -65,7 +66,7 @@
             state: Mutex::new(state),
             held: Mutex::default(),
             lines: Mutex::default(),
-            confirmed: AtomicU64::new(now()),
+            confirmed: AtomicU64::new(confirmed),
             ttl,
             closed: AtomicBool::new(false),
             deposed: AtomicBool::new(false),
--- a/crates/front/src/ownership/member.rs
+++ b/crates/front/src/ownership/member.rs
@@ -46,12 +46,15 @@
     let time = Duration::from_millis(ttl(host));
     let mut joined_at = now();
     let mut again = false;
+    // Whether a join without an answer may have given the cell away.
+    let mut given = false;
     while !host.stopping() {
         if host.take_asked(cell) && !host.strong() && host.owned(cell).is_some() {
             return hand_over(host, cell, "a stronger host asked for it").await;
         }
         let sent = now();
-        if sent > joined_at + ttl(host) {
+        let lapsed = sent > joined_at + ttl(host);
+        if lapsed {
             match followed(host, cell, &member).await {
                 Some(false) => {}
                 Some(true) => return,
@@ -66,6 +69,9 @@
             Ok(joined) => {
                 host.store_reached();
                 joined_at = sent;
+                if lapsed && joined.generation != generation || std::mem::take(&mut given) {
+                    retire(host, cell);
+                }
                 generation = joined.generation;
                 let mine = joined.holdings.iter().any(|h| h.part == cell);
                 // What was dealt to a newcomer that has left again is back only once its holder has joined with the
@@ -89,9 +95,11 @@
             Err(StoreError::Strange { status, text }) => {
                 warn!("event=join-refused cell={cell} status={status} text=\"{text}\"");
                 generation = 0;
+                given |= again;
             }
             Err(e) => {
                 host.store_missed(&e);
+                given |= again;
                 if matches!(&e, StoreError::Failure(f) if f.cause == Cause::Late) {
                     // Its wait has taken the time of the next one already.
                     sleep(SOON).await;
@@ -122,14 +130,14 @@
 /// Begins or ends to own the cell as the store says; false if the host has to leave the group.
 async fn settle(host: &Arc<Host>, cell: u32, mine: bool, generation: u64, sent: u64) -> bool {
     match (mine, host.owned(cell)) {
-        (true, None) => begin(host, cell, generation),
+        (true, None) => begin(host, cell, generation, sent),
         (true, Some(owned)) if owned.deposed() => {
             host.disown(cell);
             if generation <= owned.fence {
                 // The token is spent: another one comes with another membership.
                 return false;
             }
-            begin(host, cell, generation);
+            begin(host, cell, generation, sent);
         }
         (true, Some(owned)) => owned.confirm(sent),
         (false, Some(owned)) => {
@@ -144,9 +152,17 @@
     true
 }
 
-/// Begins to own a cell, and tells all hosts.
-fn begin(host: &Arc<Host>, cell: u32, fence: u64) {
-    let owned = takeover::begin(host, cell, fence);
+/// Ends to own a cell under a token after which another owner may have begun and ended, unnoticed; the next one that
+/// counts on this one's end would give work away that still runs.
+fn retire(host: &Host, cell: u32) {
+    if let Some(owned) = host.disown(cell) {
+        owned.close("its membership ran out, and others may have followed");
+    }
+}
+
+/// Begins to own a cell as the answer to a join that was `sent` says, and tells all hosts.
+fn begin(host: &Arc<Host>, cell: u32, fence: u64, sent: u64) {
+    let owned = takeover::begin(host, cell, fence, sent);
     tokio::spawn(tell_held(host.clone(), owned));
 }
 
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -35,15 +35,15 @@
 /// What an answer may take beyond that.
 const BEYOND: Duration = Duration::from_millis(700);
 
-/// Begins to own a cell; its parts run until it is closed.
-pub fn begin(host: &Arc<Host>, cell: u32, fence: u64) -> Arc<Owned> {
+/// Begins to own a cell, which the store confirmed at a moment; its parts run until it is closed.
+pub fn begin(host: &Arc<Host>, cell: u32, fence: u64, confirmed: u64) -> Arc<Owned> {
     info!("event=owner-begins cell={cell} fence={fence}");
     let mut state = Cell::new(host.settings.owner_bounds(), fence, now());
     state.number = cell;
     host.directory.end(cell, fence, state.began);
     state.ended = host.directory.ended(cell);
     state.alone = host.layout().is_none_or(|layout| layout.count() < 2);
-    let owned = Arc::new(Owned::new(cell, fence, state, hold::ttl(host)));
+    let owned = Arc::new(Owned::new(cell, fence, state, confirmed, hold::ttl(host)));
     host.own(cell, owned.clone());
     // After it is known as owned, so that nothing that comes meanwhile is missed.
     operator::empty(host, &owned);
