--- a/crates/front/src/bequest.rs
+++ b/crates/front/src/bequest.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::info;
+use log::{info, warn};
 use tokio::time::sleep;
 
 use myrtle_job::RunEnd;
@@ -11,6 +11,7 @@
 
 use crate::clock::{now, wall};
 use crate::host::Host;
+use crate::owned::Owned;
 
 /// For how long the next owner is looked for, in milliseconds: after that the leases of its workers are over.
 const FOR: u64 = 12_000;
@@ -24,8 +25,21 @@
 /// Ends in one call.
 const AT_ONCE: usize = 500;
 
+/// Sees to it that a later owner hears what this one has heard and not logged; the host ends no sooner, if it has the
+/// time.
+pub fn leave(host: &Arc<Host>, owned: &Owned) {
+    let ends = owned.state().unlogged().to_vec();
+    if ends.is_empty() {
+        return;
+    }
+    let (cell, fence) = (owned.cell, owned.fence);
+    warn!("event=ends-unlogged cell={cell} fence={fence} count={}", ends.len());
+    let host = host.clone();
+    host.bequests.clone().spawn(async move { pass_on(&host, cell, fence, ends).await });
+}
+
 /// Tells a later owner what one under a fencing token has heard, until that has taken it in.
-pub async fn pass_on(host: &Arc<Host>, cell: u32, fence: u64, ends: Vec<RunEnd>) {
+async fn pass_on(host: &Host, cell: u32, fence: u64, ends: Vec<RunEnd>) {
     let until = now() + FOR;
     let mut left = ends.as_slice();
     while !left.is_empty() && now() < until {
--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -46,11 +46,7 @@
 /// Runs until the cell is another host's; what was planned last is written before it ends.
 pub async fn run(host: Arc<Host>, owned: Arc<Owned>) {
     write_all(&host, &owned).await;
-    let ends = owned.state().unlogged().to_vec();
-    if !ends.is_empty() {
-        warn!("event=ends-unlogged cell={} fence={} count={}", owned.cell, owned.fence, ends.len());
-        bequest::pass_on(&host, owned.cell, owned.fence, ends).await;
-    }
+    bequest::leave(&host, &owned);
 }
 
 /// Plans and writes until the cell is another host's.
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 
 use log::{info, warn};
+use tokio_util::task::TaskTracker;
 
 use myrtle_adapter::{Configuration, Machines, Store, Tickets, WaveOrder};
 use myrtle_meter::Meter;
@@ -64,6 +65,8 @@
     intakes: Mutex<HashMap<u32, Arc<Intake>>>,
     asked: Mutex<BTreeSet<u32>>,
     stopping: AtomicBool,
+    /// What is still to be told to other owners before the host ends.
+    pub bequests: TaskTracker,
     layout: OnceLock<Layout>,
 }
 
@@ -90,6 +93,7 @@
             intakes: Mutex::default(),
             asked: Mutex::default(),
             stopping: AtomicBool::new(false),
+            bequests: TaskTracker::new(),
             layout: OnceLock::new(),
         }
     }
--- a/crates/front/src/ownership/member.rs
+++ b/crates/front/src/ownership/member.rs
@@ -17,7 +17,7 @@
 use crate::host::Host;
 use crate::names::{PROGRESS, group};
 use crate::owned::Owned;
-use crate::takeover;
+use crate::{bequest, takeover};
 
 /// How long the store keeps a silent member, in milliseconds, unless the platform's least is more:
 /// a killed owner is replaced about as soon.
@@ -142,7 +142,7 @@
         (true, Some(owned)) => owned.confirm(sent),
         (false, Some(owned)) => {
             owned.close("the store gave the cell to another host");
-            finish(&owned).await;
+            finish(host, &owned).await;
             host.disown(cell);
             return false;
         }
@@ -175,19 +175,19 @@
 }
 
 /// Gives the cell up after the last append and tells the other hosts that it is free.
-pub async fn hand_over(host: &Host, cell: u32, why: &str) {
+pub async fn hand_over(host: &Arc<Host>, cell: u32, why: &str) {
     let Some(owned) = host.owned(cell) else {
         return;
     };
     owned.close(why);
-    finish(&owned).await;
+    finish(host, &owned).await;
     host.disown(cell);
     give_up(host, cell).await;
     tell_over(host, cell, owned.fence).await;
 }
 
-/// Waits until the owner has written what it knew.
-async fn finish(owned: &Arc<Owned>) {
+/// Waits until the owner has written what it knew; what the log doesn't take is for the next owner to hear.
+async fn finish(host: &Arc<Host>, owned: &Arc<Owned>) {
     let wait = async {
         while !owned.deposed() && (owned.writing() || !owned.state().idle()) {
             sleep(Duration::from_millis(5)).await;
@@ -195,5 +195,6 @@
     };
     if timeout(HAND_OVER, wait).await.is_err() {
         warn!("event=hand-over-cut cell={} reason=\"the log did not take it\"", owned.cell);
+        bequest::leave(host, owned);
     }
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -117,6 +117,9 @@
         member::hand_over(host, cell, "the host stops").await;
     }
     sleep(NOTICED).await;
+    host.bequests.close();
+    let left = end.saturating_duration_since(tokio::time::Instant::now());
+    let _ = timeout(left, host.bequests.wait()).await;
     closing.cancel();
     tracker.close();
     let left = end.saturating_duration_since(tokio::time::Instant::now());
