A host that begins anew gives its token up; a host that stops lets clients finish meanwhile; sights allow for a join

Found by the review, by reading. A host whose token can't rise (the group refused a join, so that it named no generation) would have begun under the token that it had, and tried to bar itself for good: it now deposes its owner, and leaves the group if the token is spent. A host that stops waited for the next owner before it let its clients finish: it does both at once. And the platform may deal a cell anew at once, so an owner may renew leases until its next join though another one has begun: from the sight of that one the membership's time is added.

--- a/crates/front/src/ownership/directory.rs
+++ b/crates/front/src/ownership/directory.rs
@@ -15,6 +15,7 @@
 use super::owners::address;
 use crate::backoff::Backoff;
 use crate::clock::now;
+use crate::hold::ttl;
 use crate::host::Host;
 use crate::names::DIRECTORY;
 use crate::newest::newest;
@@ -88,7 +89,8 @@
     let (Ok(cell), Ok(entry)) = (key.parse::<u32>(), decode::<Entry>(value)) else {
         return warn!("event=directory-unread key={key} bytes={}", value.len());
     };
-    host.directory.end(cell, entry.fence, now());
+    // The store may deal a cell anew at once; the owner before hears of it with its next join.
+    host.directory.end(cell, entry.fence, now() + ttl(host));
     if !host.directory.take(cell, entry.clone()) {
         return;
     }
--- a/crates/front/src/ownership/entry.rs
+++ b/crates/front/src/ownership/entry.rs
@@ -45,11 +45,11 @@
         self.ended.lock().expect("no holder panics").get(&cell).cloned().unwrap_or_default()
     }
 
-    /// Notes that every owner of a cell below a fencing token has ended by now.
-    pub fn end(&self, cell: u32, fence: u64, now: u64) {
+    /// Notes that every owner of a cell below a fencing token has ended by a time.
+    pub fn end(&self, cell: u32, fence: u64, at: u64) {
         let mut ended = self.ended.lock().expect("no holder panics");
         let ended = ended.entry(cell).or_default();
-        ended.entry(fence).or_insert(now);
+        ended.entry(fence).and_modify(|known| *known = at.min(*known)).or_insert(at);
         while ended.len() > REMEMBERED {
             ended.pop_first();
         }
--- a/crates/front/src/ownership/member.rs
+++ b/crates/front/src/ownership/member.rs
@@ -155,8 +155,8 @@
 /// Ends to own a cell under a token after which another owner may have begun and ended, unnoticed; the next one that
 /// counts on this one's end would give work away that still runs.
 fn retire(host: &Host, cell: u32) {
-    if let Some(owned) = host.disown(cell) {
-        owned.close("its membership ran out, and others may have followed");
+    if let Some(owned) = host.owned(cell) {
+        owned.depose("a change of its group");
     }
 }
 
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -117,13 +117,12 @@
         member::hand_over(host, cell, "the host stops").await;
     }
     sleep(NOTICED).await;
-    host.bequests.close();
-    let left = end.saturating_duration_since(tokio::time::Instant::now());
-    let _ = timeout(left, host.bequests.wait()).await;
     closing.cancel();
     tracker.close();
+    host.bequests.close();
     let left = end.saturating_duration_since(tokio::time::Instant::now());
-    let finished = timeout(left, tracker.wait()).await.is_ok();
+    let finish = async { tokio::join!(tracker.wait(), host.bequests.wait()) };
+    let finished = timeout(left, finish).await.is_ok();
     info!("event=stopped finished={finished}");
     // The last lines go out by a thread of their own.
     sleep(Duration::from_millis(50)).await;
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -40,7 +40,7 @@
     info!("event=owner-begins cell={cell} fence={fence}");
     let mut state = Cell::new(host.settings.owner_bounds(), fence, now());
     state.number = cell;
-    host.directory.end(cell, fence, state.began);
+    host.directory.end(cell, fence, state.began + hold::ttl(host));
     state.ended = host.directory.ended(cell);
     state.alone = host.layout().is_none_or(|layout| layout.count() < 2);
     let owned = Arc::new(Owned::new(cell, fence, state, confirmed, hold::ttl(host)));
