A start that waits for a silent worker is taken back once that leaves

Cause, by the log: tasks were placed on a worker that went silent at that moment (its answers lie); it began to leave at 9.0 s, was met again at 13.1 s, and the starts that had waited for it went out. Room and emptied data centres were asked for once more before a start goes out, leaving was not. Ruled out: a late list (worker-listed draining=true at 9.16 s at the owner).

leaving.rs: the new test failed before (something began there), passes now; all tests of the crate pass.

--- a/crates/owner/src/orders/commit.rs
+++ b/crates/owner/src/orders/commit.rs
@@ -99,7 +99,7 @@
         if flight.run != run || !matches!(flight.stage, Stage::Written | Stage::Unsure) {
             return None;
         }
-        if self.crowded_out(life, task, run, now) || self.emptied_out(life, task, run, now) {
+        if self.shut_out(life, task, run, now) {
             return None;
         }
         let flight = self.workers.get_mut(life)?.flights.get_mut(&task)?;
--- a/crates/owner/src/orders/crowded.rs
+++ b/crates/owner/src/orders/crowded.rs
@@ -1,4 +1,4 @@
-//! Starts that were placed before their worker's room shrank.
+//! Starts that were placed before their worker's room shrank, or before it began to leave.
 
 use log::info;
 
@@ -24,6 +24,30 @@
         true
     }
 
+    /// Takes a start back whose worker may begin nothing any more; true if it was.
+    pub(crate) fn shut_out(
+        &mut self,
+        life: &Incarnation,
+        task: TaskId,
+        run: u32,
+        now: u64,
+    ) -> bool {
+        self.crowded_out(life, task, run, now)
+            || self.emptied_out(life, task, run, now)
+            || self.drained_out(life, task, run, now)
+    }
+
+    /// Takes a start back whose worker has begun to leave; true if it was.
+    ///
+    /// It may have waited for seconds until the worker answered again.
+    fn drained_out(&mut self, life: &Incarnation, task: TaskId, run: u32, now: u64) -> bool {
+        if !self.workers.get(life).is_some_and(Worker::draining) {
+            return false;
+        }
+        self.withdraw(life, task, run, "the worker leaves", now);
+        true
+    }
+
     /// Takes a start back; of a gang, all of it.
     pub(crate) fn withdraw(
         &mut self,
--- a/crates/owner/src/orders/told.rs
+++ b/crates/owner/src/orders/told.rs
@@ -80,7 +80,7 @@
     }
 
     /// Whether an order is still to be sent; it may have waited for others while its run became
-    /// needless, its worker's room shrank, or its data
+    /// needless, its worker's room shrank or it began to leave, or its data
     /// centre came to be emptied.
     pub fn stands(&mut self, order: &Order, now: u64) -> bool {
         let Order::Start { worker, task, run, .. } = order else {
@@ -88,8 +88,7 @@
         };
         let flight = self.workers.get(worker).and_then(|w| w.flights.get(task));
         flight.is_some_and(|f| f.run == *run && f.stage == Stage::Sent)
-            && !self.crowded_out(worker, *task, *run, now)
-            && !self.emptied_out(worker, *task, *run, now)
+            && !self.shut_out(worker, *task, *run, now)
     }
 
     /// Tells again what got no answer.
--- a/crates/owner/tests/leaving.rs
+++ b/crates/owner/tests/leaving.rs
@@ -175,3 +175,21 @@
     };
     assert!(world.workers.iter().all(known));
 });
+
+case!(a_start_that_waits_for_a_silent_worker_is_taken_back_once_that_leaves, world, {
+    world.run(500);
+    let names: Vec<_> = world.workers.keys().cloned().collect();
+    let id = world.submit(job(vec![step(8)]));
+    names.iter().for_each(|name| world.cut(0, name, true));
+    world.run(300);
+    for name in &names {
+        world.workers.get_mut(name).unwrap().listing.draining = true;
+    }
+    world.run(4_000);
+    names.iter().for_each(|name| world.cut(0, name, false));
+    world.run(1_000);
+    assert!(world.workers.values().all(|w| w.ever == 0), "something began there");
+    world.add_worker("fresh", 9);
+    world.run(4_000);
+    assert!(world.owner().cell.state(id).is_some_and(|state| state.over()));
+});
