--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -55,6 +55,8 @@
     calls: Mutex<BTreeMap<String, u64>>,
     /// Topics whose readers wait, and for how long.
     delays: Mutex<BTreeMap<String, Duration>>,
+    /// Topics whose writers up to an epoch are turned away.
+    shut: Mutex<BTreeMap<String, u64>>,
 }
 
 #[derive(Deserialize)]
@@ -84,6 +86,11 @@
         self.delays.lock().expect("no holder panics").insert(topic.into(), wait);
     }
 
+    /// Turns away the writers of a topic whose epoch is up to this one, and serves later ones.
+    pub fn shut(&self, topic: &str, epoch: u64) {
+        self.shut.lock().expect("no holder panics").insert(topic.into(), epoch);
+    }
+
     /// How often each call was made.
     pub fn calls(&self) -> BTreeMap<String, u64> {
         self.calls.lock().expect("no holder panics").clone()
@@ -193,6 +200,10 @@
             epoch: number(ask, "epoch"),
             call: number(ask, "call_seq"),
         });
+        let shut = self.shut_until(ask);
+        if writer.as_ref().is_some_and(|w| shut.is_some_and(|epoch| w.epoch <= epoch)) {
+            return text(503, "the store turns this writer away");
+        }
         let done = self.at(ask, |part| part.append(writer, records));
         self.grown.notify_waiters();
         match done {
@@ -204,6 +215,12 @@
         }
     }
 
+    /// Up to which epoch writers of the topic are turned away.
+    fn shut_until(&self, ask: &Ask) -> Option<u64> {
+        let topic = ask.param("topic").unwrap_or_default();
+        self.shut.lock().expect("no holder panics").get(topic).copied()
+    }
+
     async fn read(&self, ask: &Ask) -> Answer {
         let from = number(ask, "from") as usize;
         let wait = Duration::from_millis(number(ask, "wait_ms")).min(LONGEST);
