--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -18,7 +18,7 @@
 use crate::names::{JOBS, OWNER, PROGRESS, owner_key, worker_key};
 use crate::owned::Owned;
 use crate::patience::Patience;
-use crate::{balance, bequest, permits};
+use crate::{balance, permits, unlogged};
 
 /// How long changes are gathered before they are written; adds little to the store's own time.
 const GATHER: Duration = Duration::from_millis(2);
@@ -46,7 +46,7 @@
 /// Runs until the cell is another host's; what was planned last is written before it ends.
 pub async fn run(host: Arc<Host>, owned: Arc<Owned>) {
     write_all(&host, &owned).await;
-    bequest::leave(&host, &owned);
+    unlogged::hand_on(&host, &owned);
 }
 
 /// Plans and writes until the cell is another host's.
--- a/crates/front/src/hold.rs
+++ b/crates/front/src/hold.rs
@@ -41,7 +41,7 @@
         let Some(line) = owned.line(&life) else {
             break;
         };
-        let until = args.until.filter(|_| owned.leases());
+        let until = args.until.filter(|_| owned.may_lease());
         let sent = now();
         let result = line.client.hold(args.fence, args.seen, until, wait, wait + BEYOND).await;
         if owned.closed() {
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -66,7 +66,7 @@
     asked: Mutex<BTreeSet<u32>>,
     stopping: AtomicBool,
     /// What is still to be told to other owners before the host ends.
-    pub bequests: TaskTracker,
+    pub handing_on: TaskTracker,
     layout: OnceLock<Layout>,
 }
 
@@ -93,7 +93,7 @@
             intakes: Mutex::default(),
             asked: Mutex::default(),
             stopping: AtomicBool::new(false),
-            bequests: TaskTracker::new(),
+            handing_on: TaskTracker::new(),
             layout: OnceLock::new(),
         }
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,7 +5,6 @@
 mod ask;
 mod backoff;
 mod balance;
-mod bequest;
 mod busy;
 mod capacity;
 pub mod clock;
@@ -39,6 +38,7 @@
 mod survey;
 mod takeover;
 mod tick;
+mod unlogged;
 mod upkeep;
 
 pub use backoff::Backoff;
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -34,7 +34,7 @@
     let fence = owned.fence;
     let result = match order {
         Order::Start { worker, task, run, body, saved, ticket } => {
-            let until = owned.state().until(worker, now()).filter(|_| owned.leases());
+            let until = owned.state().until(worker, now()).filter(|_| owned.may_lease());
             let Some(until) = until else {
                 return Outcome::Unsent;
             };
--- a/crates/front/src/owned.rs
+++ b/crates/front/src/owned.rs
@@ -103,7 +103,7 @@
 
     /// Whether leases may be given out: the next owner counts on it that none is once the store may have given the
     /// cell away.
-    pub fn leases(&self) -> bool {
+    pub fn may_lease(&self) -> bool {
         !self.closed() && self.unconfirmed() < self.ttl
     }
 
--- a/crates/front/src/ownership/member.rs
+++ b/crates/front/src/ownership/member.rs
@@ -17,7 +17,7 @@
 use crate::host::Host;
 use crate::names::{PROGRESS, group};
 use crate::owned::Owned;
-use crate::{bequest, takeover};
+use crate::{takeover, unlogged};
 
 /// How long the store keeps a silent member, in milliseconds, unless the platform's least is more:
 /// a killed owner is replaced about as soon.
@@ -195,6 +195,6 @@
     };
     if timeout(HAND_OVER, wait).await.is_err() {
         warn!("event=hand-over-cut cell={} reason=\"the log did not take it\"", owned.cell);
-        bequest::leave(host, owned);
+        unlogged::hand_on(host, owned);
     }
 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -14,7 +14,7 @@
 use crate::host::Host;
 use crate::owned::Owned;
 use crate::takeover::read_on;
-use crate::{bequest, intake};
+use crate::{intake, unlogged};
 
 /// How long a host that passes a job on waits for the store.
 const PASS: Duration = Duration::from_millis(2_500);
@@ -67,7 +67,7 @@
     }
 
     async fn ended(self, _: Context, cell: u32, fence: u64, ends: Vec<RunEnd>) -> bool {
-        bequest::take(&self.0, cell, fence, &ends)
+        unlogged::take(&self.0, cell, fence, &ends)
     }
 
     async fn explain(self, _: Context, cell: u32, job: JobId) -> Vec<String> {
@@ -176,6 +176,6 @@
 async fn current(host: &Host, owned: &Owned) -> bool {
     owned.state().loaded && read_on(host, owned, Duration::ZERO).await.is_ok() && {
         // The owner may have been replaced without a word while it was cut off.
-        !owned.closed() && owned.leases()
+        !owned.closed() && owned.may_lease()
     }
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -119,9 +119,9 @@
     sleep(NOTICED).await;
     closing.cancel();
     tracker.close();
-    host.bequests.close();
+    host.handing_on.close();
     let left = end.saturating_duration_since(tokio::time::Instant::now());
-    let finish = async { tokio::join!(tracker.wait(), host.bequests.wait()) };
+    let finish = async { tokio::join!(tracker.wait(), host.handing_on.wait()) };
     let finished = timeout(left, finish).await.is_ok();
     info!("event=stopped finished={finished}");
     // The last lines go out by a thread of their own.
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -167,7 +167,7 @@
             return read.workers.push((life, value));
         }
         if let Some(fence) = owner_of(&key) {
-            return owned.state().follow_owner(fence);
+            return owned.state().note_owner(fence);
         }
         let Ok(id) = key.parse::<JobId>() else {
             return warn!("event=record-unread topic={PROGRESS} key={key}");
--- a/crates/front/src/bequest.rs
+++ b/crates/front/src/unlogged.rs
@@ -1,4 +1,4 @@
-//! Passes on to the next owner of a cell which ends this host has heard as its owner and could not log.
+//! Tells the next owner of a cell which ends this host has heard as its owner and could not log.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +14,7 @@
 use crate::owned::Owned;
 
 /// For how long the next owner is looked for, in milliseconds: after that the leases of its workers are over.
-const FOR: u64 = 12_000;
+const SEARCH: u64 = 12_000;
 
 /// The pause before the next owner is tried again; it may still be reading the log.
 const PAUSE: Duration = Duration::from_millis(300);
@@ -27,7 +27,7 @@
 
 /// Sees to it that a later owner hears what this one has heard and not logged; the host ends no sooner, if it has the
 /// time.
-pub fn leave(host: &Arc<Host>, owned: &Owned) {
+pub fn hand_on(host: &Arc<Host>, owned: &Owned) {
     let ends = owned.state().unlogged().to_vec();
     if ends.is_empty() {
         return;
@@ -35,12 +35,12 @@
     let (cell, fence) = (owned.cell, owned.fence);
     warn!("event=ends-unlogged cell={cell} fence={fence} count={}", ends.len());
     let host = host.clone();
-    host.bequests.clone().spawn(async move { pass_on(&host, cell, fence, ends).await });
+    host.handing_on.clone().spawn(async move { pass_on(&host, cell, fence, ends).await });
 }
 
 /// Tells a later owner what one under a fencing token has heard, until that has taken it in.
 async fn pass_on(host: &Host, cell: u32, fence: u64, ends: Vec<RunEnd>) {
-    let until = now() + FOR;
+    let until = now() + SEARCH;
     let mut left = ends.as_slice();
     while !left.is_empty() && now() < until {
         let (some, others) = left.split_at(left.len().min(AT_ONCE));
--- a/crates/front/src/upkeep.rs
+++ b/crates/front/src/upkeep.rs
@@ -79,7 +79,7 @@
         warn!("event=no-machine-service wave={wave} machine={machine}");
         return;
     };
-    if !owned.leases() {
+    if !owned.may_lease() {
         // It stood still, and another host may own the cell by now; not every machine service looks at tokens.
         return owned.state().upkeep_told(wave, machine, Upkeep::Again, now());
     }
--- a/crates/owner/src/workers/trace.rs
+++ b/crates/owner/src/workers/trace.rs
@@ -1,14 +1,14 @@
 //! What the log holds of workers, so that the next owner reaches each that was given work.
 //!
-//! A worker that leaves without a word is no longer listed but serves on. An owner that took over
-//! then had no address for it, and its runs went on unheard for up to 10 s, until every lease there
-//! was over. One short record a life of a worker costs less than an address in each run.
+//! A worker that leaves without a word is no longer listed but serves on. An owner that takes over
+//! needs an address for it; else its runs go on unheard until every lease there is over. One short
+//! record a life of a worker costs less than an address in each run.
 
 use serde::{Deserialize, Serialize};
 
 use myrtle_job::{Incarnation, Listing, RecordError, decode, encode};
 
-use crate::workers::wait::{Told, Wait};
+use crate::workers::wait::{Wait, Written};
 
 use crate::{Cell, Worker};
 
@@ -21,13 +21,13 @@
     /// Its description.
     listing: Listing,
     /// How long it has been waited for.
-    wait: Told,
+    wait: Written,
 }
 
 impl Record {
     /// Reads a record, also one of a description alone.
     fn read(bytes: &[u8]) -> Result<Self, RecordError> {
-        let alone = || decode(bytes).map(|listing| Self { listing, wait: Told::default() });
+        let alone = || decode(bytes).map(|listing| Self { listing, wait: Written::default() });
         decode(bytes).or_else(|_| alone())
     }
 }
--- a/crates/owner/src/workers/wait.rs
+++ b/crates/owner/src/workers/wait.rs
@@ -2,8 +2,12 @@
 //!
 //! An owner that can't reach a worker waits until every lease there is surely over. The next owner goes on with that
 //! wait. What the log holds needs no common clock: times that have passed, which only grow while nobody gives a lease
-//! out, and since which owner nobody has, so that a host which saw that one begin counts from then on. An owner
-//! therefore gives no lease to a worker of which the log says so, until the log has taken it back.
+//! out, and since which owner nobody has, so that a host which knew that the ones before had ended counts from then
+//! on. An owner therefore gives no lease to a worker of which the log says so, until the log has taken it back.
+//!
+//! Owner 3 last renewed a lease at 10 s and writes at 14 s that it has waited for 4 s. Owner 5 reads that at 16 s, and
+//! counts from 12 s; it can't reach the worker either, and writes that none has given a lease from token 5 on. The
+//! host of owner 7 has known since 15 s that owner 5 had begun, so it may count from 15 s, or from what owner 5 wrote.
 
 use std::collections::BTreeMap;
 
@@ -18,7 +22,7 @@
 
 /// What the log says of the wait for a worker; nothing if all is 0.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Told {
+pub(crate) struct Written {
     /// For how long no lease had been given out when this was written, in milliseconds.
     waited: u64,
     /// The fencing token from which on no owner has given one out; 0 if that is not known.
@@ -35,9 +39,9 @@
     /// Whether the log told of the worker at the takeover.
     inherited: bool,
     /// What is to be written.
-    due: Option<Told>,
+    due: Option<Written>,
     /// What the log may say.
-    told: Told,
+    told: Written,
     /// Whether a record is on its way that takes it back.
     clearing: bool,
 }
@@ -45,14 +49,14 @@
 impl Wait {
     /// Nobody has waited yet.
     pub(crate) fn new(now: u64) -> Self {
-        let told = Told::default();
+        let told = Written::default();
         Self { since: now, before: 0, inherited: false, due: None, told, clearing: false }
     }
 
     /// An owner goes on with what the log says, and by which token the `last` owner before it may have given leases
     /// out; its host knew that owners below some tokens had `ended` from some times on.
     pub(crate) fn inherited(
-        told: Told,
+        told: Written,
         last: Option<u64>,
         ended: &BTreeMap<u64, u64>,
         now: u64,
@@ -73,7 +77,7 @@
 
     /// Whether the log may say that no lease has been given out; none may be then.
     pub(crate) fn bars(&self) -> bool {
-        self.told != Told::default()
+        self.told != Written::default()
     }
 
     /// Whether something is to be written.
@@ -83,29 +87,29 @@
 
     /// The worker answers: the log is to take back what it says.
     pub(crate) fn end(&mut self) {
-        self.due = self.bars().then(Told::default);
+        self.due = self.bars().then(Written::default);
     }
 
     /// The worker does not answer, and every lease has been running down for `waited` milliseconds.
     fn go_on(&mut self, waited: u64) {
         if waited >= self.told.waited + STEP {
-            self.due = Some(Told { waited, ..self.told });
+            self.due = Some(Written { waited, ..self.told });
         }
     }
 
     /// The same of a worker that has never answered the owner under a fencing token.
     fn go_on_unmet(&mut self, waited: u64, fence: u64) {
         if self.inherited && self.told.from == 0 {
-            self.due = Some(Told { waited, from: fence });
+            self.due = Some(Written { waited, from: fence });
         } else {
             self.go_on(waited);
         }
     }
 
     /// What the next record says; it counts as told from now on, as it may land at any time.
-    pub(crate) fn write(&mut self) -> Told {
+    pub(crate) fn write(&mut self) -> Written {
         let next = self.due.take().unwrap_or(self.told);
-        self.clearing = next == Told::default();
+        self.clearing = next == Written::default();
         if !self.clearing {
             self.told = next;
         }
@@ -115,14 +119,14 @@
     /// The record is in the log.
     pub(crate) fn written(&mut self) {
         if std::mem::take(&mut self.clearing) {
-            self.told = Told::default();
+            self.told = Written::default();
         }
     }
 }
 
 impl Cell {
     /// Notes that an earlier owner may have given leases out, by its fencing token.
-    pub fn follow_owner(&mut self, fence: u64) {
+    pub fn note_owner(&mut self, fence: u64) {
         if fence < self.fence {
             self.earlier.insert(fence);
         }
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -216,7 +216,7 @@
         self.began.insert(self.fence, began);
         if self.seen {
             cell.ended = self.began.clone();
-            self.began.keys().for_each(|&fence| cell.follow_owner(fence));
+            self.began.keys().for_each(|&fence| cell.note_owner(fence));
         }
         for (life, record) in &self.traces {
             cell.recall_worker(life, record, self.now).unwrap();
