One check takes a start back whose worker may begin nothing any more

Cause: the check for workers that leave was written as the third copy of those for rooms that have shrunk and for emptied data centres, which were always asked together. Ruled out: a rule for each place; both places ask all three.

--- a/crates/owner/src/orders/crowded.rs
+++ b/crates/owner/src/orders/crowded.rs
@@ -1,4 +1,4 @@
-//! Starts that were placed before their worker's room shrank, or before it began to leave.
+//! Starts that were placed before their worker's room shrank, its data centre came to be emptied, or it began to leave.
 
 use log::info;
 
@@ -7,24 +7,9 @@
 use crate::{Cell, Worker};
 
 impl Cell {
-    /// Takes a start back whose worker has less room by now than it was given work for; true if it was.
-    ///
-    /// A record that took seconds to be written let all 24 of 24 starts out over rooms that had shrunk.
-    pub(crate) fn crowded_out(
-        &mut self,
-        life: &Incarnation,
-        task: TaskId,
-        run: u32,
-        now: u64,
-    ) -> bool {
-        if !self.workers.get(life).is_some_and(Worker::crowded) {
-            return false;
-        }
-        self.withdraw(life, task, run, "its room has shrunk", now);
-        true
-    }
-
     /// Takes a start back whose worker may begin nothing any more; true if it was.
+    ///
+    /// It may have waited for seconds: for its record, at its host, or until the worker answered again.
     pub(crate) fn shut_out(
         &mut self,
         life: &Incarnation,
@@ -32,31 +17,15 @@
         run: u32,
         now: u64,
     ) -> bool {
-        self.crowded_out(life, task, run, now)
-            || self.emptied_out(life, task, run, now)
-            || self.drained_out(life, task, run, now)
-    }
-
-    /// Takes a start back whose worker has begun to leave; true if it was.
-    ///
-    /// It may have waited for seconds until the worker answered again.
-    fn drained_out(&mut self, life: &Incarnation, task: TaskId, run: u32, now: u64) -> bool {
-        if !self.workers.get(life).is_some_and(Worker::draining) {
+        let Some(why) = self.workers.get(life).and_then(Worker::shut) else {
             return false;
-        }
-        self.withdraw(life, task, run, "the worker leaves", now);
+        };
+        self.withdraw(life, task, run, why, now);
         true
     }
 
     /// Takes a start back; of a gang, all of it.
-    pub(crate) fn withdraw(
-        &mut self,
-        life: &Incarnation,
-        task: TaskId,
-        run: u32,
-        why: &str,
-        now: u64,
-    ) {
+    fn withdraw(&mut self, life: &Incarnation, task: TaskId, run: u32, why: &str, now: u64) {
         info!("event=start-withdrawn task={task} run={run} worker={life} reason=\"{why}\"");
         self.retract(life, task, run, now);
         let job = self.jobs.get(&task.job);
@@ -67,6 +36,16 @@
 }
 
 impl Worker {
+    /// Why it may begin nothing that it was not told yet, if it may not.
+    fn shut(&self) -> Option<&'static str> {
+        let reasons = [
+            (self.crowded(), "its room has shrunk"),
+            (self.emptied, "its data centre is being emptied"),
+            (self.draining(), "the worker leaves"),
+        ];
+        reasons.into_iter().find_map(|(holds, why)| holds.then_some(why))
+    }
+
     /// Whether it carries more than it says that it has.
     fn crowded(&self) -> bool {
         self.listing.is_some() && !self.used().fits(&self.room())
--- a/crates/owner/src/workers/emptied.rs
+++ b/crates/owner/src/workers/emptied.rs
@@ -6,8 +6,6 @@
 use log::info;
 use std::collections::BTreeSet;
 
-use myrtle_job::{Incarnation, TaskId};
-
 use crate::{Cell, Worker};
 
 impl Cell {
@@ -37,23 +35,6 @@
         let mut listed = self.workers.values().filter(|w| w.listed);
         !self.emptied.is_empty() && listed.all(|w| w.emptied)
     }
-
-    /// Takes a start back whose worker's data centre has come to be emptied; true if it was.
-    ///
-    /// It may have waited seconds for its record, or at its host.
-    pub(crate) fn emptied_out(
-        &mut self,
-        life: &Incarnation,
-        task: TaskId,
-        run: u32,
-        now: u64,
-    ) -> bool {
-        if !self.workers.get(life).is_some_and(|w| w.emptied) {
-            return false;
-        }
-        self.withdraw(life, task, run, "its data centre is being emptied", now);
-        true
-    }
 }
 
 impl Worker {
