A task that has been missed for long goes to a cell with room at once

Cause: how long a task has found no worker was counted from its first pass without one (`stuck`), so a task whose run is given up only once its lease is surely over waited 1.7 s more before it could go to another cell, whatever had passed by then.

Change: for tasks that ran before, the wait counts from when they were missed: from the end that was heard, else from the last word of a worker that answered this owner, else from the owner's beginning. All that waits of a job goes together, as before. What a run was freed at is kept until the next one is at work: before, a refused start made its task the longest missed of all.

Ruled out: that the doubt itself ends late (its wait goes on over owners); a wait for each task by itself (tried: four records for four tasks that were stopped within 400 ms in place of one, two tests of parts.rs fail).

Cells of tests now give up what is surely over, as owners do.

--- a/crates/owner/src/jobs/job.rs
+++ b/crates/owner/src/jobs/job.rs
@@ -24,7 +24,7 @@
     pub stuck: Option<u64>,
     /// When tasks may be tried again, after a refusal or a failure.
     pub retry: BTreeMap<TaskId, u64>,
-    /// When the last runs of tasks that wait have ended, as far as this owner was told.
+    /// When the last runs of lasting tasks that are not at work have ended, as far as this owner was told.
     pub freed: BTreeMap<TaskId, u64>,
     /// Where a task failed or stood still, so that it goes elsewhere.
     pub shunned: BTreeMap<TaskId, Vec<Incarnation>>,
--- a/crates/owner/src/jobs/over.rs
+++ b/crates/owner/src/jobs/over.rs
@@ -95,7 +95,6 @@
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
-        worker.life = Life::Gone;
         let flights = std::mem::take(&mut worker.flights);
         if !flights.is_empty() || worker.listed {
             warn!(
@@ -105,6 +104,9 @@
             );
         }
         let heard = worker.heard;
+        // It ran until the worker's last word at the least; of one that this owner never met nothing is known.
+        let freed = (worker.life != Life::Unmet).then_some(heard);
+        worker.life = Life::Gone;
         self.counts.lost += flights.len() as u64;
         let flights: Vec<_> = flights.into_iter().collect();
         if crashed {
@@ -121,10 +123,21 @@
             // The next incarnation may have to answer for it.
             if self.holds(life, task, flight.run) {
                 self.forget_run(task, flight.run);
+                self.note_freed(task, freed.filter(|_| flight.begun.is_some()));
             }
         }
     }
 
+    /// Notes since when a task that lasts is missed, if its run was at work and this owner knows that.
+    fn note_freed(&mut self, task: TaskId, at: Option<u64>) {
+        let Some(job) = self.jobs.get_mut(&task.job).filter(|j| j.step(task.step).lasting) else {
+            return;
+        };
+        if let Some(at) = at {
+            job.freed.insert(task, at);
+        }
+    }
+
     /// Whether a task's record says that a run may be going on at an incarnation.
     pub(crate) fn holds(&self, life: &Incarnation, task: TaskId, run: u32) -> bool {
         let record = self.jobs.get(&task.job).and_then(|job| job.progress.task(task));
--- a/crates/owner/src/jobs/part.rs
+++ b/crates/owner/src/jobs/part.rs
@@ -14,8 +14,8 @@
 
 use crate::{Cell, Job};
 
-/// How long a task finds no worker before it is handed on, in milliseconds: a little longer than
-/// lasting tasks wait before they take of the room kept for short ones.
+/// How long a task finds no worker, or is missed, before it is handed on, in milliseconds: a little longer
+/// than lasting tasks wait before they take of the room kept for short ones.
 const WAITED: u64 = 1_700;
 
 /// The share of a cell that its lasting tasks, also those that wait, may ask for once it is given
@@ -96,10 +96,13 @@
 
     /// Hands on lasting tasks of a job that have found no worker for a while.
     pub(crate) fn hand_on_tasks(&mut self, id: JobId, now: u64) {
-        let waited = |j: &&Job| j.waited(now) >= WAITED && j.submission.spec.repeat.is_none();
-        let Some(job) = self.jobs.get(&id).filter(|j| !self.alone && waited(j)) else {
+        let may_go = |j: &&Job| j.stuck.is_some() && j.submission.spec.repeat.is_none();
+        let Some(job) = self.jobs.get(&id).filter(|j| !self.alone && may_go(j)) else {
             return;
         };
+        if now < self.waits_since(id, job) + WAITED {
+            return;
+        }
         let mut waiting: Vec<_> = waiting(id, job, now).collect();
         waiting.sort_by_key(|task| job.missed(*task));
         let mut parts: BTreeMap<u32, Vec<TaskId>> = BTreeMap::new();
@@ -129,6 +132,15 @@
         self.dirty.insert(id);
     }
 
+    /// Since when a job that is stuck waits for room here.
+    ///
+    /// Of tasks that ran before all the time counts for which they have been missed: when a run is given up, a lease has
+    /// passed already, and a wait that only began then would come on top.
+    fn waits_since(&self, id: JobId, job: &Job) -> u64 {
+        let missed = job.longest_missed(id).max(self.began);
+        job.stuck.map_or(missed, |since| since.min(missed))
+    }
+
     /// The cell with the most room that has a worker for a task; its room is counted as taken.
     ///
     /// A task that ran before goes wherever a worker has room for it, also where more is asked for than
--- a/crates/owner/src/placing/place.rs
+++ b/crates/owner/src/placing/place.rs
@@ -128,7 +128,6 @@
         record.last = run;
         record.live.push(Run { number: run, worker: life.clone() });
         job.retry.remove(&task);
-        job.freed.remove(&task);
         if !spec.lasting {
             job.stuck = None;
         }
--- a/crates/owner/src/workers/held.rs
+++ b/crates/owner/src/workers/held.rs
@@ -119,9 +119,11 @@
 
     /// A task of a job is at work.
     pub(crate) fn begun(&mut self, task: TaskId) {
-        if let Some(job) = self.jobs.get_mut(&task.job)
-            && job.progress.state == State::Queued
-        {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.freed.remove(&task);
+        if job.progress.state == State::Queued {
             job.progress.state = State::Running;
             self.dirty.insert(task.job);
         }
--- a/crates/owner/tests/cells/mod.rs
+++ b/crates/owner/tests/cells/mod.rs
@@ -147,6 +147,13 @@
         self.started.get(first).map_or_else(|| first.clone(), |start| first.started(*start))
     }
 
+    /// A worker is lost for good with all that it runs, and nobody is told.
+    pub fn silence(&mut self, cell: usize, worker: u16) {
+        let id = name(cell, worker);
+        self.workers.entry(id.clone()).or_default().runs.clear();
+        self.crashed.insert(id, u64::MAX);
+    }
+
     /// What a worker says of itself now.
     fn entry(&self, cell: usize, worker: u16, draining: bool) -> Listing {
         let start = self.life(&name(cell, worker)).start();
@@ -281,6 +288,7 @@
         self.arrive();
         for cell in 0..self.owners.len() {
             self.hold(cell);
+            self.owners[cell].lapse(now);
             self.owners[cell].evacuate(now);
             self.owners[cell].give_up(now, now);
             self.owners[cell].plan(now);
