Tasks that came from another cell go on only by what other cells told since

Cells that all told of the same room before it was taken would pass tasks round, with a record in each.

Change: a cell passes tasks on only to cells that have told of themselves since the tasks came.

Test: what_comes_from_another_cell_goes_on_only_by_what_is_told_since; without the change the task is handed on in the pass after it came.

--- a/crates/owner/src/jobs/balance.rs
+++ b/crates/owner/src/jobs/balance.rs
@@ -40,6 +40,11 @@
     pub(crate) fn believed(&self, now: u64) -> bool {
         now < self.at + BELIEVED && self.load.size > 0.0
     }
+
+    /// Whether it was told at a time or later.
+    pub(crate) fn told_since(&self, at: u64) -> bool {
+        self.at >= at
+    }
 }
 
 impl Cell {
--- a/crates/owner/src/jobs/job.rs
+++ b/crates/owner/src/jobs/job.rs
@@ -20,6 +20,8 @@
     pub home: Option<u32>,
     /// When tasks were last handed on to other cells.
     pub handed_at: Option<u64>,
+    /// When tasks last came from another cell.
+    pub taken_at: u64,
     /// Since when a task has found no worker, if nothing was placed after that.
     pub stuck: Option<u64>,
     /// When tasks may be tried again, after a refusal or a failure.
@@ -56,6 +58,7 @@
             came,
             home: None,
             handed_at: None,
+            taken_at: 0,
             stuck: None,
             retry: BTreeMap::new(),
             freed: BTreeMap::new(),
--- a/crates/owner/src/jobs/part.rs
+++ b/crates/owner/src/jobs/part.rs
@@ -69,6 +69,7 @@
         let level = if self.loaded { Level::Info } else { Level::Debug };
         log!(level, "event=tasks-taken job={} tasks={} from={}", id.job, tasks.len(), id.from);
         let tasks = tasks.into_iter().map(|t| t.task).collect();
+        job.taken_at = now;
         let turn = job.progress.turn();
         job.progress.taken.push(Taken { part: id, tasks, turn, allowances });
         self.dirty.insert(id.job);
@@ -169,7 +170,9 @@
             true => None,
             false => (load.free.iter().any(fits) && load.share(cpu) <= FULL).then_some(Offer::Free),
         };
-        let others = self.others.iter_mut().filter(|(_, t)| t.believed(now));
+        // What was told before they came brought them here; another cell's word of that time may be as wrong.
+        let others = self.others.iter_mut();
+        let others = others.filter(|(_, t)| t.believed(now) && t.told_since(job.taken_at));
         let offers = others.filter_map(|(cell, t)| Some((offer(&t.load)?, cell, t)));
         let (_, cell, told) = offers.min_by(|(a, _, x), (b, _, y)| {
             a.cmp(b).then(x.load.share(cpu).total_cmp(&y.load.share(cpu)))
--- a/crates/owner/tests/missed_long.rs
+++ b/crates/owner/tests/missed_long.rs
@@ -8,7 +8,9 @@
 
 mod cells;
 
-use cells::{Cells, JOB, starts};
+use myrtle_job::JobId;
+
+use cells::{Cells, JOB, owner, starts};
 
 /// The longest that a task which is known to have been missed for long may take to start in a cell with room,
 /// in milliseconds: one round of questions between cells, and the way.
@@ -21,6 +23,12 @@
 const HOME: usize = 0;
 const OTHER: usize = 1;
 
+/// A cell that is not played.
+const THIRD: u32 = 2;
+
+/// A job of which a task came from another cell.
+const CAME: JobId = JobId(21);
+
 /// Names a case and gives it two cells of four workers, the first of them full with one job.
 macro_rules! case {
     ($name:ident, $cells:ident, $body:block) => {
@@ -62,6 +70,27 @@
     assert_eq!(started(&cells), 4, "tasks wait once more though they were missed for long");
 });
 
+/// Symptom: tasks go round several cells without room, with a record in each.
+/// Cause: a cell that was given tasks sent them on by what it had been told before they came.
+#[test]
+fn what_comes_from_another_cell_goes_on_only_by_what_is_told_since() {
+    let mut cells = Cells::full(2);
+    cells.deaf = true;
+    let now = cells.now;
+    let elsewhere = owner(THIRD, 1, now).load(now);
+    cells.owner(HOME).hear(THIRD, elsewhere.clone(), now);
+    cells.run(100);
+    cells.give_part(HOME, CAME, 1);
+    cells.run(1_000);
+    let handed = |cells: &mut Cells| cells.owner(HOME).jobs[&CAME].progress.handed.len();
+    assert_eq!(handed(&mut cells), 0, "sent on by an old word");
+    cells.lossy = true;
+    let now = cells.now;
+    cells.owner(HOME).hear(THIRD, elsewhere, now);
+    cells.run(100);
+    assert_eq!(handed(&mut cells), 1, "it is known that the third cell has room");
+}
+
 case!(what_was_stopped_a_moment_ago_waits_for_room_at_home, cells, {
     cells.leave(HOME, 0);
     cells.run(1_000);
