The log says of a worker that it is about to leave

Callers saw (known by reading only so far): lasting tasks of a worker that left in good order are doubted after a change of owner and begin one after another, on workers where nothing else may begin meanwhile.

Cause: the log held what a worker had said of itself when it was first given work. An owner that never met the worker, which is gone by then, took it to have crashed.

Change: an owner that sees a worker begin to leave, or stay after all, has its record written again: one record a leaving worker with runs.

Ruled out: asking the owner before (it may be gone), the list (the entry is gone too).

--- a/crates/owner/src/workers/drain.rs
+++ b/crates/owner/src/workers/drain.rs
@@ -21,9 +21,10 @@
 impl Cell {
     /// Stops what would not end before its worker leaves, so that it goes on elsewhere.
     pub fn evacuate(&mut self, now: u64) {
+        self.note_leaving(now);
         let mut moves: Vec<(Incarnation, TaskId, u32)> = Vec::new();
         let well = self.workers.iter().filter(|(_, w)| w.life == Life::Well);
-        for (life, worker) in well.filter(|(_, w)| self.leaves(w, now)) {
+        for (life, worker) in well.filter(|(_, w)| w.leaving) {
             let left = worker.leaves.map(|l| l.saturating_sub(now));
             for (&task, flight) in worker.flights.iter().filter(|(_, f)| f.stage == Stage::Up) {
                 if flight.lasting {
@@ -49,6 +50,18 @@
         }
     }
 
+    /// Notes which workers that answer are about to leave; the log tells the next owner, which may never meet them.
+    fn note_leaving(&mut self, now: u64) {
+        let well = self.workers.iter().filter(|(_, w)| w.life == Life::Well);
+        let news = well.filter(|(_, w)| self.leaves(w, now) != w.leaving);
+        let news: Vec<Incarnation> = news.map(|(life, _)| life.clone()).collect();
+        for life in news {
+            if let Some(worker) = self.workers.get_mut(&life) {
+                worker.leaving = !worker.leaving;
+            }
+        }
+    }
+
     /// Whether a worker that answers is about to leave: it says so, or its entry is gone though the
     /// list can be read.
     fn leaves(&self, worker: &Worker, now: u64) -> bool {
--- a/crates/owner/src/workers/trace.rs
+++ b/crates/owner/src/workers/trace.rs
@@ -45,6 +45,7 @@
         now: u64,
     ) -> Result<(), RecordError> {
         let Record { listing, wait } = Record::read(record)?;
+        let leaving = listing.draining;
         let last = self.earlier.last().copied();
         let wait = Wait::inherited(wait, last, &self.ended, now);
         let worker = self.workers.entry(life.clone()).or_insert_with(|| Worker::new(now));
@@ -52,6 +53,7 @@
         worker.listing.get_or_insert(listing);
         worker.mark_emptied(&self.emptied);
         worker.traced = true;
+        (worker.leaving, worker.leaving_told) = (leaving, leaving);
         Ok(())
     }
 
@@ -59,11 +61,14 @@
     pub(crate) fn traces(&mut self) -> Vec<Trace> {
         let forgotten = std::mem::take(&mut self.untraced);
         let mut traces: Vec<_> = forgotten.into_iter().map(|life| (life, Vec::new())).collect();
-        let fresh = |w: &Worker| !w.traced && !w.flights.is_empty() || w.wait.due();
+        let news = |w: &Worker| !w.traced || w.leaving != w.leaving_told;
+        let fresh = |w: &Worker| !w.flights.is_empty() && news(w) || w.wait.due();
         for (life, worker) in self.workers.iter_mut().filter(|(_, w)| fresh(w)) {
-            let Some(listing) = worker.listing.clone() else {
+            let Some(mut listing) = worker.listing.clone() else {
                 continue;
             };
+            listing.draining = worker.leaving;
+            worker.leaving_told = worker.leaving;
             let record = Record { listing, wait: worker.wait.write() };
             traces.push((life.clone(), encode(&record)));
         }
--- a/crates/owner/src/workers/worker.rs
+++ b/crates/owner/src/workers/worker.rs
@@ -87,6 +87,10 @@
     pub warm: u64,
     /// When it leaves, if it said so.
     pub leaves: Option<u64>,
+    /// Whether it was about to leave when it last answered.
+    pub(crate) leaving: bool,
+    /// Whether the log says so.
+    pub(crate) leaving_told: bool,
     /// When earlier incarnations of the worker started.
     pub(crate) before: Vec<u64>,
     /// Starts that got no answer lately, here or at earlier incarnations: task, run and when.
@@ -122,6 +126,8 @@
             emptied: false,
             warm: 0,
             leaves: None,
+            leaving: false,
+            leaving_told: false,
             before: Vec::new(),
             unanswered: Vec::new(),
         }
