Owners in a row don't put off that a task goes to another cell

Callers saw (known by reading only so far, "what begins anew with each owner"): a lasting task waits for as long as its cell changes owners, though another cell has room.

Cause: the wait for room at home began anew with each owner. It is there for an owner that doesn't know yet what room its workers have; it also held back one whose workers had all answered. Evidence: owners_in_a_row_do_not_put_the_wait_off, owners every 1.5 s: 0 of 4 tasks started elsewhere within 9 s before.

Change: an owner waits from its own beginning only while a listed worker has not answered it. After that the time counts for which a task is missed.

Test: the named one.

--- a/crates/owner/src/jobs/part.rs
+++ b/crates/owner/src/jobs/part.rs
@@ -12,7 +12,7 @@
 
 use myrtle_job::{Free, Handed, JobId, Load, Part, PartId, Progress, Round, State, Taken, TaskId};
 
-use crate::{Cell, Job};
+use crate::{Cell, Job, Life};
 
 /// How long a task finds no worker, or is missed, before it is handed on, in milliseconds: a little longer
 /// than lasting tasks wait before they take of the room kept for short ones.
@@ -147,10 +147,16 @@
     /// Of tasks that ran before all the time counts for which they have been missed: when a run is given up, a lease has
     /// passed already, and a wait that only began then would come on top.
     fn waits_since(&self, id: JobId, job: &Job) -> u64 {
-        let missed = job.longest_missed(id).max(self.began);
+        let missed = job.longest_missed(id).max(self.unsure_since());
         job.stuck.map_or(missed, |since| since.min(missed))
     }
 
+    /// Since when the owner waits for a word of what room its workers have; 0 once all of them have answered.
+    fn unsure_since(&self) -> u64 {
+        let unmet = self.workers.values().any(|w| w.listed && w.life == Life::Unmet);
+        if unmet { self.began } else { 0 }
+    }
+
     /// The cell with the most room that has a worker for a task; its room is counted as taken.
     ///
     /// A task that ran before goes wherever a worker has room for it, also where more is asked for than
--- a/crates/owner/tests/missed_long.rs
+++ b/crates/owner/tests/missed_long.rs
@@ -70,6 +70,19 @@
     assert_eq!(started(&cells), 4, "tasks wait once more though they were missed for long");
 });
 
+/// Symptom: a lasting task waits for 9 s though another cell has room.
+/// Cause: the wait began anew with each owner, also where that knew at once that no worker had room.
+#[test]
+fn owners_in_a_row_do_not_put_the_wait_off() {
+    let mut cells = Cells::full(2);
+    cells.leave(HOME, 0);
+    for _ in 0..6 {
+        cells.run(1_500);
+        cells.take_over(HOME);
+    }
+    assert_eq!(started(&cells), 4, "no owner hands them on");
+}
+
 /// Symptom: tasks go round several cells without room, with a record in each.
 /// Cause: a cell that was given tasks sent them on by what it had been told before they came.
 #[test]
