Tasks that wait for room in another cell count as away

Change: how long they count depends on the offer by which they went; after a change of owner the longer time holds, as the log doesn't say which it was.

Test: what_waits_for_room_elsewhere_counts_as_away; before, 3 of at most 2 were away 4 s after the hand-over. In the tests' cells only short tasks show progress now: a lasting one that does is not at work yet and must not be moved.

--- a/crates/owner/src/jobs/admit.rs
+++ b/crates/owner/src/jobs/admit.rs
@@ -4,6 +4,7 @@
 
 use myrtle_job::{JobId, Key, Progress, Round, State, Submission};
 
+use crate::jobs::part::Offer;
 use crate::{Cell, Flight, Job, Stage, Worker};
 
 /// The longest age that a job's own stamp may give it; clocks of hosts may jump.
@@ -105,7 +106,10 @@
         if over || job.progress.elsewhere() {
             self.open.remove(&id);
         }
-        job.handed_at = (!job.progress.handed.is_empty()).then_some(now);
+        if !job.progress.handed.is_empty() {
+            // The log doesn't say which offer they went by.
+            job.under_way = now + Offer::Soon.takes();
+        }
         let job = &self.jobs[&id];
         self.due.extend(self.undelivered(id, job));
         let given_up = job.progress.crashes.iter().filter(|(_, c)| c.too_many());
--- a/crates/owner/src/jobs/job.rs
+++ b/crates/owner/src/jobs/job.rs
@@ -18,8 +18,8 @@
     pub came: u64,
     /// The cell that its name says, if that is known; it may hand the job on to another one.
     pub home: Option<u32>,
-    /// When tasks were last handed on to other cells.
-    pub handed_at: Option<u64>,
+    /// Until when tasks that were handed on to other cells may not have been started there yet.
+    pub under_way: u64,
     /// When tasks last came from another cell.
     pub taken_at: u64,
     /// Since when a task has found no worker, if nothing was placed after that.
@@ -57,7 +57,7 @@
             shown,
             came,
             home: None,
-            handed_at: None,
+            under_way: 0,
             taken_at: 0,
             stuck: None,
             retry: BTreeMap::new(),
--- a/crates/owner/src/jobs/part.rs
+++ b/crates/owner/src/jobs/part.rs
@@ -12,6 +12,7 @@
 
 use myrtle_job::{Free, Handed, JobId, Load, Part, PartId, Progress, Round, State, Taken, TaskId};
 
+use crate::placing::booking::SOON;
 use crate::{Cell, Job, Life};
 
 /// How long a task finds no worker, or is missed, before it is handed on, in milliseconds: a little longer
@@ -22,19 +23,29 @@
 /// tasks that never ran: below it, tasks of a deployment that is nearly full stay in a cell without room.
 const FULL: f64 = 1.0;
 
-/// How long the other tasks of a step count those handed on as away, in milliseconds: until the
-/// next cell has started them.
+/// How long it takes until a cell with room has started what is handed on to it, in milliseconds; until then the other
+/// tasks of a step count that as away.
 const UNDER_WAY: u64 = 4_000;
 
 /// When another cell has room for a task; the earliest is the best.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Offer {
+pub(crate) enum Offer {
     /// Now.
     Free,
     /// Once short tasks have ended; the task waits for that there, and what is short leaves the room to it.
     Soon,
 }
 
+impl Offer {
+    /// How long it takes until tasks that go by the offer are at work, in milliseconds.
+    pub(crate) fn takes(self) -> u64 {
+        match self {
+            Self::Free => UNDER_WAY,
+            Self::Soon => SOON + UNDER_WAY,
+        }
+    }
+}
+
 impl Cell {
     /// Takes over tasks that another cell has handed on; a repeat changes nothing.
     pub fn take_part(&mut self, id: PartId, part: Part, now: u64, wall: u64) {
@@ -116,9 +127,11 @@
         let mut waiting: Vec<_> = waiting(id, job, now).collect();
         waiting.sort_by_key(|task| job.missed(*task));
         let mut parts: BTreeMap<u32, Vec<TaskId>> = BTreeMap::new();
+        let mut under_way = 0;
         for task in waiting {
-            if let Some(to) = self.claim_elsewhere(task, now) {
+            if let Some((to, offer)) = self.claim_elsewhere(task, now) {
                 parts.entry(to).or_default().push(task);
+                under_way = under_way.max(now + offer.takes());
             }
         }
         if parts.is_empty() {
@@ -134,7 +147,7 @@
             let handed = Handed { to, tasks, turn, delivered: false, recalled: false, allowances };
             job.progress.handed.push(handed);
         }
-        job.handed_at = Some(now);
+        job.under_way = job.under_way.max(under_way);
         if job.progress.state == State::Queued {
             // The other cell starts them, and its word on that does not come back.
             job.progress.state = State::Running;
@@ -163,7 +176,7 @@
     /// there is: what waits there never ran, or does not fit. With only cells below `FULL`, such tasks ran
     /// nowhere for 17 s where all cells were asked for 1.04 to 1.18 of what they have. Where nothing is free and none is
     /// kept for it here, it goes where short tasks make room: there its turn comes before theirs.
-    fn claim_elsewhere(&mut self, task: TaskId, now: u64) -> Option<u32> {
+    fn claim_elsewhere(&mut self, task: TaskId, now: u64) -> Option<(u32, Offer)> {
         let job = &self.jobs[&task.job];
         let (service, claim) = (&job.submission.policy.service, job.step(task.step).claim());
         let cpu = f64::from(claim.cpu);
@@ -180,7 +193,7 @@
         let others = self.others.iter_mut();
         let others = others.filter(|(_, t)| t.believed(now) && t.told_since(job.taken_at));
         let offers = others.filter_map(|(cell, t)| Some((offer(&t.load)?, cell, t)));
-        let (_, cell, told) = offers.min_by(|(a, _, x), (b, _, y)| {
+        let (offer, cell, told) = offers.min_by(|(a, _, x), (b, _, y)| {
             a.cmp(b).then(x.load.share(cpu).total_cmp(&y.load.share(cpu)))
         })?;
         told.load.claimed += cpu;
@@ -190,7 +203,7 @@
                 free.room = free.room.less(&claim);
             }
         }
-        Some(*cell)
+        Some((*cell, offer))
     }
 }
 
@@ -208,7 +221,7 @@
 
     /// Whether tasks that were handed on may not have been started there yet.
     pub(crate) fn handed_lately(&self, now: u64) -> bool {
-        self.handed_at.is_some_and(|at| now < at + UNDER_WAY)
+        now < self.under_way
     }
 }
 
--- a/crates/owner/tests/cells/act.rs
+++ b/crates/owner/tests/cells/act.rs
@@ -2,7 +2,7 @@
 
 use rand::RngExt;
 
-use myrtle_job::{Ended, Held, How, Key, Running, Successor, Told, decode};
+use myrtle_job::{Ended, Held, How, Key, Running, Successor, TaskId, Told, decode};
 use myrtle_owner::{Delivery, Order, Outcome};
 
 use super::given::{first_of, name};
@@ -32,12 +32,15 @@
             let id = life;
             let seen = self.owners[cell].hold_args(&id, now).map_or(0, |args| args.seen);
             worker.ended.retain(|end| end.number > seen);
-            let percent = if self.lively { (now / STEP % 100) as f64 } else { 100.0 };
+            let flights = self.owners[cell].workers.get(&id).map(|w| &w.flights);
+            let lasts = |task: &TaskId| flights.and_then(|f| f.get(task)).is_none_or(|f| f.lasting);
+            let shown = if self.lively { (now / STEP % 100) as f64 } else { 100.0 };
+            let percent = |task: &TaskId| if lasts(task) { 100.0 } else { shown };
             let running = worker.runs.iter().map(|(&task, (run, saved))| Running {
                 task,
                 run: *run,
                 saved: saved.clone(),
-                percent,
+                percent: percent(&task),
                 figure: None,
             });
             let held =
--- a/crates/owner/tests/turns_elsewhere.rs
+++ b/crates/owner/tests/turns_elsewhere.rs
@@ -209,3 +209,22 @@
     cells.run(SOON / 2);
     assert_eq!(started(&cells, THIRD, JOB).len(), 4, "they wait on where nothing ends");
 }
+
+/// Symptom: AVAIL; more tasks of a step are away at once than it allows.
+/// Cause: tasks that wait in another cell for room counted as at work after the time that a hand-over takes.
+#[test]
+fn what_waits_for_room_elsewhere_counts_as_away() {
+    const MOST: u16 = 2;
+    let mut cells = Cells::of(2, vec![StepSpec { may_miss: Some(MOST), ..step() }]);
+    cells.lively = true;
+    cells.deaf = false;
+    crowd(&mut cells, OTHER);
+    let others = cells.living() - 16;
+    cells.leave(HOME, 0);
+    for _ in 0..SOON / ENDS {
+        cells.run(ENDS);
+        let away = 16 + others - cells.living();
+        assert!(away <= usize::from(MOST), "{away} tasks of the step are away at once");
+    }
+    assert_eq!(started(&cells, OTHER, JOB).len(), 0, "nothing has ended there");
+}
