--- a/crates/front/tests/handover.rs
+++ b/crates/front/tests/handover.rs
@@ -3,10 +3,12 @@
 
 mod common;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use serde_json::Value;
+use tokio::time::sleep;
 
 use myrtle_standin::{Runner, StoreMode};
 
@@ -106,6 +108,28 @@
     assert_eq!(site.book.runs().len(), 2);
 }
 
+/// Whoever ends sooner has given no lease, and the next owner need not wait for one.
+#[tokio::test]
+async fn an_owner_says_that_it_may_give_leases_once_it_has_read_the_log() {
+    const NEVER: Duration = Duration::from_secs(3_600);
+    let mut site = Site::start(Duration::from_secs(60)).await;
+    let first = owner(&site).await;
+    running(&site, &first, JOB, 1).await;
+    let claims = |site: &Site| -> BTreeSet<String> {
+        site.store.keys(PROGRESS).into_iter().filter(|key| key.starts_with("owner.")).collect()
+    };
+    let before = claims(&site);
+    assert_eq!(before.len(), 1, "the first owner may have given leases");
+    let next = other(&site, &first);
+    site.store.delay(PROGRESS, NEVER);
+    site.hosts.remove(&first).unwrap();
+    until(|| async { owner(&site).await == next }).await;
+    sleep(PAGE).await;
+    assert_eq!(claims(&site), before, "it has not read the log");
+    site.store.delay(PROGRESS, Duration::ZERO);
+    until(|| async { claims(&site) != before }).await;
+}
+
 #[tokio::test]
 async fn a_job_is_taken_back_while_the_owner_reads_its_log() {
     let mut site = Site::start(Duration::from_secs(60)).await;
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -3,7 +3,7 @@
 mod group;
 mod topic;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -114,6 +114,22 @@
         self.grown.notify_waiters();
     }
 
+    /// The keys of a topic's first partition that have a value now.
+    pub fn keys(&self, topic: &str) -> BTreeSet<String> {
+        let mut keys = BTreeSet::new();
+        self.part(topic, 0, |part| {
+            for record in &part.records {
+                let (key, value) = record[1..].split_at(usize::from(record[0]));
+                let key = String::from_utf8_lossy(key).into_owned();
+                match value.is_empty() {
+                    true => drop(keys.remove(&key)),
+                    false => drop(keys.insert(key)),
+                }
+            }
+        });
+        keys
+    }
+
     /// The partitions of a group with their members.
     pub fn owners(&self, group: &str) -> Vec<(u32, String)> {
         let mut groups = self.groups.lock().expect("no holder panics");
