What other cells offer is a concept of its own

Moves `Offer` out of part.rs into offer.rs with the time that each takes, and lets `note_freed` take a time; nothing else changes. Read as a newcomer would: the type stood between the constants and the cell's methods.

--- a/crates/owner/src/jobs/admit.rs
+++ b/crates/owner/src/jobs/admit.rs
@@ -4,7 +4,7 @@
 
 use myrtle_job::{JobId, Key, Progress, Round, State, Submission};
 
-use crate::jobs::part::Offer;
+use crate::jobs::offer::Offer;
 use crate::{Cell, Flight, Job, Stage, Worker};
 
 /// The longest age that a job's own stamp may give it; clocks of hosts may jump.
--- a/crates/owner/src/jobs/mod.rs
+++ b/crates/owner/src/jobs/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod ends;
 pub(crate) mod explain;
 pub(crate) mod job;
+pub(crate) mod offer;
 pub(crate) mod over;
 pub(crate) mod part;
 pub(crate) mod unlogged;
--- a/crates/owner/src/jobs/over.rs
+++ b/crates/owner/src/jobs/over.rs
@@ -123,17 +123,17 @@
             // The next incarnation may have to answer for it.
             if self.holds(life, task, flight.run) {
                 self.forget_run(task, flight.run);
-                self.note_freed(task, freed.filter(|_| flight.begun.is_some()));
+                if let Some(freed) = freed.filter(|_| flight.begun.is_some()) {
+                    self.note_freed(task, freed);
+                }
             }
         }
     }
 
-    /// Notes since when a task that lasts is missed, if its run was at work and this owner knows that.
-    fn note_freed(&mut self, task: TaskId, at: Option<u64>) {
-        let Some(job) = self.jobs.get_mut(&task.job).filter(|j| j.step(task.step).lasting) else {
-            return;
-        };
-        if let Some(at) = at {
+    /// Notes since when a task that lasts is missed.
+    fn note_freed(&mut self, task: TaskId, at: u64) {
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(job) = job.filter(|j| j.step(task.step).lasting) {
             job.freed.insert(task, at);
         }
     }
--- a/crates/owner/src/jobs/part.rs
+++ b/crates/owner/src/jobs/part.rs
@@ -12,7 +12,7 @@
 
 use myrtle_job::{Free, Handed, JobId, Load, Part, PartId, Progress, Round, State, Taken, TaskId};
 
-use crate::placing::booking::SOON;
+use crate::jobs::offer::Offer;
 use crate::{Cell, Job, Life};
 
 /// How long a task finds no worker, or is missed, before it is handed on, in milliseconds: a little longer
@@ -23,29 +23,6 @@
 /// tasks that never ran: below it, tasks of a deployment that is nearly full stay in a cell without room.
 const FULL: f64 = 1.0;
 
-/// How long it takes until a cell with room has started what is handed on to it, in milliseconds; until then the other
-/// tasks of a step count that as away.
-const UNDER_WAY: u64 = 4_000;
-
-/// When another cell has room for a task; the earliest is the best.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Offer {
-    /// Now.
-    Free,
-    /// Once short tasks have ended; the task waits for that there, and what is short leaves the room to it.
-    Soon,
-}
-
-impl Offer {
-    /// How long it takes until tasks that go by the offer are at work, in milliseconds.
-    pub(crate) fn takes(self) -> u64 {
-        match self {
-            Self::Free => UNDER_WAY,
-            Self::Soon => SOON + UNDER_WAY,
-        }
-    }
-}
-
 impl Cell {
     /// Takes over tasks that another cell has handed on; a repeat changes nothing.
     pub fn take_part(&mut self, id: PartId, part: Part, now: u64, wall: u64) {
--- a/crates/owner/src/placing/booking.rs
+++ b/crates/owner/src/placing/booking.rs
@@ -18,7 +18,7 @@
 
 /// How soon short tasks have to leave a worker for room to be kept there, in milliseconds.
 ///
-/// Users bear a lasting task's absence for 9 s; before it goes to another cell it waits for a quarter of that.
+/// Users bear a lasting task's absence for 9 s, and before it goes to another cell it waits for some of that.
 pub(crate) const SOON: u64 = 6_000;
 
 /// Where room is kept.
