--- a/crates/owner/src/jobs/part.rs
+++ b/crates/owner/src/jobs/part.rs
@@ -150,9 +150,9 @@
     /// The cell with the most room that has a worker for a task; its room is counted as taken.
     ///
     /// A task that ran before goes wherever a worker has room for it, also where more is asked for than
-    /// there is: what waits there never ran, or does not fit. With only cells below `FULL`, such tasks ran
-    /// nowhere for 17 s where all cells were asked for 1.04 to 1.18 of what they have. Where nothing is free and none is
-    /// kept for it here, it goes where short tasks make room: there its turn comes before theirs.
+    /// there is: what waits there never ran, or does not fit. With only cells below `FULL`, such tasks would run nowhere
+    /// while all cells are asked for more than they have. Where nothing is free and none is kept for it here, it goes
+    /// where short tasks make room: there its turn comes before theirs.
     fn claim_elsewhere(&mut self, task: TaskId, now: u64) -> Option<(u32, Offer)> {
         let job = &self.jobs[&task.job];
         let (service, claim) = (&job.submission.policy.service, job.step(task.step).claim());
--- a/crates/owner/src/placing/booking.rs
+++ b/crates/owner/src/placing/booking.rs
@@ -71,11 +71,10 @@
     fn book_step(&mut self, id: JobId, round: u32, step: u16, now: u64) {
         let job = &self.jobs[&id];
         let spec = job.step(step).clone();
-        let tasks = job.progress.rounds[&round].steps[usize::from(step)].tasks.iter().zip(0u16..);
-        let named = tasks.map(|(t, index)| (TaskId { job: id, round, step, index }, t));
-        let waiting = named.filter(|(task, t)| job.waits(*task, t) && job.resumes(*task));
-        let mut waiting: Vec<TaskId> = waiting.map(|(task, _)| task).collect();
-        waiting.sort_by_key(|task| job.missed(*task));
+        let mut waiting = self.waiting(id, round, step, now);
+        let waits = |task| job.progress.task(task).is_some_and(|t| job.waits(task, t));
+        // One that wants a copy runs.
+        waiting.retain(|task| waits(*task) && job.resumes(*task));
         let mut found: Vec<(TaskId, Incarnation)> = Vec::new();
         for task in waiting {
             let Some(life) = self.place_soon(task, &spec, &found, now) else {
--- a/crates/owner/src/placing/place.rs
+++ b/crates/owner/src/placing/place.rs
@@ -55,7 +55,7 @@
     }
 
     /// The tasks of a step that wait, or want a copy; those that users have missed longest come first.
-    fn waiting(&self, id: JobId, round: u32, step: u16, now: u64) -> Vec<TaskId> {
+    pub(crate) fn waiting(&self, id: JobId, round: u32, step: u16, now: u64) -> Vec<TaskId> {
         let job = &self.jobs[&id];
         let tasks = &job.progress.rounds[&round].steps[usize::from(step)].tasks;
         let mut waiting: Vec<TaskId> = tasks
