Account of where the time of a job went

Change: crates/owner/src/account keeps, for each short task, the phase that it is in, and for each step the chain of steps that ended last. job-done is written once the log holds the end, with the split along that chain; job-failed carries that of the task. The metrics address has the same as histograms (myrtle_job_millis by queue and phase).

--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -9,7 +9,7 @@
 
 use myrtle_adapter::{StoreError, Writer, frame_keyed};
 use myrtle_job::Key;
-use myrtle_owner::{Batch, Order, Question};
+use myrtle_owner::{Batch, JobReport, Order, Question};
 
 use crate::answer_time::AnswerTime;
 use crate::busy::Work;
@@ -89,6 +89,7 @@
         owned.set_writing(false);
         owned.committed.send_modify(|n| *n += 1);
         report_restarts(host, owned);
+        report_jobs(host, owned);
     }
 }
 
@@ -99,6 +100,17 @@
     host.meter.level("myrtle_worker_restarts", &label, restarts as i64);
 }
 
+/// Updates the metrics of jobs that are over.
+fn report_jobs(host: &Host, owned: &Owned) {
+    let reports = owned.state().take_reports();
+    for JobReport { queue, verdict, spans, .. } in reports {
+        host.meter.count("myrtle_jobs", &format!("{queue} {}", verdict.key()));
+        for (phase, millis) in spans.phases() {
+            host.meter.span("myrtle_job_millis", &format!("{queue} {}", phase.key()), millis);
+        }
+    }
+}
+
 /// Plans, and returns the orders, questions and changes.
 fn plan(owned: &Owned) -> (Vec<Order>, Vec<Question>, Batch) {
     let mut cell = owned.state();
--- a/crates/front/src/tick.rs
+++ b/crates/front/src/tick.rs
@@ -45,7 +45,7 @@
     cell.throttle_all(now());
     cell.find_late_runs(now());
     cell.give_up(now(), wall());
-    cell.begin_rounds(wall());
+    cell.begin_rounds(now(), wall());
     if ticks.is_multiple_of(FORGET_EVERY) {
         cell.remove_expired(now(), wall());
     }
--- a/crates/meter/src/lib.rs
+++ b/crates/meter/src/lib.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use hdrhistogram::Histogram;
+use hdrhistogram::{Counter, Histogram};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -16,6 +16,13 @@
 /// Largest latency that a histogram records, in microseconds; longer ones are clamped to it.
 const MAX_LATENCY_US: u64 = 120_000_000;
 
+/// Longest span that a histogram of spans records, in milliseconds; longer ones are clamped to it.
+const MAX_SPAN_MS: u64 = 120_000;
+
+/// Significant digits of spans: a process may record dozens of them, and each more digit takes ten
+/// times the memory.
+const SPAN_DIGITS: u8 = 2;
+
 type Labels = Vec<(String, String)>;
 
 /// Counters, gauges and latencies by name and label.
@@ -23,6 +30,7 @@
 pub struct Meter {
     values: Mutex<BTreeMap<(&'static str, String), i64>>,
     latencies: Mutex<BTreeMap<(&'static str, String), Histogram<u64>>>,
+    spans: Mutex<BTreeMap<(&'static str, String), Histogram<u32>>>,
 }
 
 impl Meter {
@@ -45,6 +53,13 @@
         histogram.saturating_record((latency.as_micros() as u64).max(1));
     }
 
+    /// Records a span in milliseconds.
+    pub fn span(&self, name: &'static str, label: &str, millis: u64) {
+        let mut spans = self.spans.lock().expect("no holder panics");
+        let histogram = spans.entry((name, label.into())).or_insert_with(new_span_histogram);
+        histogram.saturating_record(millis.max(1));
+    }
+
     /// A quantile of a latency in microseconds, 0 if none was recorded.
     pub fn quantile(&self, name: &'static str, label: &str, q: f64) -> u64 {
         let latencies = self.latencies.lock().expect("no holder panics");
@@ -60,11 +75,10 @@
             family.get_or_create(&labels(label, None)).set(*value);
         }
         for ((name, label), h) in self.latencies.lock().expect("no holder panics").iter() {
-            let family = families.entry(name).or_default();
-            for (q, text) in QUANTILES {
-                let gauge = family.get_or_create(&labels(label, Some(text)));
-                gauge.set(h.value_at_quantile(*q) as i64);
-            }
+            set_quantiles(families.entry(name).or_default(), label, h);
+        }
+        for ((name, label), h) in self.spans.lock().expect("no holder panics").iter() {
+            set_quantiles(families.entry(name).or_default(), label, h);
         }
         for (name, family) in families {
             registry.register(name, "See docs/OPERATING.md", family);
@@ -75,10 +89,21 @@
     }
 }
 
+fn set_quantiles<T: Counter>(family: &Family<Labels, Gauge>, label: &str, h: &Histogram<T>) {
+    for (q, text) in QUANTILES {
+        let gauge = family.get_or_create(&labels(label, Some(text)));
+        gauge.set(h.value_at_quantile(*q) as i64);
+    }
+}
+
 fn new_histogram() -> Histogram<u64> {
     Histogram::new_with_max(MAX_LATENCY_US, 3).expect("the bounds are valid")
 }
 
+fn new_span_histogram() -> Histogram<u32> {
+    Histogram::new_with_max(MAX_SPAN_MS, SPAN_DIGITS).expect("the bounds are valid")
+}
+
 fn labels(label: &str, quantile: Option<&str>) -> Labels {
     let mut labels = vec![("of".to_string(), label.to_string())];
     labels.extend(quantile.map(|q| ("quantile".to_string(), q.to_string())));
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -3,6 +3,7 @@
 use myrtle_job::{Incarnation, JobId, Key, RunEnd, State, TaskId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use crate::account::report::JobReport;
 use crate::jobs::balance::CellLoad;
 use crate::jobs::early_cancel::EarlyCancel;
 use crate::placing::mean_work::MeanWork;
@@ -98,6 +99,8 @@
     pub(crate) dirty: BTreeSet<JobId>,
     /// Received ends that are not in the log yet, in the order of their receipt.
     pub(crate) unlogged: Vec<RunEnd>,
+    /// Reports of jobs whose ends the log holds, until they are taken.
+    pub(crate) reports: Vec<JobReport>,
     /// Orders that need no record.
     pub(crate) orders: Vec<Order>,
     /// Jobs with repetitions still to begin.
@@ -145,6 +148,7 @@
             open: BTreeSet::new(),
             dirty: BTreeSet::new(),
             unlogged: Vec::new(),
+            reports: Vec::new(),
             orders: Vec::new(),
             repeating: BTreeSet::new(),
             waves: BTreeMap::new(),
--- a/crates/owner/src/disruption/throttle.rs
+++ b/crates/owner/src/disruption/throttle.rs
@@ -183,7 +183,7 @@
         else {
             return;
         };
-        let from = std::mem::replace(&mut active.speed_limit, percent);
+        let from = active.limit(percent, now);
         // Most changes are small and frequent.
         let level = if percent == 0 || from == 0 { Level::Info } else { Level::Debug };
         log!(
--- a/crates/owner/src/jobs/admit.rs
+++ b/crates/owner/src/jobs/admit.rs
@@ -4,6 +4,8 @@
 
 use myrtle_job::{JobId, Key, Progress, Round, State, Submission};
 
+use crate::account::job::JobAccount;
+use crate::account::phase::Phase;
 use crate::jobs::offer::Offer;
 use crate::{ActiveRun, Cell, Job, Stage, Worker};
 
@@ -42,7 +44,9 @@
         } else {
             self.repeating.insert(id);
         }
-        self.jobs.insert(id, Job::new(submission, progress, arrived_at));
+        let before = if self.loaded { Phase::Accept } else { Phase::Earlier };
+        let account = JobAccount::new(arrived_at, before, now);
+        self.jobs.insert(id, Job { account, ..Job::new(submission, progress, arrived_at) });
         self.open.insert(id);
         if self.early_cancels.remove(&id).is_some() {
             info!(
--- a/crates/owner/src/jobs/ends.rs
+++ b/crates/owner/src/jobs/ends.rs
@@ -5,6 +5,7 @@
 use myrtle_job::{EndReason, EndedRun, Incarnation, JobId, RunEnd, State, TaskId};
 
 use crate::Cell;
+use crate::account::phase::Phase;
 
 /// The delay before a failed task is started again, in milliseconds: short, as it goes to another
 /// worker.
@@ -36,7 +37,11 @@
         worker.received_ends = ended.seq;
         let EndedRun { task, run, reason, .. } = ended;
         let active = worker.remove_run(task, run, now);
-        let took = active.map_or(0, |f| now.saturating_sub(f.since));
+        let took = active.as_ref().map_or(0, |f| now.saturating_sub(f.since));
+        let throttled = active.map_or(0, |f| f.throttled_for(now));
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.account.throttled(task, throttled);
+        }
         // Successful ends are logged by step, so that the volume stays bounded.
         let level = if reason == EndReason::Done { Level::Debug } else { Level::Info };
         log!(
@@ -98,7 +103,7 @@
         let Some(record) = job.progress.task_mut(task) else {
             return false;
         };
-        record.remove_run(run);
+        let was_active = record.remove_run(run);
         if !checkpoint.is_empty() {
             record.checkpoint = checkpoint;
         }
@@ -109,7 +114,10 @@
             job.down_since.insert(task, now);
         }
         match reason {
-            EndReason::Done if !long_running => record.done = true,
+            EndReason::Done if !long_running => {
+                record.done = true;
+                job.account.done(&job.submission.spec, task, now);
+            }
             EndReason::Failed => {
                 record.add_failure(run);
                 job.retry_at.insert(task, now + RETRY_DELAY);
@@ -117,6 +125,9 @@
             }
             _ => {}
         }
+        if was_active {
+            job.count_loss(task, run, Phase::of_end(reason), now);
+        }
         !job.progress.state.over()
     }
 
@@ -146,6 +157,7 @@
         }
         if round.done() {
             job.progress.rounds.remove(&task.round);
+            job.account.end_round(task.round);
         }
         for (id, run) in copies {
             self.stop_run(&run.worker, id, run.number, now);
@@ -160,12 +172,6 @@
         if !job.progress.rounds.is_empty() || job.progress.next_round < rounds {
             return;
         }
-        let took = now.saturating_sub(job.arrived_at);
-        info!(
-            "event=job-done job={id} took_ms={took} objective_ms={} late={}",
-            job.objective(),
-            took > job.objective()
-        );
         self.finish(id, State::Completed, now, wall);
     }
 
@@ -187,9 +193,8 @@
         let failures = if gang { step.failed_runs.len() } else { of_task.len() };
         info!("event=run-failed task={task} fails={failures} attempts={attempts}");
         if failures >= attempts as usize {
-            let job = task.job;
-            warn!("event=job-failed job={job} task={task} fails={failures}");
-            self.finish(job, State::Failed, now, wall);
+            self.log_failure(task, &format!("fails={failures}"), now);
+            self.finish(task.job, State::Failed, now, wall);
             return false;
         }
         gang
--- a/crates/owner/src/jobs/job.rs
+++ b/crates/owner/src/jobs/job.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::account::job::JobAccount;
+use crate::account::phase::Phase;
+use crate::account::spans::Spans;
 use myrtle_job::{Incarnation, JobId, Progress, Run, State, StepSpec, Submission, Task, TaskId};
 
 /// An accepted job.
@@ -33,6 +36,10 @@
     pub avoided: BTreeMap<TaskId, Vec<Incarnation>>,
     /// The policy service's answers, by repetition and step.
     pub tickets: BTreeMap<(u32, u16), StepTickets>,
+    /// Where its time went.
+    pub(crate) account: JobAccount,
+    /// The same for the task because of which it failed.
+    pub(crate) failed_chain: Option<Spans>,
 }
 
 /// The policy service's answers for a step.
@@ -65,6 +72,8 @@
             down_since: BTreeMap::new(),
             avoided: BTreeMap::new(),
             tickets: BTreeMap::new(),
+            account: JobAccount::new(arrived_at, Phase::Accept, arrived_at),
+            failed_chain: None,
         }
     }
 
--- a/crates/owner/src/jobs/termination.rs
+++ b/crates/owner/src/jobs/termination.rs
@@ -4,6 +4,7 @@
 
 use myrtle_job::{Incarnation, JobId, State, TaskId};
 
+use crate::account::phase::Phase;
 use crate::workers::crash::Cause;
 use crate::{Cell, Order, Presence, Stage};
 
@@ -60,7 +61,7 @@
             Stage::Stopping | Stage::Stopped => {}
             Stage::Written => {
                 worker.active_runs.remove(&task);
-                self.remove_run(task, run);
+                self.remove_run(task, run, Phase::Stopped, now);
             }
             _ => {
                 active.enter(Stage::Stopping, now);
@@ -69,12 +70,14 @@
         }
     }
 
-    /// Removes a run from its task's record, so that the task can be started again.
-    pub(crate) fn remove_run(&mut self, task: TaskId, run: u32) {
+    /// Removes a run from its task's record, so that the task can be started again; its time counts
+    /// as `cause`.
+    pub(crate) fn remove_run(&mut self, task: TaskId, run: u32, cause: Phase, now: u64) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         if job.progress.task_mut(task).is_some_and(|t| t.remove_run(run)) {
+            job.count_loss(task, run, cause, now);
             self.dirty.insert(task.job);
             if !job.progress.state.over() {
                 self.open.insert(task.job);
@@ -125,7 +128,7 @@
             );
             // The record may already name the worker's next incarnation.
             if self.has_run(incarnation, task, active.run) {
-                self.remove_run(task, active.run);
+                self.remove_run(task, active.run, Phase::Lost, now);
                 if let Some(down_since) = down_since.filter(|_| active.started_at.is_some()) {
                     self.note_down(task, down_since);
                 }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -4,6 +4,7 @@
 //! Without I/O and clock: times are passed as milliseconds of the host's steady clock (`now`) and,
 //! where clients give times of day, since 1970 (`wall`).
 
+mod account;
 mod cell;
 mod disruption;
 mod jobs;
@@ -13,6 +14,9 @@
 mod summary;
 mod workers;
 
+pub use account::phase::Phase;
+pub use account::report::{JobReport, Verdict};
+pub use account::spans::Spans;
 pub use cell::{Cell, Counts};
 pub use disruption::interference::{InterferenceModel, pressure};
 pub use disruption::load_cycle::LoadCycles;
--- a/crates/owner/src/orders/active_run.rs
+++ b/crates/owner/src/orders/active_run.rs
@@ -68,6 +68,10 @@
     pub figure: f64,
     /// The speed limit that it was last given, in percent.
     pub speed_limit: u32,
+    /// When that limit was set.
+    pub(crate) limited_at: u64,
+    /// The time that earlier limits took from it, in milliseconds.
+    pub(crate) throttled: f64,
     /// Whether the worker has not confirmed that limit.
     pub unconfirmed: bool,
     /// Since when its tail latency has exceeded its target.
@@ -102,6 +106,8 @@
             changed_at: now,
             figure: 0.0,
             speed_limit: 100,
+            limited_at: now,
+            throttled: 0.0,
             unconfirmed: false,
             over_since: None,
             pressure: None,
@@ -138,6 +144,23 @@
         changed
     }
 
+    /// Sets another speed limit, in percent; returns the one before.
+    pub(crate) fn limit(&mut self, percent: u32, now: u64) -> u32 {
+        self.throttled = self.throttled_until(now);
+        self.limited_at = now;
+        std::mem::replace(&mut self.speed_limit, percent)
+    }
+
+    /// The time that speed limits have taken from it, in milliseconds.
+    pub(crate) fn throttled_for(&self, now: u64) -> u64 {
+        self.throttled_until(now) as u64
+    }
+
+    fn throttled_until(&self, now: u64) -> f64 {
+        let share = f64::from(100 - self.speed_limit.min(100)) / 100.0;
+        self.throttled + share * now.saturating_sub(self.limited_at) as f64
+    }
+
     /// The processors that a filler uses at full speed, in thousandths of a core.
     pub(crate) fn demand(&self) -> f64 {
         if self.peak > 0.0 { self.peak } else { f64::from(self.cpu) }
--- a/crates/owner/src/orders/commit.rs
+++ b/crates/owner/src/orders/commit.rs
@@ -2,6 +2,7 @@
 
 use myrtle_job::{Incarnation, JobId, Key, State, TaskId, encode_compressed};
 
+use crate::account::phase::Phase;
 use crate::{Cell, Order, Stage, WorkerRecord};
 
 /// One append to the log and what waits for it.
@@ -77,9 +78,7 @@
             }
         }
         for (id, state) in batch.logged_states {
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.logged_state = state;
-            }
+            self.state_logged(id, state, now);
         }
         self.to_deliver.extend(batch.to_deliver);
         let starts = batch.starts.into_iter();
@@ -88,6 +87,17 @@
             .collect()
     }
 
+    /// Shows clients a job's state from now on.
+    fn state_logged(&mut self, id: JobId, state: State, now: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let before = std::mem::replace(&mut job.logged_state, state);
+        if state.over() && !before.over() {
+            self.report_end(id, now);
+        }
+    }
+
     /// The order that starts a run, if the run is still wanted.
     pub(crate) fn start(
         &mut self,
@@ -106,7 +116,8 @@
         }
         let active = self.workers.get_mut(incarnation)?.active_runs.get_mut(&task)?;
         active.enter(Stage::Sent, now);
-        let job = self.jobs.get(&task.job)?;
+        let job = self.jobs.get_mut(&task.job)?;
+        job.account.enter(task, run, Phase::Start, now);
         let saved = job.progress.task(task)?.checkpoint.clone();
         let ticket = job.ticket(task, incarnation, now);
         self.counts.starts += 1;
--- a/crates/owner/src/orders/replies.rs
+++ b/crates/owner/src/orders/replies.rs
@@ -4,6 +4,7 @@
 
 use myrtle_job::{Incarnation, OrderReply, TaskId};
 
+use crate::account::phase::Phase;
 use crate::{Cell, Order, Outcome, Presence, Stage};
 
 /// The pause before an order without reply is sent again, in milliseconds: longer than most replies
@@ -137,7 +138,7 @@
         {
             active.enter(Stage::Running, now);
             active.started_at = active.started_at.or(Some(now));
-            self.mark_started(task);
+            self.mark_started(task, run, now);
         }
     }
 
@@ -176,7 +177,7 @@
                 return self.stop_run(incarnation, task, run, now);
             }
             worker.active_runs.remove(&task);
-            self.remove_run(task, run);
+            self.remove_run(task, run, Phase::Refused, now);
             if let Some(job) = self.jobs.get_mut(&task.job) {
                 job.retry_at.insert(task, now + REFUSED_PAUSE);
             }
--- a/crates/owner/src/placing/logging.rs
+++ b/crates/owner/src/placing/logging.rs
@@ -4,21 +4,29 @@
 
 use myrtle_job::{JobId, TaskId};
 
+use crate::account::phase::Phase;
 use crate::{Cell, Job};
 
 impl Cell {
-    /// Records that a task has found no worker; logs the reason the first time.
+    /// Records that a task has found no worker, and why; logs it if nothing of the job waited.
     pub(crate) fn note_waiting(&mut self, task: TaskId, now: u64) {
-        let Some(job) = self.jobs.get(&task.job).filter(|j| j.waiting_since.is_none()) else {
+        let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
-        let reason = self.wait_reason(job, task, now);
-        info!(
-            "event=waits task={task} reason=\"{reason}\" age_ms={}",
-            now.saturating_sub(job.arrived_at)
-        );
+        let first = job.waiting_since.is_none();
+        if !first && job.account.is_blocked(task) {
+            return;
+        }
+        let (phase, reason) = self.wait_reason(job, task, now);
+        if first {
+            info!(
+                "event=waits task={task} reason=\"{reason}\" age_ms={}",
+                now.saturating_sub(job.arrived_at)
+            );
+        }
         if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.waiting_since = Some(now);
+            job.waiting_since.get_or_insert(now);
+            job.account.block(task, phase, now);
         }
     }
 
@@ -31,7 +39,7 @@
     }
 
     /// The reason why no worker takes a task now.
-    fn wait_reason(&self, job: &Job, task: TaskId, now: u64) -> &'static str {
+    fn wait_reason(&self, job: &Job, task: TaskId, now: u64) -> (Phase, &'static str) {
         let spec = job.step(task.step);
         let open = || self.workers.values().filter(|w| w.accepts_work(now));
         let able = || {
@@ -39,28 +47,31 @@
             open.filter(|(_, w)| self.has_room(w, job, spec, task))
         };
         if self.all_evacuated() {
-            return "every data centre of the cell is being evacuated";
+            return (Phase::NoWorker, "every data centre of the cell is being evacuated");
         }
         if open().next().is_none() {
-            return "no worker accepts new work";
+            return (Phase::NoWorker, "no worker accepts new work");
         }
         if able().next().is_none() {
-            return "no worker with its labels has room";
+            return (Phase::NoRoom, "no worker with its labels has room");
         }
         if able().all(|(incarnation, w)| !self.pass.reservations.fits_beside(incarnation, w, spec))
         {
-            return "free room is reserved for tasks that ran before";
+            return (Phase::SetAside, "free room is reserved for tasks that ran before");
         }
         if able().all(|(_, w)| self.quarantined(w, task, false, 0, now)) {
-            return "a task that may have crashed a worker has just begun wherever there is room";
+            return (
+                Phase::Isolation,
+                "a task that may have crashed a worker has just begun wherever there is room",
+            );
         }
         if job.submission.policy.ticket_times.is_some() {
-            return "no worker with room has a ticket";
+            return (Phase::Ticket, "no worker with room has a ticket");
         }
         if spec.filler {
-            "it would slow serving tasks wherever there is room"
+            (Phase::Interference, "it would slow serving tasks wherever there is room")
         } else {
-            "free room is left to short tasks"
+            (Phase::SetAside, "free room is left to short tasks")
         }
     }
 
--- a/crates/owner/src/placing/place.rs
+++ b/crates/owner/src/placing/place.rs
@@ -4,6 +4,7 @@
 
 use myrtle_job::{Incarnation, JobId, Run, TaskId};
 
+use crate::account::phase::Phase;
 use crate::{ActiveRun, Cell, Stage};
 
 impl Cell {
@@ -50,6 +51,7 @@
         self.log_placed(first, placed, wanted, now);
         if let Some(job) = self.jobs.get_mut(&id).filter(|_| !left) {
             job.waiting_since = None;
+            job.account.unblock(first);
         }
         left
     }
@@ -93,7 +95,7 @@
             let spec = job.step(step);
             let Some(incarnation) = self.best_worker(job, spec, task, now) else {
                 for &placed in &members[..at] {
-                    self.unassign(placed, number);
+                    self.unassign(placed, number, now);
                 }
                 self.pass.unplaced.insert(members[0]);
                 self.ask(task, now);
@@ -105,6 +107,7 @@
         self.log_placed(members[0], members.len(), members.len(), now);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.waiting_since = None;
+            job.account.unblock(members[0]);
         }
         for &task in &members {
             if let Some(t) = self.jobs.get_mut(&id).and_then(|j| j.progress.task_mut(task)) {
@@ -130,6 +133,7 @@
         job.retry_at.remove(&task);
         if !spec.long_running {
             job.waiting_since = None;
+            job.account.assigned(&job.submission.spec, task, run, now);
         }
         self.dirty.insert(task.job);
         if let Some(worker) = self.workers.get_mut(incarnation) {
@@ -148,9 +152,12 @@
     }
 
     /// Withdraws an assigned run.
-    fn unassign(&mut self, task: TaskId, number: u32) {
-        let Some(record) = self.jobs.get_mut(&task.job).and_then(|j| j.progress.task_mut(task))
-        else {
+    fn unassign(&mut self, task: TaskId, number: u32, now: u64) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.count_loss(task, number, Phase::Queue, now);
+        let Some(record) = job.progress.task_mut(task) else {
             return;
         };
         let runs: Vec<_> = record.active.iter().filter(|r| r.number == number).cloned().collect();
--- a/crates/owner/src/placing/plan.rs
+++ b/crates/owner/src/placing/plan.rs
@@ -36,7 +36,7 @@
 
 impl Cell {
     /// Begins repetitions that are due at time of day `wall`.
-    pub fn begin_rounds(&mut self, wall: u64) {
+    pub fn begin_rounds(&mut self, now: u64, wall: u64) {
         for id in self.repeating.clone() {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
@@ -49,6 +49,7 @@
                 && wall >= repeat.due(job.progress.next_round)
             {
                 job.progress.rounds.insert(job.progress.next_round, Round::fresh(spec));
+                job.account.begin_round(job.progress.next_round, now);
                 job.progress.next_round += 1;
                 self.open.insert(id);
                 self.dirty.insert(id);
--- a/crates/owner/src/workers/crash.rs
+++ b/crates/owner/src/workers/crash.rs
@@ -191,10 +191,8 @@
                 self.return_task(task);
                 continue;
             }
-            warn!(
-                "event=job-failed job={} task={task} crashes={losses} doubts={suspect_losses}",
-                task.job
-            );
+            let reason = format!("crashes={losses} doubts={suspect_losses}");
+            self.log_failure(task, &reason, now);
             self.counts.given_up += 1;
             self.finish(task.job, State::Failed, now, wall);
         }
--- a/crates/owner/src/workers/renewal.rs
+++ b/crates/owner/src/workers/renewal.rs
@@ -4,6 +4,7 @@
 
 use myrtle_job::{Incarnation, OrderReply, Replacement, Running, State, TaskId, WorkerRuns};
 
+use crate::account::phase::Phase;
 use crate::{Cell, Order, Presence, Stage};
 
 /// The most ends that a worker reports in one reply; set by the platform.
@@ -125,16 +126,17 @@
             // An earlier owner ended the job and may not have stopped its runs.
             return self.stop_run(incarnation, *task, *run, now);
         }
-        self.mark_started(*task);
+        self.mark_started(*task, *run, now);
         self.trust(incarnation, *task, now);
     }
 
     /// Marks a task of a job as started.
-    pub(crate) fn mark_started(&mut self, task: TaskId) {
+    pub(crate) fn mark_started(&mut self, task: TaskId, run: u32, now: u64) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         job.down_since.remove(&task);
+        job.account.enter(task, run, Phase::Run, now);
         if job.progress.state == State::Queued {
             job.progress.state = State::Running;
             self.dirty.insert(task.job);
@@ -172,7 +174,7 @@
             if let Some(worker) = self.workers.get_mut(incarnation) {
                 worker.active_runs.remove(&task);
             }
-            self.remove_run(task, run);
+            self.remove_run(task, run, Phase::Lost, now);
         }
     }
 }
--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -46,7 +46,7 @@
             cell.throttle_all(now);
             cell.find_late_runs(now);
             cell.give_up(now, now);
-            cell.begin_rounds(now);
+            cell.begin_rounds(now, now);
             let again = cell.resend(now);
             self.send_all(at, again);
         }
--- a/crates/owner/tests/mutated.rs
+++ b/crates/owner/tests/mutated.rs
@@ -71,7 +71,7 @@
         cell.expire(now);
         cell.drain_leaving(now);
         cell.give_up(now, now);
-        cell.begin_rounds(now);
+        cell.begin_rounds(now, now);
         while cell.plan(now) {}
         let batch = cell.batch();
         cell.committed(batch, now);
