Room that is short: short tasks keep a fair share, long-running ones give way within budgets

Ruled out: ranks (short tasks are found waiting with no room at all, not behind others); fragments alone (whole workers were taken). Change: crates/owner/src/room: fair share, room kept while in use, tasks that give way.

--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -11,6 +11,7 @@
 use crate::placing::pass::Pass;
 use crate::placing::short_share::ShortShare;
 use crate::placing::unplaceable::Unplaceable;
+use crate::room::press::RoomPress;
 use crate::workers::crash::Silence;
 use crate::workers::wave::WaveState;
 use crate::{InterferenceModel, Job, LoadCycles, Order, Question, TimeLimits, Worker};
@@ -28,6 +29,8 @@
     pub failed: u64,
     /// Runs that were stopped to continue on another worker.
     pub moved: u64,
+    /// Long-running tasks that were stopped for short ones.
+    pub gave_way: u64,
     /// Runs that were lost with their workers or leases.
     pub lost: u64,
     /// Speed limits that were set.
@@ -80,6 +83,8 @@
     pub(crate) unplaceable: Vec<Unplaceable>,
     /// Progress of the pass over the waiting tasks.
     pub(crate) pass: Pass,
+    /// Who needs the cell's room.
+    pub(crate) room_press: RoomPress,
     /// The room that long-running tasks leave to short ones.
     pub(crate) short_share: ShortShare,
     /// The mean work of the jobs of each queue.
@@ -140,6 +145,7 @@
             given_up_tasks: BTreeSet::new(),
             unplaceable: Vec::new(),
             pass: Pass::default(),
+            room_press: RoomPress::default(),
             short_share: ShortShare::new(now),
             mean_work: MeanWork::default(),
             unreadable_at: now,
--- a/crates/owner/src/jobs/balance.rs
+++ b/crates/owner/src/jobs/balance.rs
@@ -51,8 +51,16 @@
 impl Cell {
     /// The load of long-running tasks on the cell, and its free room.
     pub fn load(&self, now: u64) -> Load {
-        let (free, restart_free) = (self.free(|_, _| true, now), self.free(Job::resumes, now));
-        let soon_free = self.free_on(|worker| worker.free_soon(now), Job::resumes, now);
+        let press = &self.room_press;
+        // What tasks that ran before may have elsewhere is what they may have here.
+        let (kept_new, kept) = (press.kept_for(u64::MAX, now), press.kept_for(0, now));
+        let free = self.free_on(|w| w.free_for_long(kept_new, now), |_, _| true, now);
+        let restart_free = self.free_on(|w| w.free_for_long(kept, now), Job::resumes, now);
+        let soon = |w: &Worker| match press.keeps() {
+            true => w.free_for_long(kept, now),
+            false => w.free_soon(now),
+        };
+        let soon_free = self.free_on(soon, Job::resumes, now);
         Load { free, restart_free, soon_free, ..self.offered_load(now) }
     }
 
@@ -80,13 +88,8 @@
         Load { claimed, capacity: size, ..Load::default() }
     }
 
-    /// The largest free rooms on workers, less the claims of the tasks waiting here that come
-    /// `first`: otherwise each report would offer that room again.
-    fn free(&self, first: impl Fn(&Job, TaskId) -> bool, now: u64) -> Vec<FreeRoom> {
-        self.free_on(Worker::free, first, now)
-    }
-
-    /// The same for the free room that `room` gives for a worker.
+    /// The largest free rooms on workers, as `room` gives them, less the claims of the tasks waiting
+    /// here that come `first`: otherwise each report would offer that room again.
     fn free_on(
         &self,
         room: impl Fn(&Worker) -> Room,
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod orders;
 mod placing;
+mod room;
 mod summary;
 mod workers;
 
--- a/crates/owner/src/placing/plan.rs
+++ b/crates/owner/src/placing/plan.rs
@@ -68,6 +68,7 @@
         }
         self.forecast_loads(now);
         self.review_health(now);
+        self.review_room(now);
         if self.pass.considered.is_empty() {
             self.unplaceable.clear();
         }
@@ -94,6 +95,7 @@
             }
         }
         self.pass.end();
+        self.give_way(now);
         false
     }
 
--- a/crates/owner/src/placing/reservation.rs
+++ b/crates/owner/src/placing/reservation.rs
@@ -68,6 +68,10 @@
 impl Cell {
     /// Reserves room for the tasks of a job that ran before and found no worker.
     pub(crate) fn reserve_room(&mut self, id: JobId, now: u64) {
+        // What short tasks keep is theirs when they end, too.
+        if self.room_press.keeps() {
+            return;
+        }
         let Some(job) = self.jobs.get(&id).filter(|j| j.waiting_since.is_some()) else {
             return;
         };
