--- a/crates/owner/src/room/press.rs
+++ b/crates/owner/src/room/press.rs
@@ -186,6 +186,7 @@
             worker: incarnation.clone(),
             claim: active.claim.cpu,
             free: worker.free().cpu,
+            fillers: worker.filler_demand() as u32,
         });
         candidates.collect()
     }
