Short jobs go to cells that start them far sooner

Change: owner/src/jobs/spread.rs; cells report what waits and how fast it starts (cell_report, on a connection of its own: earlier builds close one on which it is asked).

--- a/crates/front/src/balance.rs
+++ b/crates/front/src/balance.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use myrtle_adapter::frame_keyed;
-use myrtle_job::{Key, Load};
+use myrtle_job::Key;
 use myrtle_owner::Delivery;
 use myrtle_peer::{FrontPeerClient, JobReport};
 
@@ -47,10 +47,8 @@
     while !owned.closed() {
         let first = rand::random_range(0..count);
         for cell in (0..count.min(MAX_ASKED + 1)).map(|n| (first + n) % count) {
-            if cell != owned.cell
-                && let Some(load) = load_of(&host, cell).await
-            {
-                owned.state().record_load(cell, load, now());
+            if cell != owned.cell {
+                ask_cell(&host, &owned, cell).await;
             }
         }
         rounds = rounds.wrapping_add(1);
@@ -61,13 +59,25 @@
     }
 }
 
-/// The load of a cell; nothing if its owner does not answer.
-async fn load_of(host: &Host, cell: u32) -> Option<Load> {
-    if let Some(load) = peers::load(host, cell) {
-        return Some(load);
+/// Asks a cell for its report or, if its owner is of an earlier build, for its load.
+async fn ask_cell(host: &Host, owned: &Owned, cell: u32) {
+    if let Some(report) = peers::cell_report(host, cell) {
+        return owned.state().record_report(cell, report, now());
+    }
+    let Some(at) = host.owners.find(host, cell).await.filter(|at| *at != host.peer()) else {
+        return;
+    };
+    let ask = |c: FrontPeerClient, context| async move { c.cell_report(context, cell).await };
+    if let Some(answer) = host.owners.call_newer(at, ASK_LIMIT, ask).await {
+        if let Some(report) = answer {
+            owned.state().record_report(cell, report, now());
+        }
+        return;
+    }
+    let ask = |c: FrontPeerClient, context| async move { c.load(context, cell).await };
+    if let Some(Some(load)) = host.owners.call(at, ASK_LIMIT, ask).await {
+        owned.state().record_load(cell, load, now());
     }
-    let at = host.owners.find(host, cell).await.filter(|at| *at != host.peer())?;
-    host.owners.call(at, ASK_LIMIT, |c, context| async move { c.load(context, cell).await }).await?
 }
 
 /// Forgets moved jobs that their new cells no longer have.
--- a/crates/front/src/ownership/owners.rs
+++ b/crates/front/src/ownership/owners.rs
@@ -24,6 +24,9 @@
 /// How long an unreachable owner is not called again, in milliseconds, unless the store or the directory names it anew.
 const RETRY_AFTER: u64 = 1_000;
 
+/// How long a peer that did not answer a call that earlier builds don't know is not asked again, in milliseconds.
+const NEWER_RETRY: u64 = 5_000;
+
 /// A cached owner.
 #[derive(Debug, Clone, Copy)]
 struct Owner {
@@ -38,6 +41,17 @@
     known: Mutex<HashMap<u32, Owner>>,
     asked: Mutex<HashMap<u32, u64>>,
     links: Mutex<HashMap<SocketAddr, Arc<Link<FrontPeerClient>>>>,
+    /// Connections for calls that earlier builds don't know: such a host closes the connection, and with it all
+    /// calls that are in progress there.
+    newer: Mutex<HashMap<SocketAddr, Newer>>,
+}
+
+/// The connection to a peer for calls that earlier builds don't know.
+#[derive(Debug)]
+struct Newer {
+    link: Arc<Link<FrontPeerClient>>,
+    /// When the peer may be called again, in milliseconds of the steady clock.
+    retry_at: u64,
 }
 
 impl Owners {
@@ -111,6 +125,33 @@
         self.link(at).call(limit, call).await
     }
 
+    /// Makes a call that earlier builds don't know; returns nothing if the peer did not answer in time, now or a moment
+    /// ago.
+    pub async fn call_newer<T, F, R>(&self, at: SocketAddr, limit: Duration, call: F) -> Option<T>
+    where
+        F: FnOnce(FrontPeerClient, Context) -> R,
+        R: Future<Output = Result<T, RpcError>>,
+    {
+        let link = {
+            let mut newer = self.newer.lock().expect("no holder panics");
+            let newer = newer
+                .entry(at)
+                .or_insert_with(|| Newer { link: Arc::new(Link::new(at)), retry_at: 0 });
+            if now() < newer.retry_at {
+                return None;
+            }
+            newer.link.clone()
+        };
+        let answer = link.call(limit, call).await;
+        if answer.is_none() {
+            let mut newer = self.newer.lock().expect("no holder panics");
+            if let Some(newer) = newer.get_mut(&at) {
+                newer.retry_at = now() + NEWER_RETRY;
+            }
+        }
+        answer
+    }
+
     fn link(&self, at: SocketAddr) -> Arc<Link<FrontPeerClient>> {
         let mut links = self.links.lock().expect("no holder panics");
         links.entry(at).or_insert_with(|| Arc::new(Link::new(at))).clone()
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -7,7 +7,7 @@
 use tarpc::context::Context;
 use tokio::time::{sleep, timeout};
 
-use myrtle_job::{JobId, Load, RunEnd};
+use myrtle_job::{CellReport, JobId, Load, RunEnd};
 use myrtle_peer::{Forwarded, FrontPeer, JobReport};
 
 use crate::clock::{now, wall};
@@ -70,6 +70,10 @@
         handoff::receive(&self.0, cell, fence, &ends)
     }
 
+    async fn cell_report(self, _: Context, cell: u32) -> Option<CellReport> {
+        cell_report(&self.0, cell)
+    }
+
     async fn explain(self, _: Context, cell: u32, job: JobId) -> Vec<String> {
         self.0.owned(cell).map_or_else(Vec::new, |o| o.state().explain(job, now()))
     }
@@ -116,6 +120,13 @@
     state.loaded.then(|| state.load(now()))
 }
 
+/// What a cell reports to others, if this host owns it.
+pub fn cell_report(host: &Host, cell: u32) -> Option<CellReport> {
+    let owned = host.owned(cell).filter(|o| !o.closed())?;
+    let state = owned.state();
+    state.loaded.then(|| state.report(now()))
+}
+
 /// Cancels a job, if this host owns the cell; returns once the log holds that.
 pub async fn cancel(host: &Host, cell: u32, job: JobId) -> JobReport {
     let Some(owned) = host.owned(cell).filter(|o| !o.closed()) else {
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -7,6 +7,7 @@
 use crate::health::book::HealthBook;
 use crate::jobs::balance::CellLoad;
 use crate::jobs::early_cancel::EarlyCancel;
+use crate::jobs::spread::OwnQueues;
 use crate::placing::mean_work::MeanWork;
 use crate::placing::pass::Pass;
 use crate::placing::short_share::ShortShare;
@@ -29,6 +30,8 @@
     pub failed: u64,
     /// Runs that were stopped to continue on another worker.
     pub moved: u64,
+    /// Short jobs that were transferred to cells that start them sooner.
+    pub spread: u64,
     /// Long-running tasks that were stopped for short ones.
     pub gave_way: u64,
     /// Runs that were lost with their workers or leases.
@@ -83,6 +86,8 @@
     pub(crate) unplaceable: Vec<Unplaceable>,
     /// Progress of the pass over the waiting tasks.
     pub(crate) pass: Pass,
+    /// The queues of short tasks and of fillers.
+    pub(crate) queues: OwnQueues,
     /// Who needs the cell's room.
     pub(crate) room_press: RoomPress,
     /// The room that long-running tasks leave to short ones.
@@ -145,6 +150,7 @@
             given_up_tasks: BTreeSet::new(),
             unplaceable: Vec::new(),
             pass: Pass::default(),
+            queues: OwnQueues::default(),
             room_press: RoomPress::default(),
             short_share: ShortShare::new(now),
             mean_work: MeanWork::default(),
--- a/crates/owner/src/jobs/balance.rs
+++ b/crates/owner/src/jobs/balance.rs
@@ -12,8 +12,9 @@
 use log::info;
 
 use myrtle_base::Room;
-use myrtle_job::{FreeRoom, JobId, JobTransfer, Load, TaskId};
+use myrtle_job::{CellReport, FreeRoom, JobId, JobTransfer, Load, TaskId};
 
+use crate::jobs::spread::Queues;
 use crate::jobs::transfer::waiting;
 use crate::{Cell, Job, Presence, Worker};
 
@@ -33,6 +34,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct CellLoad {
     pub(crate) load: Load,
+    /// The queues of short tasks and of fillers, if the owner reports them.
+    pub(crate) queues: Option<Queues>,
     at: u64,
 }
 
@@ -119,7 +122,20 @@
 
     /// Records the load that another cell reported.
     pub fn record_load(&mut self, cell: u32, load: Load, now: u64) {
-        self.cell_loads.insert(cell, CellLoad { load, at: now });
+        self.cell_loads.insert(cell, CellLoad { load, queues: None, at: now });
+    }
+
+    /// Records what another cell reported.
+    pub fn record_report(&mut self, cell: u32, report: CellReport, now: u64) {
+        let CellReport { load, short, fillers } = report;
+        let queues = Some(Queues { short, fillers });
+        self.cell_loads.insert(cell, CellLoad { load, queues, at: now });
+    }
+
+    /// What this cell reports to others.
+    pub fn report(&self, now: u64) -> CellReport {
+        let Queues { short, fillers } = self.queues.report(now);
+        CellReport { load: self.load(now), short, fillers }
     }
 
     /// Records the home cell of a job.
@@ -132,6 +148,9 @@
     /// Whether a job need not be placed here now: it is transferred to a cell with clearly more
     /// room, or the loads of other cells are not known yet.
     pub(crate) fn defer_job(&mut self, id: JobId, now: u64) -> bool {
+        if self.spread_job(id, now) {
+            return true;
+        }
         let here = |j: &&Job| !self.only_cell && j.home == Some(self.number);
         let Some(job) = self.jobs.get(&id).filter(here).filter(|j| never_started(j)) else {
             return false;
@@ -157,7 +176,7 @@
     }
 
     /// Transfers a job to another cell.
-    fn transfer(&mut self, id: JobId, to: u32, demand: f64) {
+    pub(crate) fn transfer(&mut self, id: JobId, to: u32, demand: f64) {
         info!("event=job-handed-on job={id} to={to}");
         if let Some(report) = self.cell_loads.get_mut(&to) {
             report.load.claimed += demand;
--- a/crates/owner/src/placing/place.rs
+++ b/crates/owner/src/placing/place.rs
@@ -135,6 +135,7 @@
         if !spec.long_running {
             job.waiting_since = None;
             job.account.assigned(&job.submission.spec, task, run, now);
+            self.queues.count_start(spec.filler, spec.work(), now);
         }
         self.dirty.insert(task.job);
         if let Some(worker) = self.workers.get_mut(incarnation) {
--- a/crates/owner/src/room/press.rs
+++ b/crates/owner/src/room/press.rs
@@ -115,6 +115,7 @@
             return;
         }
         self.room_press.reviewed_at = now;
+        self.review_queues(now);
         if now >= self.room_press.long_running.1 + SUM_EVERY {
             self.room_press.long_running = (self.total_load().claimed, now);
         }
@@ -225,7 +226,7 @@
 
 impl Job {
     /// Whether the job can still be done within the time in which it earns something.
-    fn may_earn(&self, now: u64) -> bool {
+    pub(crate) fn may_earn(&self, now: u64) -> bool {
         let latest = self.arrived_at + self.objective().saturating_mul(3);
         now + self.time_left() <= latest
     }
--- a/crates/owner/src/summary.rs
+++ b/crates/owner/src/summary.rs
@@ -10,7 +10,7 @@
     "jobs={jobs} open={open} waiting={waiting} workers={workers} silent={silent} serving={serving} \
      fillers={fillers} slowed={throttled} others={others} over={over_target} cores={cores:.0} \
      spare={spare:.0} filled={filled:.0} claimed={claimed:.2} \
-     given_up={given_up} emptied={evacuated} short={short:.0} short_share={short_share:.0} gave_way={gave_way}"
+     given_up={given_up} emptied={evacuated} short={short:.0} short_share={short_share:.0} gave_way={gave_way} spread={spread}"
 )]
 pub struct CellSummary {
     /// Jobs that are not over.
@@ -49,6 +49,8 @@
     pub short: f64,
     /// The fair share of short tasks, in cores.
     pub short_share: f64,
+    /// Short jobs that this owner has transferred to other cells.
+    pub spread: u64,
     /// Long-running tasks that this owner has stopped for short ones.
     pub gave_way: u64,
 }
@@ -61,6 +63,7 @@
             open: self.open.len(),
             given_up: self.counts.given_up,
             gave_way: self.counts.gave_way,
+            spread: self.counts.spread,
             short,
             short_share,
             ..CellSummary::default()
--- a/crates/peer/src/front.rs
+++ b/crates/peer/src/front.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use myrtle_job::{JobId, Load, RunEnd, State};
+use myrtle_job::{CellReport, JobId, Load, RunEnd, State};
 
 /// The state of a job in a cell, as a host reports it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -74,4 +74,9 @@
     /// received and could not log; false if the host is no later owner, or has not read the log
     /// yet.
     async fn report_ends(cell: u32, fence: u64, ends: Vec<RunEnd>) -> bool;
+
+    /// What a cell reports to others; nothing if the host does not own it.
+    ///
+    /// Hosts of earlier builds close a connection on which this is asked.
+    async fn cell_report(cell: u32) -> Option<CellReport>;
 }
--- a/crates/peer/tests/common/mod.rs
+++ b/crates/peer/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
-use myrtle_job::{JobId, Load, RunEnd};
+use myrtle_job::{CellReport, JobId, Load, RunEnd};
 use myrtle_peer::{
     Forwarded, FrontPeer, FrontPeerClient, FrontPeerRequest, FrontPeerResponse, JobReport, Link,
     ServerChannel, listen_with_limit,
@@ -74,6 +74,10 @@
         false
     }
 
+    async fn cell_report(self, _: Context, _: u32) -> Option<CellReport> {
+        None
+    }
+
     async fn report_ends(self, _: Context, _: u32, _: u64, _: Vec<RunEnd>) -> bool {
         false
     }
