Hosts that lost the store learn from owners that it is back

Cause: after an outage hosts notice the store by their own calls, which are rare at hosts that own nothing; until then they refuse jobs that could be accepted. Ruled out: that owners notice late (the first job is kept 0.1 s after the store is back). Test: a_host_that_lost_the_store_learns_from_an_owner_that_it_is_back, which fails without the task. Not built: starts while the store is away (docs/design/hard-load.md says why).

--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 
 use log::{info, warn};
+use tokio::sync::Notify;
 use tokio_util::task::TaskTracker;
 
 use myrtle_adapter::{Configuration, Machines, Store, Tickets, WaveOrder};
@@ -61,6 +62,8 @@
     /// When the present failures began; 0 if the last call succeeded.
     failing_since: AtomicU64,
     lost: AtomicBool,
+    /// Wakes the task that waits for the store to be back, once it counts as lost.
+    pub lost_store: Notify,
     incarnation: u32,
     intakes: Mutex<HashMap<u32, Arc<Intake>>>,
     releases: Mutex<BTreeSet<u32>>,
@@ -89,6 +92,7 @@
             reached_at: AtomicU64::new(0),
             failing_since: AtomicU64::new(0),
             lost: AtomicBool::new(false),
+            lost_store: Notify::new(),
             incarnation: rand::random(),
             intakes: Mutex::default(),
             releases: Mutex::default(),
@@ -169,6 +173,7 @@
         let lost = self.store_age() >= LOST_AFTER && now() >= since + MIN_FAILING;
         if lost && !self.lost.swap(true, Ordering::Relaxed) {
             warn!("event=store-lost reason=\"{why}\" age_ms={}", self.store_age());
+            self.lost_store.notify_one();
         }
     }
 
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -263,7 +263,7 @@
 }
 
 /// Whether the store answers a probe.
-async fn probe_store(host: &Host, cell: u32) -> bool {
+pub async fn probe_store(host: &Host, cell: u32) -> bool {
     // An empty append takes the same path as the job and changes nothing.
     match host.store.append(JOBS, cell, None, Bytes::new(), PROBE_LIMIT).await {
         Ok(_) => {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -18,7 +18,7 @@
 use crate::ownership::{self, member, monitor};
 use crate::peers::Server;
 use crate::settings::Settings;
-use crate::{discover, intake, listen, operator};
+use crate::{discover, intake, listen, operator, regain};
 
 /// How long new connections still arrive after the host reports that it is not ready: two checks of a second each plus
 /// a margin.
@@ -62,6 +62,7 @@
     }
     tokio::spawn(answer_peers(host.clone(), peers));
     tokio::spawn(serve_cells(host.clone()));
+    tokio::spawn(regain::run(host.clone()));
     tokio::spawn(reload(path));
     tokio::spawn(log_calls(host.clone()));
     signal(SignalKind::terminate())?.recv().await;
--- a/crates/front/tests/whole.rs
+++ b/crates/front/tests/whole.rs
@@ -116,6 +116,28 @@
     until(|| async { status(checks, "/api/readiness").await == 200 }).await;
 });
 
+case!(
+    /// Guards against hosts that refuse jobs for as long as their own calls don't show that the store is back: here
+    /// only the owner's calls do, since reads and queries stay refused.
+    a_host_that_lost_the_store_learns_from_an_owner_that_it_is_back, site, {
+        let owner = owner(&site).await;
+        site.store.set(StoreMode::Away);
+        for host in site.hosts.values() {
+            until(|| async { status(host.checks, "/api/readiness").await == 503 }).await;
+        }
+        // Both hosts know of the loss once a job has been refused.
+        for name in ["h1", "h2"] {
+            assert_eq!(call(site.clients(name), "POST", "/p/00000000000000b1", TINY).await.0, 503);
+        }
+        site.store.set(StoreMode::NoReads);
+        let other = site.hosts.keys().find(|name| **name != owner).unwrap().clone();
+        until(|| async { status(site.hosts[&other].checks, "/api/readiness").await == 200 }).await;
+        site.store.set(StoreMode::Ok);
+        assert_eq!(site.submit(&other, "00000000000000b2", 1).await, 200);
+        site.wait_completed(&other, "00000000000000b2").await;
+    }
+);
+
 case!(a_job_whose_appends_answer_is_lost_is_not_refused, site, {
     site.store.set(StoreMode::Lose);
     assert_eq!(site.submit("h1", "00000000000000a5", 2).await, 504);
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -35,6 +35,8 @@
     Ok,
     /// It refuses all calls without executing them.
     Away,
+    /// It refuses all calls but appends and joins.
+    NoReads,
     /// It neither executes calls nor replies.
     Silent,
     /// It executes calls but never replies to appends.
@@ -182,6 +184,9 @@
         let mode = *self.mode.lock().expect("no holder panics");
         match mode {
             StoreMode::Away => return text(503, "store unavailable"),
+            StoreMode::NoReads if !matches!(&*ask.path, "/api/log-append" | "/api/log-join") => {
+                return text(503, "store unavailable");
+            }
             StoreMode::Silent => std::future::pending::<()>().await,
             _ => {}
         }
@@ -202,7 +207,7 @@
                 let answer = self.read(&ask).await;
                 // A read that waited while the store went away is refused as well.
                 match *self.mode.lock().expect("no holder panics") {
-                    StoreMode::Away => text(503, "store unavailable"),
+                    StoreMode::Away | StoreMode::NoReads => text(503, "store unavailable"),
                     _ => answer,
                 }
             }
