Room: what was lost comes first where all long-running tasks fit; an overflow

Cause: with the demand of short jobs unknown to a new owner, the last short task of a cell stays within its share and keeps its room from a task that was lost, for ever. Change: short tasks keep room from lost tasks only where long-running ones ask for more than the cell has; elsewhere only tasks that gave way wait for them.

--- a/crates/owner/src/placing/cost.rs
+++ b/crates/owner/src/placing/cost.rs
@@ -74,7 +74,7 @@
         let mut search = Search::new(self, spec, task, job.tolerance(task, now), now);
         let (suspect, waited) = (self.is_suspected(task), job.waited(now));
         let last = job.last_attempt(spec, task, now);
-        let kept_for = self.room_press.kept_for(job.down_since(task), now);
+        let kept_for = self.room_press.kept_for(job.down_since(task), job.yields(task), now);
         let mut best: Option<(f64, &Incarnation)> = None;
         for (incarnation, worker) in &self.workers {
             if !worker.accepts_work(now) || !self.has_room(worker, job, spec, task) {
--- a/crates/owner/src/room/press.rs
+++ b/crates/owner/src/room/press.rs
@@ -36,6 +36,9 @@
 /// milliseconds: its end has to be reported.
 const STOP_MARGIN: u64 = 300;
 
+/// The longest time from the order to stop a task until its end is known, in milliseconds.
+const STOPPED_WITHIN: u64 = 3_000;
+
 /// The largest number of tasks that give way in one review: the next one sees what came of it.
 const MAX_STOPS: usize = 12;
 
@@ -52,6 +55,8 @@
     used: f64,
     /// Whether all that is asked for is more than the cell's room.
     short_of_room: bool,
+    /// Whether long-running tasks alone ask for more.
+    overfull: bool,
     /// Short tasks that found no room in this pass: how many, and what they claim.
     unmet: Unmet,
     reviewed_at: u64,
@@ -75,14 +80,24 @@
 
     /// Whether short tasks keep the room that they use: the cell is short of room, and they use no
     /// more than their share.
+    ///
+    /// An owner that has not heard from its workers yet knows of no such room.
     pub(crate) fn keeps(&self) -> bool {
-        self.short_of_room && self.used <= self.share
+        self.short_of_room && self.used > 0.0 && self.used <= self.share
+    }
+
+    /// Whether they keep it from all long-running tasks: these don't fit into the cell in any case.
+    ///
+    /// Where they fit, those that ran before and were lost come first; only those that gave way to
+    /// short tasks wait for them.
+    pub(crate) fn keeps_from_all(&self) -> bool {
+        self.keeps() && self.overfull
     }
 
     /// How long room is kept before a long-running task that has been down since then, in
-    /// milliseconds.
-    pub(crate) fn kept_for(&self, down_since: u64, now: u64) -> u64 {
-        match self.keeps() {
+    /// milliseconds; `gave_way` says whether it is down because it gave way.
+    pub(crate) fn kept_for(&self, down_since: u64, gave_way: bool, now: u64) -> u64 {
+        match self.keeps_from_all() || gave_way && self.keeps() {
             true if now < down_since.saturating_add(LONG_DOWN) => KEPT_FOR,
             true => FIRST_CHOICE,
             false => 0,
@@ -130,6 +145,7 @@
         self.room_press.share = short_share(room, long_running, demand);
         self.room_press.used = used;
         self.room_press.short_of_room = long_running + demand > room;
+        self.room_press.overfull = long_running > room;
     }
 
     /// Stops long-running tasks for short ones that found no room in the pass that ends now.
@@ -225,9 +241,16 @@
 }
 
 impl Job {
+    /// Whether a long-running task is down because it gave way to short ones.
+    pub(crate) fn yields(&self, task: TaskId) -> bool {
+        let down_since = self.down_since(task);
+        let gave_way = self.gave_way.get(&task);
+        gave_way.is_some_and(|&at| (at..at + STOPPED_WITHIN).contains(&down_since))
+    }
+
     /// Whether the job can still be done within the time in which it earns something.
     pub(crate) fn may_earn(&self, now: u64) -> bool {
-        let latest = self.arrived_at + self.objective().saturating_mul(3);
-        now + self.time_left() <= latest
+        let latest = self.arrived_at.saturating_add(self.objective().saturating_mul(3));
+        now.saturating_add(self.time_left()) <= latest
     }
 }
