Room that is short: taken out again, it breaks LOST

Tasks that gave way, and tasks that were lost, wait over 9 s while short tasks keep room in pieces. Ruled out: the health of workers, work between cells (one cell there). Reviews of queues and may_earn moved to spread.rs.

--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -12,7 +12,6 @@
 use crate::placing::pass::Pass;
 use crate::placing::short_share::ShortShare;
 use crate::placing::unplaceable::Unplaceable;
-use crate::room::press::RoomPress;
 use crate::workers::crash::Silence;
 use crate::workers::wave::WaveState;
 use crate::{InterferenceModel, Job, LoadCycles, Order, Question, TimeLimits, Worker};
@@ -32,8 +31,6 @@
     pub moved: u64,
     /// Short jobs that were transferred to cells that start them sooner.
     pub spread: u64,
-    /// Long-running tasks that were stopped for short ones.
-    pub gave_way: u64,
     /// Runs that were lost with their workers or leases.
     pub lost: u64,
     /// Speed limits that were set.
@@ -88,8 +85,6 @@
     pub(crate) pass: Pass,
     /// The queues of short tasks and of fillers.
     pub(crate) queues: OwnQueues,
-    /// Who needs the cell's room.
-    pub(crate) room_press: RoomPress,
     /// The room that long-running tasks leave to short ones.
     pub(crate) short_share: ShortShare,
     /// The mean work of the jobs of each queue.
@@ -151,7 +146,6 @@
             unplaceable: Vec::new(),
             pass: Pass::default(),
             queues: OwnQueues::default(),
-            room_press: RoomPress::default(),
             short_share: ShortShare::new(now),
             mean_work: MeanWork::default(),
             unreadable_at: now,
--- a/crates/owner/src/jobs/admit.rs
+++ b/crates/owner/src/jobs/admit.rs
@@ -35,7 +35,6 @@
             let short = spec.steps.iter().filter(|s| !s.filler);
             let work = short.map(|s| f64::from(s.count) * s.work()).sum();
             self.short_share.record(submission.policy.priority, work, now);
-            self.room_press.demand.record(submission.policy.priority, work, now);
         }
         self.mean_work.record(&submission.policy.queue, submission.spec.work());
         let mut progress = Progress::default();
--- a/crates/owner/src/jobs/balance.rs
+++ b/crates/owner/src/jobs/balance.rs
@@ -54,17 +54,9 @@
 impl Cell {
     /// The load of long-running tasks on the cell, and its free room.
     pub fn load(&self, now: u64) -> Load {
-        let press = &self.room_press;
-        // What tasks that ran before may have elsewhere is what they may have here.
-        let (kept_new, kept) =
-            (press.kept_for(u64::MAX, false, now), press.kept_for(0, false, now));
-        let free = self.free_on(|w| w.free_for_long(kept_new, now), |_, _| true, now);
-        let restart_free = self.free_on(|w| w.free_for_long(kept, now), Job::resumes, now);
-        let soon = |w: &Worker| match press.keeps_from_all() {
-            true => w.free_for_long(kept, now),
-            false => w.free_soon(now),
-        };
-        let soon_free = self.free_on(soon, Job::resumes, now);
+        let free = self.free_on(Worker::free, |_, _| true, now);
+        let restart_free = self.free_on(Worker::free, Job::resumes, now);
+        let soon_free = self.free_on(|worker| worker.free_soon(now), Job::resumes, now);
         Load { free, restart_free, soon_free, ..self.offered_load(now) }
     }
 
--- a/crates/owner/src/jobs/job.rs
+++ b/crates/owner/src/jobs/job.rs
@@ -32,8 +32,6 @@
     /// When the last runs of long-running tasks that aren't running ended, as far as this owner was
     /// notified.
     pub down_since: BTreeMap<TaskId, u64>,
-    /// When long-running tasks last gave way to short ones.
-    pub(crate) gave_way: BTreeMap<TaskId, u64>,
     /// Where a task failed or made no progress, so that it goes to another worker.
     pub avoided: BTreeMap<TaskId, Vec<Incarnation>>,
     /// The policy service's answers, by repetition and step.
@@ -72,7 +70,6 @@
             waiting_since: None,
             retry_at: BTreeMap::new(),
             down_since: BTreeMap::new(),
-            gave_way: BTreeMap::new(),
             avoided: BTreeMap::new(),
             tickets: BTreeMap::new(),
             account: JobAccount::new(arrived_at, Phase::Accept, arrived_at),
--- a/crates/owner/src/jobs/spread.rs
+++ b/crates/owner/src/jobs/spread.rs
@@ -13,6 +13,9 @@
 use crate::decay::DecayingSum;
 use crate::{Cell, Job};
 
+/// The time between two reviews of the queues, in milliseconds.
+const REVIEW_EVERY: u64 = 100;
+
 /// The time constant over which started work is averaged, in milliseconds.
 const RATE_TIME: f64 = 2_000.0;
 
@@ -44,6 +47,7 @@
     fillers: OwnQueue,
     /// How many jobs were transferred since the last review.
     transferred: u32,
+    reviewed_at: u64,
 }
 
 /// A queue of this cell.
@@ -84,8 +88,12 @@
 }
 
 impl Cell {
-    /// Reviews what waits here and what room there is for it.
+    /// Reviews what waits here and what room there is for it, if that is due.
     pub(crate) fn review_queues(&mut self, now: u64) {
+        if now < self.queues.reviewed_at + REVIEW_EVERY {
+            return;
+        }
+        self.queues.reviewed_at = now;
         let (mut short, mut fillers) = (0.0, 0.0);
         for (id, job) in self.open.iter().filter_map(|id| Some((*id, self.jobs.get(id)?))) {
             if job.submission.spec.has_long_running() || !job.may_earn(now) {
@@ -152,6 +160,12 @@
 }
 
 impl Job {
+    /// Whether the job can still be done within the time in which it earns something.
+    fn may_earn(&self, now: u64) -> bool {
+        let latest = self.arrived_at.saturating_add(self.objective().saturating_mul(3));
+        now.saturating_add(self.time_left()) <= latest
+    }
+
     /// Whether another cell may run the whole job: nothing of it has started or is bound to workers
     /// of this cell.
     fn may_spread(&self) -> bool {
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -13,7 +13,6 @@
 mod limits;
 mod orders;
 mod placing;
-mod room;
 mod summary;
 mod workers;
 
--- a/crates/owner/src/orders/active_runs.rs
+++ b/crates/owner/src/orders/active_runs.rs
@@ -34,8 +34,6 @@
     pub(crate) fillers: f64,
     /// The number of them that are not long-running.
     pub(crate) short: usize,
-    /// What short tasks claim, in thousandths of a core.
-    pub(crate) short_cpu: u32,
     /// Whether one of them is long-running.
     pub(crate) long_running: bool,
     /// Whether one of the tasks may have crashed a worker.
@@ -70,7 +68,6 @@
             non_fillers: self.non_fillers + non_fillers,
             fillers: self.fillers + fillers,
             short: self.short + usize::from(!active.long_running),
-            short_cpu: self.short_cpu + if active.long_running { 0 } else { active.claim.cpu },
             long_running: self.long_running || active.long_running,
             suspect: self.suspect || active.suspect,
             over_since: self.over_since.into_iter().chain(active.over_since).min(),
--- a/crates/owner/src/placing/cost.rs
+++ b/crates/owner/src/placing/cost.rs
@@ -74,15 +74,11 @@
         let mut search = Search::new(self, spec, task, job.tolerance(task, now), now);
         let (suspect, waited) = (self.is_suspected(task), job.waited(now));
         let last = job.last_attempt(spec, task, now);
-        let kept_for = self.room_press.kept_for(job.down_since(task), job.yields(task), now);
         let mut best: Option<(f64, &Incarnation)> = None;
         for (incarnation, worker) in &self.workers {
             if !worker.accepts_work(now) || !self.has_room(worker, job, spec, task) {
                 continue;
             }
-            if spec.long_running && !spec.claim().fits(&worker.free_for_long(kept_for, now)) {
-                continue;
-            }
             if !self.pass.reservations.fits_beside(incarnation, worker, spec) {
                 continue;
             }
--- a/crates/owner/src/placing/place.rs
+++ b/crates/owner/src/placing/place.rs
@@ -42,7 +42,6 @@
                 self.ask(task, now);
                 self.log_placed(task, placed, wanted, now);
                 self.note_waiting(task, now);
-                self.note_unmet(task, wanted - placed, now);
                 return true;
             };
             self.assign(task, &incarnation, None, now);
--- a/crates/owner/src/placing/plan.rs
+++ b/crates/owner/src/placing/plan.rs
@@ -68,7 +68,7 @@
         }
         self.forecast_loads(now);
         self.review_health(now);
-        self.review_room(now);
+        self.review_queues(now);
         if self.pass.considered.is_empty() {
             self.unplaceable.clear();
         }
@@ -95,7 +95,6 @@
             }
         }
         self.pass.end();
-        self.give_way(now);
         false
     }
 
--- a/crates/owner/src/placing/reservation.rs
+++ b/crates/owner/src/placing/reservation.rs
@@ -68,10 +68,6 @@
 impl Cell {
     /// Reserves room for the tasks of a job that ran before and found no worker.
     pub(crate) fn reserve_room(&mut self, id: JobId, now: u64) {
-        // What short tasks keep is theirs when they end, too.
-        if self.room_press.keeps_from_all() {
-            return;
-        }
         let Some(job) = self.jobs.get(&id).filter(|j| j.waiting_since.is_some()) else {
             return;
         };
@@ -87,7 +83,7 @@
         let mut waiting = self.waiting(id, round, step, now);
         let waits = |task| job.progress.task(task).is_some_and(|t| job.waits(task, t));
         // A task that only wants a copy is running.
-        waiting.retain(|task| waits(*task) && job.resumes(*task) && !job.yields(*task));
+        waiting.retain(|task| waits(*task) && job.resumes(*task));
         let mut found: Vec<(TaskId, Incarnation)> = Vec::new();
         for task in waiting {
             let Some(incarnation) = self.soonest_worker(task, &spec, &found, now) else {
--- a/crates/owner/src/summary.rs
+++ b/crates/owner/src/summary.rs
@@ -10,7 +10,7 @@
     "jobs={jobs} open={open} waiting={waiting} workers={workers} silent={silent} serving={serving} \
      fillers={fillers} slowed={throttled} others={others} over={over_target} cores={cores:.0} \
      spare={spare:.0} filled={filled:.0} claimed={claimed:.2} \
-     given_up={given_up} emptied={evacuated} short={short:.0} short_share={short_share:.0} gave_way={gave_way} spread={spread}"
+     given_up={given_up} emptied={evacuated} spread={spread}"
 )]
 pub struct CellSummary {
     /// Jobs that are not over.
@@ -45,27 +45,17 @@
     pub given_up: u64,
     /// Workers in evacuated data centres.
     pub evacuated: usize,
-    /// Cores that short tasks use or keep.
-    pub short: f64,
-    /// The fair share of short tasks, in cores.
-    pub short_share: f64,
     /// Short jobs that this owner has transferred to other cells.
     pub spread: u64,
-    /// Long-running tasks that this owner has stopped for short ones.
-    pub gave_way: u64,
 }
 
 impl Cell {
     /// Summarizes the cell.
     pub fn summary(&self) -> CellSummary {
-        let (short, short_share) = self.room_press.cores();
         let mut summary = CellSummary {
             open: self.open.len(),
             given_up: self.counts.given_up,
-            gave_way: self.counts.gave_way,
             spread: self.counts.spread,
-            short,
-            short_share,
             ..CellSummary::default()
         };
         summary.jobs = self.jobs.values().filter(|j| !j.progress.state.over()).count();
--- a/crates/owner/src/workers/drain.rs
+++ b/crates/owner/src/workers/drain.rs
@@ -123,16 +123,10 @@
         let Some(budget) = job.disruption_budget(task.step) else {
             return true;
         };
-        self.unavailable(task, now) < usize::from(budget)
-    }
-
-    /// The number of tasks of a long-running step that are not at work here, or are in transfer.
-    pub(crate) fn unavailable(&self, task: TaskId, now: u64) -> usize {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return 0;
+        let Some(round) = job.progress.rounds.get(&task.round) else {
+            return true;
         };
-        let round = job.progress.rounds.get(&task.round);
-        let tasks = round.map_or(&[][..], |r| &r.steps[usize::from(task.step)].tasks);
+        let tasks = &round.steps[usize::from(task.step)].tasks;
         let unavailable = tasks.iter().enumerate().filter(|(index, t)| {
             let id = TaskId { index: *index as u16, ..task };
             if job.progress.is_transferred(id) {
@@ -143,6 +137,6 @@
                 active.is_some_and(|f| f.stage == Stage::Running && f.percent >= 100.0)
             })
         });
-        unavailable.count()
+        unavailable.count() < usize::from(budget)
     }
 }
--- a/crates/owner/src/workers/worker.rs
+++ b/crates/owner/src/workers/worker.rs
@@ -8,7 +8,6 @@
 use crate::disruption::forecast::LoadForecast;
 use crate::disruption::interference::Usage;
 use crate::health::book::WorkerHealth;
-use crate::room::in_use::ShortUse;
 use crate::workers::wait::Wait;
 use crate::{ActiveRun, ActiveRuns, Stage};
 
@@ -66,8 +65,6 @@
     pub logged_ends: u64,
     /// The end of its backoff after refusals or failures.
     pub backoff_until: u64,
-    /// The room that short tasks use.
-    pub(crate) short_use: ShortUse,
     /// What is known of its health.
     pub(crate) health: WorkerHealth,
     /// When one of its reported figures last changed.
@@ -117,7 +114,6 @@
             received_ends: 0,
             logged_ends: 0,
             backoff_until: 0,
-            short_use: ShortUse::default(),
             health: WorkerHealth::default(),
             reported_at: 0,
             usage: Usage::new(),
