Front: one check for what an owner answers; the probe in a file of its own

`Writer.call_seq` carried a name of the store's protocol into four files outside platform/.

Ruled out: sharing the parameter lists of `ask_moved` and `ask_cell` (ask.rs) by a type: five values of one call, used nowhere else.

Behaviour is the same.

--- a/crates/front/src/discover.rs
+++ b/crates/front/src/discover.rs
@@ -192,7 +192,7 @@
     let mut body = BytesMut::new();
     frame_keyed(&mut body, KEY, &encode(layout));
     // All hosts use the first call number of the same writer, so the store takes only one layout.
-    let writer = Writer { name: KEY, epoch: 1, call_seq: 0 };
+    let writer = Writer { name: KEY, epoch: 1, seq: 0 };
     host.store.append(LAYOUT, 0, Some(writer), body.freeze(), CALL_LIMIT).await?;
     Ok(())
 }
--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -154,7 +154,7 @@
     body: Bytes,
     answer_time: &mut AnswerTime,
 ) -> bool {
-    let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, call_seq: number };
+    let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, seq: number };
     let append = |left| host.store.append(PROGRESS, owned.cell, Some(writer), body.clone(), left);
     let is_final = |e: &StoreError| matches!(e, StoreError::Fenced | StoreError::Sequence { .. });
     while !owned.deposed() {
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -25,6 +25,7 @@
 use crate::hedge::{Outcome, hedged};
 use crate::host::Host;
 use crate::names::JOBS;
+use crate::probe::probe_store;
 
 /// How long a job waits for the previous call before it is refused, so that its client can try elsewhere. A quarter of
 /// the shortest objectives is 300 ms; a slow store needs more.
@@ -41,9 +42,6 @@
 /// answers more often.
 const RECENT_MS: u64 = 500;
 
-/// The time limit for a probe: many times a usual answer, and what a slow store needs.
-const PROBE_LIMIT: Duration = Duration::from_millis(400);
-
 /// A job waiting to be written.
 #[derive(Debug)]
 struct Waiting {
@@ -184,17 +182,6 @@
     }
 }
 
-/// Writes a job by this host's own queue.
-async fn write_queued(
-    host: &Host,
-    cell: u32,
-    job: JobId,
-    record: Vec<u8>,
-    limit: Duration,
-) -> Forwarded {
-    host.intake(cell).enqueue(job, record, limit).await
-}
-
 /// Accepts a job: the cell's owner writes it, or this host if the owner does not answer soon.
 ///
 /// A partition takes its appends one after another, so while the store is slow, 29 hosts that write themselves would
@@ -259,22 +246,7 @@
     if host.store_lost() || host.store_age() > RECENT_MS && !probe_store(host, cell).await {
         return Forwarded::Refused;
     }
-    write_queued(host, cell, job, record, left(end)).await
-}
-
-/// Whether the store answers a probe.
-pub async fn probe_store(host: &Host, cell: u32) -> bool {
-    // An empty append takes the same path as the job and changes nothing.
-    match host.store.append(JOBS, cell, None, Bytes::new(), PROBE_LIMIT).await {
-        Ok(_) => {
-            host.store_reached();
-            true
-        }
-        Err(e) => {
-            host.store_timed_out(&e);
-            false
-        }
-    }
+    host.intake(cell).enqueue(job, record, left(end)).await
 }
 
 /// Sends a job to the cell's owner, which writes it.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -30,6 +30,7 @@
 mod owned;
 mod ownership;
 mod peers;
+mod probe;
 mod regain;
 mod renewal;
 mod roster;
--- a/crates/front/src/maintenance.rs
+++ b/crates/front/src/maintenance.rs
@@ -127,7 +127,7 @@
     frame_keyed(&mut status, &key, wave_status(complete).as_bytes());
     for (topic, body) in [(WAVES, record), (topics::STATUS, status)] {
         let body = body.freeze();
-        let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, call_seq: call };
+        let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, seq: call };
         while let Err(e) = host.store.append(topic, 0, Some(writer), body.clone(), CALL_LIMIT).await
         {
             if matches!(e, StoreError::Fenced) {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -8,6 +8,7 @@
 use tokio::time::{sleep, timeout};
 
 use myrtle_job::{CellReport, JobId, Load, RunEnd};
+use myrtle_owner::Cell;
 use myrtle_peer::{Forwarded, FrontPeer, JobReport};
 
 use crate::clock::{now, wall};
@@ -115,16 +116,26 @@
 
 /// The load of a cell, if this host owns it.
 pub fn load(host: &Host, cell: u32) -> Option<Load> {
-    let owned = host.owned(cell).filter(|o| !o.closed())?;
-    let state = owned.state();
-    state.loaded.then(|| state.load(now()))
+    of_owned(host, cell, |state| state.load(now()))
 }
 
 /// What a cell reports to others, if this host owns it.
 pub fn cell_report(host: &Host, cell: u32) -> Option<CellReport> {
+    of_owned(host, cell, |state| state.report(now()))
+}
+
+/// The number of pending jobs of each queue, if this host owns the cell.
+pub fn pending(host: &Host, cell: u32) -> Option<BTreeMap<String, u64>> {
+    of_owned(host, cell, |state| {
+        state.pending().into_iter().map(|(queue, n)| (queue.to_string(), n)).collect()
+    })
+}
+
+/// A value of a cell, if this host owns it and has read its log.
+fn of_owned<T>(host: &Host, cell: u32, value: impl FnOnce(&Cell) -> T) -> Option<T> {
     let owned = host.owned(cell).filter(|o| !o.closed())?;
     let state = owned.state();
-    state.loaded.then(|| state.report(now()))
+    state.loaded.then(|| value(&state))
 }
 
 /// Cancels a job, if this host owns the cell; returns once the log holds that.
@@ -173,16 +184,6 @@
     }
 }
 
-/// The number of pending jobs of each queue, if this host owns the cell.
-pub fn pending(host: &Host, cell: u32) -> Option<BTreeMap<String, u64>> {
-    let owned = host.owned(cell).filter(|o| !o.closed())?;
-    let state = owned.state();
-    if !state.loaded {
-        return None;
-    }
-    Some(state.pending().into_iter().map(|(queue, n)| (queue.to_string(), n)).collect())
-}
-
 /// Reads all jobs accepted before now; false if that failed or the ownership is in doubt.
 async fn caught_up(host: &Host, owned: &Owned) -> bool {
     owned.state().loaded && read_new(host, owned, Duration::ZERO).await.is_ok() && {
--- a/crates/front/src/regain.rs
+++ b/crates/front/src/regain.rs
@@ -14,8 +14,8 @@
 
 use crate::backoff::Backoff;
 use crate::host::Host;
-use crate::intake::probe_store;
 use crate::layout::Layout;
+use crate::probe::probe_store;
 
 /// The time between two rounds of questions, of which a random half is left out so that hosts don't probe at once.
 const ASK_EVERY: Duration = Duration::from_millis(150);
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -122,7 +122,7 @@
     frame_keyed(&mut body, &owner_key(owned.fence), record);
     let body = body.freeze();
     while !owned.closed() {
-        let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, call_seq: number };
+        let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, seq: number };
         let done =
             host.store.append(PROGRESS, owned.cell, Some(writer), body.clone(), CALL_LIMIT).await;
         match done {
