Owner: one rule each for what waits, what has not begun and what still earns

Transfers of short jobs (spread.rs) had written three things once more: which tasks are ready and wait here (as `Job::waiting`), that nothing of a job was started or transferred (as balance.rs has it for long-running jobs), and the multiple of its objective up to which a job earns, as a bare 3 beside `LATE_FACTOR` in plan.rs.

Ruled out: one tier of urgency for both; ranks need the time at which a job is due, transfers don't, and each pass would compute the critical path once more.

Change: `Job::waiting_steps` serves the count and the work, and asks once for each step whether it is ready, not for each task; `Job::untouched` serves both transfers; `Job::earns_at` stands beside `LATE_FACTOR` and serves the rank and the transfer. A job of which a task is done without a run can't be; both transfers leave it alone now.

--- a/crates/owner/src/jobs/balance.rs
+++ b/crates/owner/src/jobs/balance.rs
@@ -145,7 +145,8 @@
             return true;
         }
         let here = |j: &&Job| !self.only_cell && j.home == Some(self.number);
-        let Some(job) = self.jobs.get(&id).filter(here).filter(|j| never_started(j)) else {
+        let may_move = |j: &&Job| j.submission.spec.has_long_running() && j.untouched();
+        let Some(job) = self.jobs.get(&id).filter(here).filter(may_move) else {
             return false;
         };
         let demand = demand(&id, job);
@@ -238,13 +239,3 @@
     });
     claims.sum()
 }
-
-/// Whether no task of a long-running job was ever started.
-fn never_started(job: &Job) -> bool {
-    job.submission.spec.has_long_running()
-        && job.progress.job_transfer.is_none()
-        && job.progress.outgoing.is_empty()
-        && job.progress.incoming.is_empty()
-        && !job.progress.state.over()
-        && job.progress.tasks().all(|(.., task)| task.last_run == 0)
-}
--- a/crates/owner/src/jobs/job.rs
+++ b/crates/owner/src/jobs/job.rs
@@ -151,12 +151,32 @@
 
     /// The number of tasks that are ready and have to be started here; `id` is the job's own.
     pub fn waiting(&self, id: JobId) -> usize {
-        let ready = self.progress.tasks().filter(|&(round, step, ..)| {
-            self.progress.rounds[&round].ready(&self.submission.spec, usize::from(step))
-        });
-        let tasks =
-            ready.map(|(round, step, index, t)| (TaskId { job: id, round, step, index }, t));
-        tasks.filter(|(task, t)| self.waits(*task, t)).count()
+        self.waiting_steps(id).map(|(_, count)| count).sum()
+    }
+
+    /// The steps that are ready, with the number of their tasks that have to be started here; `id`
+    /// is the job's own.
+    pub(crate) fn waiting_steps(&self, id: JobId) -> impl Iterator<Item = (&StepSpec, usize)> {
+        let spec = &self.submission.spec;
+        self.progress.rounds.iter().flat_map(move |(&number, round)| {
+            let steps = round.steps.iter().zip(&spec.steps).zip(0u16..);
+            let ready = steps.filter(move |&(_, at)| round.ready(spec, usize::from(at)));
+            ready.map(move |((step, spec), at)| {
+                let tasks = step.tasks.iter().zip(0u16..);
+                let named = |index| TaskId { job: id, round: number, step: at, index };
+                (spec, tasks.filter(|&(t, index)| self.waits(named(index), t)).count())
+            })
+        })
+    }
+
+    /// Whether no task was ever started and nothing was transferred, either way.
+    pub(crate) fn untouched(&self) -> bool {
+        let progress = &self.progress;
+        progress.job_transfer.is_none()
+            && progress.outgoing.is_empty()
+            && progress.incoming.is_empty()
+            && !progress.state.over()
+            && progress.tasks().all(|(.., task)| task.last_run == 0 && !task.done)
     }
 
     /// Every run that may be active, with its task; `id` is the job's own.
--- a/crates/owner/src/jobs/spread.rs
+++ b/crates/owner/src/jobs/spread.rs
@@ -8,7 +8,7 @@
 //! only then puts the job into the other cell's log, so exactly one cell starts it. A job goes once,
 //! from its home.
 
-use myrtle_job::{JobId, StepSpec, TaskId, TaskQueue};
+use myrtle_job::{JobId, StepSpec, TaskQueue};
 
 use crate::decay::DecayingSum;
 use crate::{Cell, Job};
@@ -162,8 +162,7 @@
 impl Job {
     /// Whether the job can still be done within the time in which it earns something.
     fn may_earn(&self, now: u64) -> bool {
-        let latest = self.arrived_at.saturating_add(self.objective().saturating_mul(3));
-        now.saturating_add(self.time_left()) <= latest
+        self.earns_at(now.saturating_add(self.time_left()), self.objective())
     }
 
     /// Whether another cell may run the whole job: nothing of it has started or is bound to workers
@@ -171,32 +170,16 @@
     fn may_spread(&self) -> bool {
         let spec = &self.submission.spec;
         let bound = |s: &StepSpec| s.long_running || s.requires.is_some();
-        spec.repeat.is_none()
-            && !spec.steps.iter().any(bound)
-            && self.progress.job_transfer.is_none()
-            && self.progress.outgoing.is_empty()
-            && self.progress.incoming.is_empty()
-            && !self.progress.state.over()
-            && self.progress.tasks().all(|(.., task)| task.last_run == 0 && !task.done)
+        spec.repeat.is_none() && !spec.steps.iter().any(bound) && self.untouched()
     }
 
     /// The work of the tasks that are ready and wait, of short tasks and of fillers; `id` is the
     /// job's own.
     fn waiting_work(&self, id: JobId) -> (f64, f64) {
-        let spec = &self.submission.spec;
         let (mut short, mut fillers) = (0.0, 0.0);
-        for (&number, round) in &self.progress.rounds {
-            for (at, (step, s)) in round.steps.iter().zip(&spec.steps).enumerate() {
-                if !round.ready(spec, at) {
-                    continue;
-                }
-                let named = step.tasks.iter().zip(0u16..).map(|(t, index)| {
-                    (TaskId { job: id, round: number, step: at as u16, index }, t)
-                });
-                let waiting = named.filter(|(task, t)| self.waits(*task, t)).count();
-                let sum = if s.filler { &mut fillers } else { &mut short };
-                *sum += waiting as f64 * s.work();
-            }
+        for (spec, count) in self.waiting_steps(id) {
+            let sum = if spec.filler { &mut fillers } else { &mut short };
+            *sum += count as f64 * spec.work();
         }
         (short, fillers)
     }
--- a/crates/owner/src/placing/plan.rs
+++ b/crates/owner/src/placing/plan.rs
@@ -150,7 +150,7 @@
     let tier = match () {
         _ if job.submission.spec.has_long_running() => 0,
         _ if ready <= due => 0,
-        _ if ready <= job.arrived_at.saturating_add(objective.saturating_mul(LATE_FACTOR)) => 1,
+        _ if job.earns_at(ready, objective) => 1,
         _ => 2,
     };
     // When demand exceeds capacity, ordering by deadline starts each job when it is too late for
@@ -163,3 +163,10 @@
     let (priority, down_since) = (job.submission.policy.priority, job.earliest_down(id));
     Rank { priority, down_since, tier, cost, due, id }
 }
+
+impl Job {
+    /// Whether it still earns something if it is done at `ready`; `objective` is its own.
+    pub(crate) fn earns_at(&self, ready: u64, objective: u64) -> bool {
+        ready <= self.arrived_at.saturating_add(objective.saturating_mul(LATE_FACTOR))
+    }
+}
