Health: shares of groups once a review, speeds only where they are told

Each review of the workers' health, every 100 ms, built the names of a worker's three groups and judged these groups anew for each worker, also where no group is unusual, which is nearly always. Each report of each run that goes on looked up worker, run and job a second time to find that its speed was counted long ago.

Ruled out: a reference from each worker to its groups, which would have to follow every listing.

Change: `Groups::review` keeps the unusual shares, a worker looks its groups up only if there are any; the run itself says whether its speed is to be counted, where the report is applied. The standing is built once and no longer repeats what its predecessor implies; `trusted_with` no longer asks what `accepts_work` has asked. `worker-trusted` names the worker as `worker-failing` does (it named the address, so that the two lines could not be matched). Each constant has its own comment.

The owner's tests pass but for the two known red ones. Processor time was not measured by itself.

--- a/crates/owner/src/health/book.rs
+++ b/crates/owner/src/health/book.rs
@@ -18,12 +18,16 @@
 /// The half-life of a single worker's counts, in milliseconds.
 pub(crate) const WORKER_HALF_LIFE: f64 = 4_000.0;
 
-/// The failure rate of a queue of which nothing is known, and how many runs that counts as.
+/// The failure rate of a queue of which nothing is known.
 const USUAL_RATE: f64 = 0.04;
+
+/// The number of runs as which that rate counts.
 const USUAL_RUNS: f64 = 25.0;
 
-/// The bounds of a queue's failure rate.
+/// The lower bound of a queue's failure rate.
 const MIN_RATE: f64 = 0.01;
+
+/// The upper bound of a queue's failure rate.
 const MAX_RATE: f64 = 0.3;
 
 /// The weight of a failure of a task that has failed elsewhere: the task itself may be at fault.
@@ -146,25 +150,28 @@
         self.health.count(&mut worker.health, listing, queue, end, now);
     }
 
-    /// Counts the speed of a run that goes on or has ended, once.
-    pub(crate) fn count_speed(&mut self, incarnation: &Incarnation, task: TaskId, now: u64) {
+    /// Counts the speed of a run that takes `took` milliseconds by its progress.
+    pub(crate) fn count_speed(
+        &mut self,
+        incarnation: &Incarnation,
+        task: TaskId,
+        took: f64,
+        now: u64,
+    ) {
         let (Some(worker), Some(job)) =
             (self.workers.get_mut(incarnation), self.jobs.get(&task.job))
         else {
             return;
         };
-        let Some(active) = worker.active_runs.get(&task).filter(|f| !f.speed_counted) else {
+        if job.progress.task(task).is_some_and(|t| !t.checkpoint.is_empty()) {
+            // It may have resumed: then its progress began elsewhere.
             return;
-        };
-        let resumed = job.progress.task(task).is_some_and(|t| !t.checkpoint.is_empty());
-        let Some(took) = active.full_time(now).filter(|_| !resumed) else {
+        }
+        let Some(active) = worker.active_runs.get_mut(&task) else {
             return;
         };
-        let estimate = active.estimate;
-        if let Some(active) = worker.active_runs.get_mut(&task) {
-            active.speed_counted = true;
-        }
-        let queue = &job.submission.policy.queue;
+        active.speed_counted = true;
+        let (queue, estimate) = (&job.submission.policy.queue, active.estimate);
         self.health.count_speed(&mut worker.health, queue, took, estimate, now);
     }
 
@@ -177,13 +184,13 @@
 }
 
 impl ActiveRun {
-    /// The time that the run takes by its progress, in milliseconds; nothing if that says little
-    /// about its worker, as for fillers, which run on what others leave.
-    fn full_time(&self, now: u64) -> Option<f64> {
+    /// The time that the run takes by its progress, in milliseconds; nothing if that was counted or
+    /// says little about its worker, as for fillers, which run on what others leave.
+    pub(crate) fn full_time(&self, now: u64) -> Option<f64> {
         let age = now.saturating_sub(self.started_at?);
         let limited = self.speed_limit < 100 || self.throttled > 0.0;
         let early = age < MIN_AGE || self.percent < MIN_PERCENT;
-        if self.long_running || self.filler || limited || early {
+        if self.speed_counted || self.long_running || self.filler || limited || early {
             return None;
         }
         Some(age as f64 * 100.0 / self.percent)
--- a/crates/owner/src/health/groups.rs
+++ b/crates/owner/src/health/groups.rs
@@ -28,6 +28,9 @@
 /// succeed, so the first ends are mostly failures.
 const MIN_RUNS: f64 = 20.0;
 
+/// The fading number of runs below which a group is forgotten.
+const MIN_WEIGHT: f64 = 0.01;
+
 /// How long a group has to look sound before that is logged, in milliseconds.
 const CALM: u64 = 2_000;
 
@@ -49,6 +52,8 @@
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Groups {
     tallies: BTreeMap<Group, Tally>,
+    /// The unusual shares of unsound workers, as of the last review.
+    shares: BTreeMap<Group, f64>,
     /// Groups whose share of unsound workers is logged as unusual, and when it last was.
     doubted: BTreeMap<Group, u64>,
 }
@@ -61,22 +66,27 @@
         }
     }
 
-    /// The largest share of unsound workers in any of a worker's groups.
-    pub(crate) fn share(&self, listing: &Listing, now: u64) -> f64 {
-        let tallies = groups(listing).into_iter().filter_map(|group| self.tallies.get(&group));
-        let shares = tallies.map(|tally| unsound_share(&tally.at(HALF_LIFE, now)));
-        shares.fold(USUAL_SHARE, f64::max)
+    /// The largest share of unsound workers in any of a worker's groups, as of the last review.
+    pub(crate) fn share(&self, listing: &Listing) -> f64 {
+        if self.shares.is_empty() {
+            return USUAL_SHARE;
+        }
+        let shares = groups(listing).into_iter().filter_map(|group| self.shares.get(&group));
+        shares.copied().fold(USUAL_SHARE, f64::max)
     }
 
-    /// Logs the groups that have come to be doubted, or are no longer; drops those without runs.
+    /// Updates the shares and logs the groups that have come to be doubted, or are no longer; drops
+    /// those without runs.
     pub(crate) fn review(&mut self, now: u64) {
-        self.tallies.retain(|_, tally| tally.at(HALF_LIFE, now).runs > 0.01);
+        self.tallies.retain(|_, tally| tally.at(HALF_LIFE, now).runs > MIN_WEIGHT);
+        self.shares.clear();
         for (group, tally) in &self.tallies {
             let tally = tally.at(HALF_LIFE, now);
             let share = unsound_share(&tally);
             if share <= USUAL_SHARE {
                 continue;
             }
+            self.shares.insert(group.clone(), share);
             if self.doubted.insert(group.clone(), now).is_none() {
                 let Tally { runs, failed, expected, .. } = tally;
                 warn!(
--- a/crates/owner/src/health/refresh.rs
+++ b/crates/owner/src/health/refresh.rs
@@ -5,6 +5,7 @@
 use myrtle_job::{Incarnation, StepSpec, TaskId};
 
 use crate::health::book::WORKER_HALF_LIFE;
+use crate::health::groups::Groups;
 use crate::health::standing::{MAX_EXCLUDED, Standing, USELESS};
 use crate::{Cell, Job, Worker};
 
@@ -30,7 +31,7 @@
         let mut worst: Vec<(f64, Incarnation)> = Vec::new();
         for (incarnation, worker) in &mut self.workers {
             total += worker.size();
-            let standing = worker.review(&self.health.groups, now);
+            let standing = worker.review(incarnation, &self.health.groups, now);
             if standing.should_exclude() {
                 worst.push((standing.unsound, incarnation.clone()));
             }
@@ -53,23 +54,22 @@
 
 impl Worker {
     /// Updates its standing, without the decision whether it is excluded.
-    fn review(&mut self, groups: &super::groups::Groups, now: u64) -> Standing {
+    fn review(&mut self, incarnation: &Incarnation, groups: &Groups, now: u64) -> Standing {
         let Some(listing) = &self.listing else {
             return Standing::default();
         };
         let health = &mut self.health;
-        let share = groups.share(listing, now);
-        let before = health.standing;
-        health.standing = Standing {
-            unsound: health.failures.probability(share, now),
+        let mut standing = Standing {
+            unsound: health.failures.probability(groups.share(listing), now),
             slow: health.slowness.probability(USUAL_SLOW, now),
-            excluded: before.excluded && before.should_exclude(),
+            excluded: health.standing.excluded,
         };
-        if before.excluded && !health.standing.should_exclude() {
-            health.standing.excluded = false;
-            info!("event=worker-trusted address={}", listing.address);
+        if standing.excluded && !standing.should_exclude() {
+            standing.excluded = false;
+            info!("event=worker-trusted worker={incarnation}");
         }
-        health.standing
+        health.standing = standing;
+        standing
     }
 
     /// Sets whether it gets nothing new.
@@ -82,13 +82,11 @@
         standing.excluded = excluded;
     }
 
-    /// Whether its health allows a task to be placed there.
+    /// Whether its health allows a task to be placed there, if it accepts work.
     pub(crate) fn trusted_with(&self, last: LastAttempt) -> bool {
         let standing = &self.health.standing;
         match last {
-            LastAttempt::No => {
-                !standing.excluded && (!standing.probed() || self.active_runs.sums().short == 0)
-            }
+            LastAttempt::No => !standing.probed() || self.active_runs.sums().short == 0,
             LastAttempt::Strict => standing.proven(),
             LastAttempt::Relaxed => true,
         }
--- a/crates/owner/src/health/speed.rs
+++ b/crates/owner/src/health/speed.rs
@@ -13,8 +13,10 @@
 /// The least variance of logarithms, so that exact estimates don't make small delays into evidence.
 const MIN_VARIANCE: f64 = 0.1;
 
-/// The bounds of one sample's log-likelihood ratio: a single run may be slow by its own fault.
+/// The upper bound of one sample's log-likelihood ratio: a single run may be slow by its own fault.
 const MAX_RATIO: f64 = 2.0;
+
+/// The lower bound of one sample's log-likelihood ratio.
 const MIN_RATIO: f64 = -1.0;
 
 /// The distribution of run times against estimates in one queue, by their logarithms.
--- a/crates/owner/src/health/standing.rs
+++ b/crates/owner/src/health/standing.rs
@@ -1,5 +1,7 @@
 //! What the probability that a worker is unsound means for placing.
 
+use crate::health::evidence::UNSOUND_RATE;
+
 /// The probability from which a worker gets nothing new.
 const EXCLUDED: f64 = 0.8;
 
@@ -56,6 +58,6 @@
     /// The cost of placing a task there; `last` says whether it is the task's last attempt.
     pub(crate) fn cost(&self, last: bool) -> f64 {
         let failure = if last { LAST_COST } else { FAILURE_COST };
-        failure * self.unsound * super::evidence::UNSOUND_RATE + SLOW_COST * self.slow
+        failure * self.unsound * UNSOUND_RATE + SLOW_COST * self.slow
     }
 }
--- a/crates/owner/src/workers/renewal.rs
+++ b/crates/owner/src/workers/renewal.rs
@@ -113,7 +113,9 @@
         if active.show(running, now) {
             worker.reported_at = now;
         }
-        self.count_speed(incarnation, *task, now);
+        if let Some(took) = active.full_time(now) {
+            self.count_speed(incarnation, *task, took, now);
+        }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return self.stop_run(incarnation, *task, *run, now);
         };
