Account: forget what is not needed of a job that is over

A job that is over stays for as long as its state may be asked for, with the chains of all its steps; a cancelled one kept its clocks, too, and a run that ended after its job had failed got a new clock.

Ruled out: an account behind a pointer that is dropped as a whole: the chain that ended last is part of each job that still runs, and the rest is empty maps.

Change: every job whose end the log holds keeps only that chain, and losses of jobs that are over are not counted: their reports are made from what was known when they ended. `JobReport` is `EndedJob`, as the hosts' call has a `JobReport` of its own.

The tests of accounts, which sum up each job's phases over drawn courses, pass unchanged but for the name.

--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -9,7 +9,7 @@
 
 use myrtle_adapter::{StoreError, Writer, frame_keyed};
 use myrtle_job::Key;
-use myrtle_owner::{Batch, JobReport, Order, Question};
+use myrtle_owner::{Batch, EndedJob, Order, Question};
 
 use crate::answer_time::AnswerTime;
 use crate::busy::Work;
@@ -103,7 +103,7 @@
 /// Updates the metrics of jobs that are over.
 fn report_jobs(host: &Host, owned: &Owned) {
     let reports = owned.state().take_reports();
-    for JobReport { queue, verdict, spans, .. } in reports {
+    for EndedJob { queue, verdict, spans, .. } in reports {
         host.meter.count("myrtle_jobs", &format!("{queue} {}", verdict.key()));
         for (phase, millis) in spans.phases() {
             host.meter.span("myrtle_job_millis", &format!("{queue} {}", phase.key()), millis);
--- a/crates/owner/src/account/job.rs
+++ b/crates/owner/src/account/job.rs
@@ -143,10 +143,12 @@
         spans
     }
 
-    /// Forgets all but the chains; no task of the job is started any more.
+    /// Forgets all but the chain that ended last; no task of the job is started any more.
     pub(crate) fn close(&mut self) {
-        self.tasks.clear();
+        self.begun.clear();
+        self.done.clear();
         self.blocked.clear();
+        self.tasks.clear();
     }
 
     /// The chain that a task's step had to wait for; of steps that were done before this owner
--- a/crates/owner/src/account/report.rs
+++ b/crates/owner/src/account/report.rs
@@ -30,9 +30,9 @@
     }
 }
 
-/// Where the time of a job went.
+/// A job that is over, and where its time went.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct JobReport {
+pub struct EndedJob {
     /// The queue.
     pub queue: String,
     /// How it ended.
@@ -46,7 +46,7 @@
 
 impl Cell {
     /// Takes the reports of jobs that the log has shown as over since the last call.
-    pub fn take_reports(&mut self) -> Vec<JobReport> {
+    pub fn take_reports(&mut self) -> Vec<EndedJob> {
         std::mem::take(&mut self.reports)
     }
 
@@ -55,6 +55,8 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        // The job itself stays for as long as its state may be asked for.
+        job.account.close();
         let took = now.saturating_sub(job.arrived_at);
         let objective = job.objective();
         let late = took > objective;
@@ -77,9 +79,8 @@
                 job.submission.policy.queue
             );
         }
-        job.account.close();
         let queue = job.submission.policy.queue.clone();
-        self.reports.push(JobReport { queue, verdict, took, spans });
+        self.reports.push(EndedJob { queue, verdict, took, spans });
     }
 
     /// Logs that a job fails because of a task, with the reason, and keeps where the time went.
@@ -100,6 +101,9 @@
 impl Job {
     /// Records that a run of a short task ended without success.
     pub(crate) fn count_loss(&mut self, task: TaskId, run: u32, cause: Phase, now: u64) {
+        if self.progress.state.over() {
+            return;
+        }
         let record = self.progress.task(task).filter(|t| !t.done);
         let Some(record) = record.filter(|_| !self.step(task.step).long_running) else {
             return;
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -3,7 +3,7 @@
 use myrtle_job::{Incarnation, JobId, Key, RunEnd, State, TaskId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::account::report::JobReport;
+use crate::account::report::EndedJob;
 use crate::health::book::HealthBook;
 use crate::jobs::balance::CellLoad;
 use crate::jobs::early_cancel::EarlyCancel;
@@ -108,7 +108,7 @@
     /// Received ends that are not in the log yet, in the order of their receipt.
     pub(crate) unlogged: Vec<RunEnd>,
     /// Reports of jobs whose ends the log holds, until they are taken.
-    pub(crate) reports: Vec<JobReport>,
+    pub(crate) reports: Vec<EndedJob>,
     /// Orders that need no record.
     pub(crate) orders: Vec<Order>,
     /// Jobs with repetitions still to begin.
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -17,7 +17,7 @@
 mod workers;
 
 pub use account::phase::Phase;
-pub use account::report::{JobReport, Verdict};
+pub use account::report::{EndedJob, Verdict};
 pub use account::spans::Spans;
 pub use cell::{Cell, Counts};
 pub use disruption::interference::{InterferenceModel, pressure};
--- a/crates/owner/tests/account.rs
+++ b/crates/owner/tests/account.rs
@@ -9,25 +9,25 @@
 use common::{Faults, World, case, job, policy, step};
 use myrtle_base::Room;
 use myrtle_job::{JobSpec, Policy, Repeat, StepSpec};
-use myrtle_owner::{JobReport, Phase, Verdict};
+use myrtle_owner::{EndedJob, Phase, Verdict};
 
 /// How long the owners have to finish the jobs of a test, in milliseconds.
 const LIMIT: u64 = 60_000;
 
 /// The reports of the newest owner.
-fn reports(world: &mut World) -> Vec<JobReport> {
+fn reports(world: &mut World) -> Vec<EndedJob> {
     world.owner().cell.take_reports()
 }
 
 /// The only report.
-fn report(world: &mut World) -> JobReport {
+fn report(world: &mut World) -> EndedJob {
     let mut reports = reports(world);
     assert_eq!(reports.len(), 1, "{reports:?}");
     reports.remove(0)
 }
 
 /// Asserts that the phases sum up to the time that the job took.
-fn assert_explained(report: &JobReport) {
+fn assert_explained(report: &EndedJob) {
     assert_eq!(report.spans.total(), report.took, "{report:?}");
 }
 
@@ -121,7 +121,7 @@
 }
 
 /// Runs jobs beside lost replies, late orders, crashes and takeovers.
-fn drawn(seed: u64) -> Vec<JobReport> {
+fn drawn(seed: u64) -> Vec<EndedJob> {
     let mut world = World::new(seed, 6);
     world.faults = Faults { unanswered: 0.05, late: 0.03, queued: 0.03, outlive: false };
     let mut found = Vec::new();
