--- a/crates/load/tests/overload.rs
+++ b/crates/load/tests/overload.rs
@@ -94,7 +94,8 @@
 
 /// Guards against last attempts that go to workers as doubtful as those of the first attempts.
 ///
-/// A quarter of the workers of one data centre fails two runs in five for 24 s; all others fail one in two hundred, of which a wide job of two steps has 0.002 fail twice.
+/// A quarter of the workers of one data centre fails two runs in five for 24 s; all others fail one in two hundred, of
+/// which a wide job of two steps has 0.002 fail twice.
 #[test]
 fn few_jobs_fail_while_workers_of_one_data_centre_fail_runs() {
     for outcome in simulate("failing") {
--- a/crates/owner/tests/common/worker.rs
+++ b/crates/owner/tests/common/worker.rs
@@ -189,12 +189,7 @@
             } else if !self.hanging {
                 run.worked += passed * u64::from(run.limit) / 100;
                 if run.worked >= run.work * self.slowdown && !run.long_running {
-                    let drawn = (task.job.spread()
-                        ^ u64::from(task.index) << 8
-                        ^ u64::from(run.number) << 16)
-                        .wrapping_add(u64::from(self.listing.address.port()))
-                        .wrapping_mul(0x9E37_79B9_7F4A_7C15)
-                        >> 32;
+                    let drawn = draw(task, run.number, self.listing.address.port());
                     let fails = drawn % 100 < self.failing_percent;
                     ended.push((task, if fails { EndReason::Failed } else { EndReason::Done }));
                 }
@@ -346,3 +341,9 @@
         self.ends.push(EndedRun { seq, task, run: run.number, reason, checkpoint: String::new() });
     }
 }
+
+/// A number drawn from the names of a run, so that a replay repeats it.
+fn draw(task: TaskId, run: u32, port: u16) -> u64 {
+    let names = task.job.spread() ^ u64::from(task.index) << 8 ^ u64::from(run) << 16;
+    names.wrapping_add(u64::from(port)).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32
+}
--- a/crates/owner/tests/health.rs
+++ b/crates/owner/tests/health.rs
@@ -49,6 +49,15 @@
     cell.workers.values().filter(|w| w.accepts_work(now)).count()
 }
 
+/// A world of 20 workers that have done work, of which two now fail everything, with the names of these.
+fn two_failing(seed: u64) -> (World, Vec<Arc<str>>) {
+    let mut world = World::new(seed, 20);
+    press(&mut world, 3_000, 50);
+    let failing = names(0..2);
+    fail(&mut world, &failing, 100);
+    (world, failing)
+}
+
 /// A world of 20 workers, with the last ten in another data centre.
 fn two_centres(seed: u64) -> World {
     let mut world = World::new(seed, 20);
@@ -62,10 +71,7 @@
 /// of another kind succeeded between them.
 #[test]
 fn workers_that_fail_everything_get_little() {
-    let mut world = World::new(1, 20);
-    press(&mut world, 3_000, 50);
-    let failing = names(0..2);
-    fail(&mut world, &failing, 100);
+    let (mut world, failing) = two_failing(1);
     press(&mut world, 2_000, 50);
     let before = starts(&world, &failing);
     press(&mut world, 10_000, 50);
@@ -77,10 +83,7 @@
 /// Guards against workers that are left without work for good after a spell.
 #[test]
 fn workers_that_are_sound_again_get_work_again() {
-    let mut world = World::new(2, 20);
-    press(&mut world, 3_000, 50);
-    let failing = names(0..2);
-    fail(&mut world, &failing, 100);
+    let (mut world, failing) = two_failing(2);
     press(&mut world, 5_000, 50);
     fail(&mut world, &failing, 0);
     press(&mut world, 10_000, 50);
@@ -157,10 +160,7 @@
 /// Guards against a takeover that sends work back to workers that were known to fail.
 #[test]
 fn the_next_owner_knows_which_workers_fail() {
-    let mut world = World::new(5, 20);
-    press(&mut world, 3_000, 50);
-    let failing = names(0..2);
-    fail(&mut world, &failing, 100);
+    let (mut world, failing) = two_failing(5);
     press(&mut world, 4_000, 50);
     let before = starts(&world, &failing);
     world.succeed();
