Owner: both weights that decay stand in one file

Ruled out: one function for both, with half-lives turned into time constants: rounding would differ, and with it placements in replays.

Change: `faded` moves to decay.rs.

--- a/crates/owner/src/decay.rs
+++ b/crates/owner/src/decay.rs
@@ -1,4 +1,4 @@
-//! Sums that decay, by which recent events weigh more than earlier ones.
+//! Weights that decay, by which recent events count more than earlier ones.
 
 /// An exponentially decaying sum; each use has one time constant, in milliseconds.
 #[derive(Debug, Default, Clone, Copy)]
@@ -23,3 +23,8 @@
 pub(crate) fn decay(since: u64, constant: f64, now: u64) -> f64 {
     (-(now.saturating_sub(since) as f64) / constant).exp()
 }
+
+/// The same by half-life: the weight halves with each of them that has passed since `since`.
+pub(crate) fn faded(since: u64, half_life: f64, now: u64) -> f64 {
+    (-(now.saturating_sub(since) as f64) / half_life).exp2()
+}
--- a/crates/owner/src/health/evidence.rs
+++ b/crates/owner/src/health/evidence.rs
@@ -1,6 +1,6 @@
 //! Evidence that one worker is unsound, as a log-likelihood ratio that fades.
 
-use crate::health::tally::faded;
+use crate::decay::faded;
 
 /// The half-life of evidence, in milliseconds: a worker that gets no more work because of it gets
 /// some again after a few seconds, and what comes of that decides.
--- a/crates/owner/src/health/tally.rs
+++ b/crates/owner/src/health/tally.rs
@@ -1,5 +1,7 @@
 //! Fading counts of runs and of those that failed.
 
+use crate::decay::faded;
+
 /// Counts of runs that lose half of their weight in each half-life.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct Tally {
@@ -32,8 +34,3 @@
         }
     }
 }
-
-/// The weight that remains of something that happened at `since`.
-pub(crate) fn faded(since: u64, half_life: f64, now: u64) -> f64 {
-    (-(now.saturating_sub(since) as f64) / half_life).exp2()
-}
