--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -5,14 +5,22 @@
 use rand::RngExt;
 use rand::seq::SliceRandom;
 
-use myrtle_job::{Incarnation, Listing, OrderReply, Replacement};
+use myrtle_job::{Incarnation, Listing, OrderReply, Replacement, TaskId};
 use myrtle_owner::{Order, Outcome};
 
-use super::{LateRun, STEP, World};
+use super::{STEP, World};
 
 /// Steps between two lease renewals of a worker.
 const RENEW_EVERY: u64 = 8;
 
+/// A late start that the next incarnation of its worker carried out.
+#[derive(Debug)]
+pub struct LateRun {
+    pub task: TaskId,
+    /// Whether an owner had reached that incarnation before.
+    pub reached: bool,
+}
+
 impl World {
     /// Runs one step of an owner: listings, lease renewals, planning, orders and the write.
     pub(super) fn act(&mut self, at: usize) {
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -22,6 +22,7 @@
 use myrtle_job::{Incarnation, JobId, JobSpec, Listing, Policy, Submission, TaskId};
 use myrtle_owner::{Batch, Cell, Order};
 
+use act::LateRun;
 use crash::Back;
 
 pub use jobs::{job, policy, step};
@@ -65,14 +66,6 @@
     pub outlive: bool,
 }
 
-/// A late start that the next incarnation of its worker carried out.
-#[derive(Debug)]
-pub struct LateRun {
-    pub task: TaskId,
-    /// Whether an owner had reached that incarnation before.
-    pub reached: bool,
-}
-
 /// An owner and its state in the simulation.
 pub struct Owner {
     pub cell: Cell,
