Late starts: a task is excused by its own late run only

The check of late starts looked for the task's name anywhere in a violation, so a late run of task 1 of a step excused task 10. It now looks for the whole name, which is stricter.

--- a/crates/owner/tests/restart_courses.rs
+++ b/crates/owner/tests/restart_courses.rs
@@ -264,7 +264,7 @@
     for seed in seeds {
         let (violations, world) = run_world(seed, true);
         let unreached: Vec<String> =
-            world.late_runs.iter().filter(|r| !r.reached).map(|r| r.task.to_string()).collect();
+            world.late_runs.iter().filter(|r| !r.reached).map(|r| format!("{} ", r.task)).collect();
         let preventable = |text: &&String| {
             !text.contains("got a lease of") && !unreached.iter().any(|task| text.contains(task))
         };
