Late starts: nothing is looked up for workers that have none; the check counts orders too

Cause: each entry of the list that is read looked through a worker's incarnations and copied their names for stops that hardly any worker needs. It now returns at once; what is sent is the same.

The check of late starts took a process for reached by a lease renewal only; an order that was meant for it counts now as well, which is stricter.

--- a/crates/owner/src/workers/late_starts.rs
+++ b/crates/owner/src/workers/late_starts.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Whether a worker has such starts.
+    fn has(&self, worker: &str) -> bool {
+        self.0.contains_key(worker)
+    }
+
     /// The ids of workers with such starts.
     fn workers(&self) -> Vec<Arc<str>> {
         self.0.keys().cloned().collect()
@@ -123,6 +128,10 @@
     /// One that has not answered yet is sent each stop once, since it may carry out the start before
     /// it answers; what gets no reply is sent again when it does.
     pub(crate) fn stop_late_starts_at(&mut self, id: &str, now: u64) {
+        // Each entry of the list comes here, and hardly any worker has such starts.
+        if !self.late_starts.has(id) {
+            return;
+        }
         let present = self.incarnations(id).filter(|(_, w)| w.presence != Presence::Gone);
         let present: Vec<_> = present
             .map(|(incarnation, w)| (incarnation.clone(), w.presence == Presence::Answering))
--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -214,6 +214,9 @@
         if let Some(by) = self.successor(order.worker()) {
             return Outcome::Replaced(by);
         }
+        if let Some(worker) = self.workers.get_mut(order.worker().id()) {
+            worker.reached = true;
+        }
         self.execute(order, fence, until)
     }
 
--- a/crates/owner/tests/common/worker.rs
+++ b/crates/owner/tests/common/worker.rs
@@ -45,7 +45,7 @@
     pub hanging: bool,
     /// The tail latency that its serving tasks report, in place of the default.
     pub tail: Option<f64>,
-    /// Whether an owner has reached it with a lease renewal.
+    /// Whether an owner has reached it with a lease renewal or an order that was meant for it.
     pub reached: bool,
     /// Whether it starts tasks without regard to its room.
     pub unguarded: bool,
