Review: the stand-ins end what they started when they are told to end

run.sh now takes only the exit code of a broken rule for one, so that a fault of the stand-ins can't pass for it.

--- a/review/standins.py
+++ b/review/standins.py
@@ -33,6 +33,10 @@
 # The delay before the platform starts a process that has ended again.
 RESTART_S = 0.5
 
+# The longest time that a case plays, and the exit code if it shows a broken rule; `run.sh` maps that to 1, so that a
+# fault of these stand-ins is not taken for one.
+PLAY_S = 100
+BROKEN = 10
 # The time after which a task that lasts is at work, and the work of such a task.
 START_S = 0.3
 LASTS = 1e9
@@ -770,8 +774,9 @@
     async def hand_in(self, route, job, spec, steps, work_s=0.2, tries=4, front=None, **more):
         """Hands a job in; returns the last status."""
         for n, step in enumerate(steps):
-            self.specs[(job, n)] = (step.get("cpu", 0), step.get("mem_mb", 0),
-                                     LASTS if step.get("long_running") else work_s, step.get("checkpointing", False))
+            work = LASTS if step.get("long_running") else work_s
+            shape = (step.get("cpu", 0), step.get("mem_mb", 0), work, step.get("checkpointing", False))
+            self.specs[(job, n)] = shape
         body = {"spec": spec, "steps": steps, **more}
         return (await self.ask("POST", route, job, body, front, tries))[0]
 
@@ -801,28 +806,30 @@
 
 
 def main(play, folder, **options):
-    """Plays a case; exits with 1 if it returns a broken rule, 0 if none, 2 if it could not run."""
+    """Plays a case; exits with `BROKEN` if it returns a broken rule, 0 if none, 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     if not os.path.exists(f"{ROOT}/target/release/myrtle-front"):
         print("target/release/myrtle-front is missing: build it first, as in deploy/system.toml")
         sys.exit(2)
 
     async def body():
+        # Also when this program is told to end, it ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         site = Site(os.path.join(folder, "record.txt"), **options)
         site.record(f"trouble: {trouble}")
         try:
             await site.start()
-            return await asyncio.wait_for(play(site, trouble), 95), site
+            return await asyncio.wait_for(play(site, trouble), PLAY_S), site
         finally:
             await site.stop()
 
     try:
         broken, site = asyncio.run(body())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
     for line in broken:
         site.record(f"BROKEN: {line}")
         print(f"BROKEN: {line}")
     print("broken" if broken else "held")
-    sys.exit(1 if broken else 0)
+    sys.exit(BROKEN if broken else 0)
