--- a/review/standins.py
+++ b/review/standins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -36,6 +37,8 @@
 # The longest time that a case plays, and the exit code if it shows a broken rule; `run.sh` maps that to 1, so that a
 # fault of these stand-ins is not taken for one.
 PLAY_S = 100
+# Of Linux's prctl.
+PR_SET_PDEATHSIG = 1
 BROKEN = 10
 # The time after which a task that lasts is at work, and the work of such a task.
 START_S = 0.3
@@ -49,11 +52,16 @@
     return time.monotonic() - START
 
 
+def end_with_parent(number):
+    """Sends this process a signal when the one that started it ends, however that ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, number)
+
+
 class Record:
-    """What was sent, answered and run, in `record.txt`."""
+    """What was sent, answered and run, in `record.txt`; `run.sh` begins the file."""
 
     def __init__(self, path):
-        self.file = open(path, "w", encoding="utf-8")
+        self.file = open(path, "a", encoding="utf-8")
 
     def __call__(self, text):
         self.file.write(f"{now():9.3f}  {text}\n")
@@ -626,7 +634,8 @@
         while self.wanted:
             log = open(f"{self.site.folder}/{self.name}.log", "ab")
             self.process = await asyncio.create_subprocess_exec(
-                *self.command, cwd=ROOT, env=env, stdout=log, stderr=log
+                *self.command, cwd=ROOT, env=env, stdout=log, stderr=log,
+                preexec_fn=lambda: end_with_parent(signal.SIGKILL),
             )
             log.close()
             self.site.record(f"{self.name} starts, process {self.process.pid}")
@@ -668,8 +677,8 @@
 class Site:
     """A small site of one zone."""
 
-    def __init__(self, record_path, hosts=3, machines=4, routes=1, advice=None):
-        self.record = Record(record_path)
+    def __init__(self, record, hosts=3, machines=4, routes=1, advice=None):
+        self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store(self.record)
         self.machines = [Machine(self, n) for n in range(machines)]
@@ -805,31 +814,34 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(play, folder, **options):
+def main(play, **options):
     """Plays a case; exits with `BROKEN` if it returns a broken rule, 0 if none, 2 if it could not run."""
+    end_with_parent(signal.SIGTERM)
+    record = Record(sys.argv[1])
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    if not os.path.exists(f"{ROOT}/target/release/myrtle-front"):
-        print("target/release/myrtle-front is missing: build it first, as in deploy/system.toml")
-        sys.exit(2)
+    record(f"trouble: {trouble}")
 
     async def body():
         # Also when this program is told to end, it ends the processes that it started.
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
-        site = Site(os.path.join(folder, "record.txt"), **options)
-        site.record(f"trouble: {trouble}")
+        if not os.path.exists(f"{ROOT}/target/release/myrtle-front"):
+            raise RuntimeError("target/release/myrtle-front is missing: build it first, as in deploy/system.toml")
+        site = Site(record, **options)
         try:
             await site.start()
-            return await asyncio.wait_for(play(site, trouble), PLAY_S), site
+            return await asyncio.wait_for(play(site, trouble), PLAY_S)
         finally:
             await site.stop()
 
     try:
-        broken, site = asyncio.run(body())
+        broken = asyncio.run(body())
     except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
+        record(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
     for line in broken:
-        site.record(f"BROKEN: {line}")
+        record(f"BROKEN: {line}")
         print(f"BROKEN: {line}")
+    record("outcome: broken" if broken else "outcome: held")
     print("broken" if broken else "held")
     sys.exit(BROKEN if broken else 0)
