Tickets: questions wait at the owner, a few under way a host, and each answer is used

The service gave 300 answers of 0.10 s each for 156 jobs. 71 of them came within 1.6 s of their question and were used, and these are the 71 jobs that completed; 229 came later, to callers who had gone. So each call was sent at once with a limit that counts nothing of what waits before it, and what was refused or given up was asked again 0.1 s later, which kept the queue full with nobody asking.

Ruled out: expired tickets (no start was refused for its ticket), room (0% of the cores in use), health.

Change: a crate without I/O (crates/tickets) decides which question goes next, how many are under way on a host and when to ask again. Questions are made only when they are sent, so nothing is asked for jobs that were cancelled, placed or have no room. A late call is not given up; it counts as lost once a question sent well after it has been answered. On the same path, met while rewriting it: validity was counted from when a question was sent, however long it waited; a ticket that lapsed while the start's record was written went out as a start without one (now withdrawn); a refused ticket dropped what was known of barred workers; a question named only workers with room, so that a full cell asked once for each place that came free.

--- a/crates/base/src/room.rs
+++ b/crates/base/src/room.rs
@@ -39,6 +39,12 @@
         self.cpu <= free.cpu && self.mem <= free.mem && self.accel <= free.accel
     }
 
+    /// How many of this amount fit into `free`; `u32::MAX` if it is nothing.
+    pub fn count_in(&self, free: &Room) -> u32 {
+        let count = |one: u32, all: u32| all.checked_div(one).unwrap_or(u32::MAX);
+        count(self.cpu, free.cpu).min(count(self.mem, free.mem)).min(count(self.accel, free.accel))
+    }
+
     /// The difference to `other`, at least 0 in every dimension.
     pub fn minus(&self, other: &Room) -> Room {
         Room {
--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -9,7 +9,7 @@
 
 use myrtle_adapter::{StoreError, Writer, frame_keyed};
 use myrtle_job::Key;
-use myrtle_owner::{Batch, EndedJob, Order, Question};
+use myrtle_owner::{Batch, EndedJob, Order};
 
 use crate::answer_time::AnswerTime;
 use crate::busy::Work;
@@ -18,7 +18,7 @@
 use crate::host::Host;
 use crate::names::{JOBS, OWNER_WRITER, PROGRESS, owner_key, worker_key};
 use crate::owned::Owned;
-use crate::{balance, handoff, takeover, tickets};
+use crate::{balance, handoff, takeover};
 
 /// How long changes are gathered before they are written; this adds little to the store's own time.
 const GATHER: Duration = Duration::from_millis(2);
@@ -61,10 +61,12 @@
             sleep(rest).await;
         }
         let planned_at = Instant::now();
-        let (orders, questions, batch) = plan(owned);
+        let (orders, batch) = plan(owned);
         rest = planned_at.elapsed().clamp(GATHER, MAX_REST);
         owned.dispatch(orders);
-        tickets::ask_all(host, owned, questions);
+        if owned.state().needs_tickets() {
+            host.questions.wake.notify_one();
+        }
         if batch.is_empty() {
             continue;
         }
@@ -111,8 +113,8 @@
     }
 }
 
-/// Plans, and returns the orders, questions and changes.
-fn plan(owned: &Owned) -> (Vec<Order>, Vec<Question>, Batch) {
+/// Plans, and returns the orders and changes.
+fn plan(owned: &Owned) -> (Vec<Order>, Batch) {
     let mut cell = owned.state();
     if !owned.closed() && owned.busy.measure(Work::Plan, || cell.plan(now())) {
         // Planning continues after this slice is written.
@@ -120,7 +122,7 @@
     }
     let batch = owned.busy.measure(Work::Batch, || cell.batch());
     owned.set_writing(!batch.is_empty());
-    (cell.orders(), cell.take_questions(), batch)
+    (cell.orders(), batch)
 }
 
 /// Frames the records for appends, each below the limit.
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -21,6 +21,7 @@
 use crate::ownership::Directory;
 use crate::ownership::owners::Owners;
 use crate::settings::Settings;
+use crate::tickets::Questions;
 use crate::unknown_keys::UnknownKeys;
 
 /// The least time without a good answer before the store counts as lost, in milliseconds.
@@ -43,6 +44,8 @@
     pub store: Store,
     /// The ticket service, if there is one.
     pub tickets: Option<Tickets>,
+    /// The questions to the ticket service.
+    pub questions: Questions,
     /// The machine service, if there is one.
     pub machines: Option<Machines>,
     /// The metrics.
@@ -83,6 +86,7 @@
             evacuated: Evacuated::default(),
             unknown_keys: UnknownKeys::default(),
             tickets: settings.tickets.map(Tickets::new),
+            questions: Questions::default(),
             machines: settings.machines.map(Machines::new),
             settings,
             meter: Meter::default(),
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -18,7 +18,7 @@
 use crate::ownership::{self, member, monitor};
 use crate::peers::Server;
 use crate::settings::Settings;
-use crate::{discover, intake, listen, operator, regain};
+use crate::{discover, intake, listen, operator, regain, tickets};
 
 /// How long new connections still arrive after the host reports that it is not ready: two checks of a second each plus
 /// a margin.
@@ -65,6 +65,7 @@
     tokio::spawn(regain::run(host.clone()));
     tokio::spawn(reload(path));
     tokio::spawn(log_calls(host.clone()));
+    tokio::spawn(tickets::run(host.clone()));
     signal(SignalKind::terminate())?.recv().await;
     stop(&host, &closing, &tracker).await;
     Ok(())
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -23,12 +23,12 @@
 use tokio::time::{sleep, timeout};
 
 use myrtle_platform::serve;
-use myrtle_standin::{RunLog, Store, WorkerStandin};
+use myrtle_standin::{RunLog, Store, TicketService, TicketSpans, WorkerStandin};
 
 pub use call::{call, call_with, status};
 pub use links::Links;
 pub use relay::Relay;
-pub use text::{configuration, own_ip, settings};
+pub use text::{configuration, own_ip, settings, ticketed};
 
 /// The exit code of a host that can't bind its addresses; docs/OPERATIONS.md.
 const BIND_FAILED: i32 = 3;
@@ -43,6 +43,7 @@
     pub book: Arc<RunLog>,
     pub hosts: BTreeMap<String, Host>,
     pub runners: Vec<Arc<WorkerStandin>>,
+    tickets: Option<Arc<TicketService>>,
     /// The longest lease of a worker, in milliseconds.
     lease: u64,
     /// The relays from the hosts to the store and to the workers.
@@ -98,6 +99,29 @@
         site
     }
 
+    /// A site of two hosts and four workers whose queue needs tickets.
+    pub async fn with_tickets(work: Duration, spans: TicketSpans) -> Self {
+        let mut site = Self::build(work, 10_000, ["d"; 4], false).await;
+        let service = TicketService::start(spans).await.unwrap();
+        site.runners.iter().for_each(|runner| runner.require_tickets(&service));
+        site.store.put("keyed.op", "config", ticketed(2, spans).to_string().as_bytes());
+        site.tickets = Some(service);
+        site.ticketed_host("h1").await;
+        site.ticketed_host("h2").await;
+        site
+    }
+
+    /// Starts a host that knows the site's ticket service and waits until it is ready.
+    pub async fn ticketed_host(&mut self, name: &str) {
+        let line = format!("tickets: {}\n", self.tickets().address);
+        self.host_with(name, |text| text + &line).await;
+    }
+
+    /// The ticket service.
+    pub fn tickets(&self) -> &TicketService {
+        self.tickets.as_ref().expect("the site has a ticket service")
+    }
+
     /// A site of two data centres, each with a host, two workers and its own cell.
     pub async fn of_two_centres(work: Duration) -> Self {
         Self::of_centres(work, None).await
@@ -206,7 +230,8 @@
         store.put("keyed.op", "config", configuration(1).to_string().as_bytes());
         let hosts = BTreeMap::new();
         let listed = Mutex::default();
-        Self { store, store_at, book, hosts, runners, lease, relays, links: None, listed }
+        let (tickets, links) = (None, None);
+        Self { store, store_at, book, hosts, runners, tickets, lease, relays, links, listed }
     }
 
     /// Starts a host and waits until it is ready.
--- a/crates/front/tests/common/text.rs
+++ b/crates/front/tests/common/text.rs
@@ -4,6 +4,8 @@
 
 use serde_json::{Value, json};
 
+use myrtle_standin::TicketSpans;
+
 /// The host name of the queue.
 pub const QUEUE: &str = "q.example";
 
@@ -15,6 +17,17 @@
         "limits": { "max_body_bytes": 4096 } })
 }
 
+/// A configuration of one queue that needs tickets with these times.
+pub fn ticketed(version: u64, spans: TicketSpans) -> Value {
+    let mut configuration = configuration(version);
+    configuration["routes"][0]["advice"] = json!({
+        "decide_ms": spans.call.as_millis() as u64,
+        "each_ms": spans.worker.as_millis() as u64,
+        "valid_ms": spans.valid.as_millis() as u64,
+    });
+    configuration
+}
+
 /// A loopback address that only this process uses, so that no other test takes its hosts' ports.
 pub fn own_ip() -> Ipv4Addr {
     let [_, a, b, c] = std::process::id().to_be_bytes();
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -1,8 +1,10 @@
 //! The state of a cell: its jobs and its workers.
 
-use myrtle_job::{Incarnation, JobId, Key, RunEnd, State, TaskId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use myrtle_job::{Incarnation, JobId, Key, RunEnd, State, TaskId};
+use myrtle_tickets::Backlog;
+
 use crate::account::report::EndedJob;
 use crate::health::book::HealthBook;
 use crate::jobs::balance::CellLoad;
@@ -15,7 +17,7 @@
 use crate::workers::crash::Silence;
 use crate::workers::late_starts::LateStarts;
 use crate::workers::wave::WaveState;
-use crate::{InterferenceModel, Job, LoadCycles, Order, Question, TimeLimits, Worker};
+use crate::{InterferenceModel, Job, LoadCycles, Order, TimeLimits, Worker};
 
 /// Counts of events since this owner began.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -118,8 +120,8 @@
     pub(crate) repeating: BTreeSet<JobId>,
     /// Maintenance waves.
     pub(crate) waves: BTreeMap<u64, WaveState>,
-    /// Questions to the policy service.
-    pub(crate) questions: Vec<Question>,
+    /// Steps that wait for their question to the ticket service.
+    pub(crate) ticket_backlog: Backlog,
     /// Jobs that were cancelled before they were known.
     pub(crate) early_cancels: HashMap<JobId, EarlyCancel>,
     /// Incarnations of workers whose descriptions the log need not hold any more.
@@ -166,7 +168,7 @@
             orders: Vec::new(),
             repeating: BTreeSet::new(),
             waves: BTreeMap::new(),
-            questions: Vec::new(),
+            ticket_backlog: Backlog::default(),
             early_cancels: HashMap::new(),
             obsolete_records: Vec::new(),
         }
--- a/crates/owner/src/jobs/explain.rs
+++ b/crates/owner/src/jobs/explain.rs
@@ -28,6 +28,9 @@
                 _ if job.progress.is_transferred(name) => {
                     "was transferred to another cell".to_string()
                 }
+                _ if runs.is_empty() && policy.ticket_times.is_some() => {
+                    format!("waits ({})", self.ticket_reason(job, name, now))
+                }
                 _ if runs.is_empty() => "waits".to_string(),
                 _ => runs.join(", "),
             };
--- a/crates/owner/src/jobs/job.rs
+++ b/crates/owner/src/jobs/job.rs
@@ -1,12 +1,12 @@
 //! Jobs as the owner tracks them.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use crate::account::job::JobAccount;
 use crate::account::phase::Phase;
 use crate::account::spans::Spans;
 use myrtle_job::{Incarnation, JobId, Progress, Run, State, StepSpec, Submission, Task, TaskId};
+use myrtle_tickets::{StepId, StepTickets};
 
 /// An accepted job.
 #[derive(Debug, Clone)]
@@ -34,27 +34,14 @@
     pub down_since: BTreeMap<TaskId, u64>,
     /// Where a task failed or made no progress, so that it goes to another worker.
     pub avoided: BTreeMap<TaskId, Vec<Incarnation>>,
-    /// The policy service's answers, by repetition and step.
-    pub tickets: BTreeMap<(u32, u16), StepTickets>,
+    /// The ticket service's answers about its steps.
+    pub tickets: BTreeMap<StepId, StepTickets>,
     /// Where its time went.
     pub(crate) account: JobAccount,
     /// The same for the task because of which it failed.
     pub(crate) failed_chain: Option<Spans>,
 }
 
-/// The policy service's answers for a step.
-#[derive(Debug, Clone, Default)]
-pub struct StepTickets {
-    /// Allowed workers with their tickets and when these expire, by the steady clock.
-    pub good: BTreeMap<Incarnation, (Arc<str>, u64)>,
-    /// Workers that the service was asked about.
-    pub asked: Vec<Incarnation>,
-    /// When the service may be asked again.
-    pub ask_at: u64,
-    /// Whether a question is pending.
-    pub asking: bool,
-}
-
 impl Job {
     /// A job that was submitted at `arrived_at`.
     pub fn new(submission: Submission, progress: Progress, arrived_at: u64) -> Self {
@@ -77,6 +64,12 @@
         }
     }
 
+    /// Whether a start of a task may be planned on a worker, as far as tickets go.
+    pub(crate) fn admits(&self, task: TaskId, worker: &Incarnation, now: u64) -> bool {
+        self.submission.policy.ticket_times.is_none()
+            || self.tickets.get(&task.into()).is_some_and(|t| t.usable(worker, now).is_some())
+    }
+
     /// Whether a task of the job has to be started here; `record` is its own.
     pub fn waits(&self, task: TaskId, record: &Task) -> bool {
         record.is_waiting() && !self.progress.is_transferred(task) && !self.progress.given_up(task)
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -31,7 +31,7 @@
 pub use orders::commit::Batch;
 pub use orders::order::{Order, Outcome};
 pub use orders::uncertain::UncertainRuns;
-pub use placing::tickets::Question;
+pub use placing::tickets::{Answer, Question, TicketQueue};
 pub use summary::CellSummary;
 pub use workers::lease::RenewalArgs;
 pub use workers::record::WorkerRecord;
--- a/crates/owner/src/orders/replies.rs
+++ b/crates/owner/src/orders/replies.rs
@@ -148,6 +148,10 @@
         {
             active.enter(Stage::Running, now);
             active.started_at = active.started_at.or(Some(now));
+            let job = self.jobs.get_mut(&task.job);
+            if let Some(tickets) = job.and_then(|job| job.tickets.get_mut(&task.into())) {
+                tickets.accepted();
+            }
             self.mark_started(task, run, now);
         }
     }
@@ -167,8 +171,10 @@
                 warn!("event=start-bad task={task} run={run} worker={incarnation}")
             }
             OrderReply::InvalidTicket => {
-                if let Some(job) = self.jobs.get_mut(&task.job) {
-                    job.tickets.remove(&(task.round, task.step));
+                if let Some(job) = self.jobs.get_mut(&task.job)
+                    && let Some(tickets) = job.tickets.get_mut(&task.into())
+                {
+                    tickets.invalid(now);
                 }
             }
             _ => {}
--- a/crates/owner/src/orders/withdraw.rs
+++ b/crates/owner/src/orders/withdraw.rs
@@ -1,11 +1,11 @@
-//! Withdraws starts whose worker's room has shrunk, whose data centre is being evacuated, or whose
-//! worker has begun to leave since they were placed.
+//! Withdraws starts whose worker's room has shrunk, whose data centre is being evacuated, whose
+//! worker has begun to leave, or whose ticket has expired since they were placed.
 
 use log::info;
 
 use myrtle_job::{Incarnation, TaskId};
 
-use crate::{Cell, Worker};
+use crate::{Cell, Stage, Worker};
 
 impl Cell {
     /// Withdraws a start if its worker may start nothing any more; returns whether it did.
@@ -26,6 +26,32 @@
         true
     }
 
+    /// Withdraws a start whose ticket has expired while its record was being written; returns whether
+    /// it did. The worker would refuse it; one that was sent before may be there, and goes on.
+    pub(crate) fn withdraw_if_expired(
+        &mut self,
+        incarnation: &Incarnation,
+        task: TaskId,
+        run: u32,
+        now: u64,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return false;
+        };
+        let stage = self.workers.get(incarnation).and_then(|w| w.active_runs.get(&task));
+        let unsent = stage.is_some_and(|active| active.stage == Stage::Written);
+        let tickets = job.tickets.get_mut(&task.into());
+        let holds = tickets.as_ref().is_some_and(|t| t.holds(incarnation, now));
+        if !unsent || holds || job.submission.policy.ticket_times.is_none() {
+            return false;
+        }
+        if let Some(tickets) = tickets {
+            tickets.invalid(now);
+        }
+        self.withdraw(incarnation, task, run, "its ticket has expired", now);
+        true
+    }
+
     /// Withdraws a start; for a gang, all starts of the gang.
     fn withdraw(
         &mut self,
--- a/crates/owner/src/placing/cost.rs
+++ b/crates/owner/src/placing/cost.rs
@@ -91,8 +91,7 @@
             if !worker.trusted_with(last) {
                 continue;
             }
-            let ticketed = job.submission.policy.ticket_times.is_some();
-            if ticketed && job.ticket(task, incarnation, now).is_none() {
+            if !job.admits(task, incarnation, now) {
                 continue;
             }
             let Some(mut cost) = self.cost(worker, &mut search) else {
--- a/crates/owner/src/placing/logging.rs
+++ b/crates/owner/src/placing/logging.rs
@@ -71,7 +71,7 @@
             return (Phase::Unsound, "no worker that is known to be sound has room");
         }
         if job.submission.policy.ticket_times.is_some() {
-            return (Phase::Ticket, "no worker with room has a ticket");
+            return (Phase::Ticket, self.ticket_reason(job, task, now));
         }
         if spec.filler {
             (Phase::Interference, "it would slow serving tasks wherever there is room")
--- a/crates/owner/src/placing/place.rs
+++ b/crates/owner/src/placing/place.rs
@@ -131,6 +131,9 @@
         record.last_run = run;
         record.active.push(Run { number: run, worker: incarnation.clone() });
         job.retry_at.remove(&task);
+        if let Some(tickets) = job.tickets.get_mut(&task.into()) {
+            tickets.used();
+        }
         if !spec.long_running {
             job.waiting_since = None;
             job.account.assigned(&job.submission.spec, task, run, now);
--- a/crates/owner/src/placing/reservation.rs
+++ b/crates/owner/src/placing/reservation.rs
@@ -121,8 +121,7 @@
                 && self.eligible(worker, job, spec, task)
                 && !avoided.contains(incarnation)
                 && !self.quarantined(worker, task, suspect, waited, now)
-                && (job.submission.policy.ticket_times.is_none()
-                    || job.ticket(task, incarnation, now).is_some())
+                && job.admits(task, incarnation, now)
         });
         let times = candidates.filter_map(|(incarnation, worker)| {
             let claims =
--- a/crates/owner/src/placing/tickets.rs
+++ b/crates/owner/src/placing/tickets.rs
@@ -1,130 +1,222 @@
-//! Tickets for queues whose policy allows only some workers.
-
-use std::sync::Arc;
+//! Tickets for queues whose policy allows only some workers: which steps need some, the questions
+//! about them, and the answers.
 
 use log::info;
 
-use myrtle_job::{Incarnation, JobId, TaskId};
+use myrtle_job::{Incarnation, TaskId};
+use myrtle_tickets::{Need, StepId, StepTickets};
 
-use crate::jobs::job::StepTickets;
-use crate::{Cell, Job};
+use crate::{Cell, Job, Worker};
 
 /// The most workers that one question names: the number that the platform assumes for a step.
 const MAX_WORKERS: usize = 30;
 
-/// The time before its expiry from which a ticket isn't used, in milliseconds: the start has to be
-/// written and sent first.
-const EXPIRY_MARGIN: u64 = 150;
-
-/// The delay after a question without an answer, in milliseconds.
-const RETRY_DELAY: u64 = 100;
-
-/// A question to the policy service.
+/// A question to the ticket service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Question {
-    /// The job that the step belongs to.
-    pub job: JobId,
-    /// The repetition of the job.
-    pub round: u32,
-    /// The step of the job.
-    pub step: u16,
+    /// The step that needs tickets.
+    pub step: StepId,
     /// The workers that could run the step.
     pub workers: Vec<Incarnation>,
-    /// The time limit for the answer, in milliseconds.
-    pub limit: u64,
+    /// The service's time for the question, as the queue declares it, in milliseconds.
+    pub work: u64,
+    /// Since when the step waits for its question.
+    pub since: u64,
 }
 
-impl Question {
-    /// The step's name in the request to the policy service.
-    pub fn name(&self) -> String {
-        format!("{}.{}.{}", self.job, self.round, self.step)
-    }
+/// The outcome of a question.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// The workers that may run the step, with their tickets.
+    Granted(Vec<(Incarnation, String)>),
+    /// The service could not make sense of the question.
+    Rejected,
+    /// There was no answer; the question may be asked again.
+    Missing,
+}
+
+/// The steps that wait for the ticket service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TicketQueue {
+    /// The number of steps whose question has yet to be sent.
+    pub waiting: usize,
+    /// How long one of them has waited at most, in milliseconds.
+    pub oldest: u64,
 }
 
 impl Cell {
-    /// Takes the questions raised since the last call.
-    pub fn take_questions(&mut self) -> Vec<Question> {
-        std::mem::take(&mut self.questions)
+    /// Takes the question to ask next, which counts as sent; nothing if no step needs one now.
+    ///
+    /// It is made only here, so that it names the workers that have room now, and nothing is asked
+    /// for steps that were placed, cancelled or left without room while they waited.
+    pub fn next_question(&mut self, now: u64) -> Option<Question> {
+        while let Some((step, need)) = self.ticket_backlog.take() {
+            let Some(question) = self.question(step, need.since, now) else {
+                continue;
+            };
+            self.ticket_backlog.sent(step, &need, question.work);
+            if let Some(job) = self.jobs.get_mut(&step.job) {
+                job.tickets.entry(step).or_default().asked();
+            }
+            return Some(question);
+        }
+        None
     }
 
-    /// Records which workers may run a step; `good` is nothing if there was no answer.
-    pub fn record_answer(
-        &mut self,
-        question: &Question,
-        good: Option<Vec<(Incarnation, String)>>,
-        asked_at: u64,
-        now: u64,
-    ) {
-        let Some(job) = self.jobs.get_mut(&question.job) else {
+    /// Asks a question again that has had no answer for long; nothing if the step needs none now.
+    pub fn repeat_question(&mut self, question: &Question, now: u64) -> Option<Question> {
+        let again = self.question(question.step, question.since, now)?;
+        let job = self.jobs.get_mut(&question.step.job)?;
+        job.tickets.entry(question.step).or_default().asked();
+        Some(again)
+    }
+
+    /// Records the outcome of a question that was sent at `asked_at`.
+    pub fn record_answer(&mut self, question: &Question, answer: Answer, asked_at: u64, now: u64) {
+        let step = question.step;
+        let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
-        let valid = job.submission.policy.ticket_times.map_or(0, |a| a.valid_ms);
-        let tickets = job.tickets.entry((question.round, question.step)).or_default();
-        tickets.asking = false;
-        self.open.insert(question.job);
-        let Some(good) = good else {
-            tickets.ask_at = now + RETRY_DELAY;
+        let valid = job.submission.policy.ticket_times.map_or(0, |times| times.valid_ms);
+        let tickets = job.tickets.entry(step).or_default();
+        let answered = matches!(answer, Answer::Granted(_));
+        match answer {
+            Answer::Granted(good) => {
+                info!(
+                    "event=tickets step={step} asked={} good={} took_ms={}",
+                    question.workers.len(),
+                    good.len(),
+                    now.saturating_sub(asked_at)
+                );
+                tickets.answered(&question.workers, good, asked_at, question.work, valid, now);
+            }
+            Answer::Rejected => tickets.rejected(now),
+            Answer::Missing => tickets.unanswered(),
+        }
+        self.open.insert(step.job);
+        if answered {
             return;
-        };
-        info!(
-            "event=tickets step={} asked={} good={}",
-            question.name(),
-            question.workers.len(),
-            good.len()
-        );
-        tickets.asked.extend(question.workers.iter().cloned());
-        // The ticket's validity may have begun as early as the question was sent.
-        let until = asked_at + valid.saturating_sub(EXPIRY_MARGIN);
-        for (worker, ticket) in good {
-            tickets.good.insert(worker, (ticket.into(), until));
         }
+        // It keeps its age. The plan that follows an answer shows what is still needed.
+        self.need_tickets(step, 0, question.since, now);
+    }
+
+    /// The steps that wait for the ticket service.
+    pub fn ticket_queue(&mut self, now: u64) -> TicketQueue {
+        let jobs = &self.jobs;
+        self.ticket_backlog
+            .retain(|step| jobs.get(&step.job).is_some_and(|j| !j.progress.state.over()));
+        let oldest = self.ticket_backlog.oldest().map_or(0, |since| now.saturating_sub(since));
+        TicketQueue { waiting: self.ticket_backlog.len(), oldest }
     }
 
-    /// Asks for tickets for a step if it needs some and no question is pending.
+    /// Whether a step waits for the ticket service.
+    pub fn needs_tickets(&self) -> bool {
+        !self.ticket_backlog.is_empty()
+    }
+
+    /// Queues a question for the step of a task that found no worker, if it needs tickets.
     pub(crate) fn ask(&mut self, task: TaskId, now: u64) {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return;
+        let place = self.pass.considered.len();
+        if !self.ticket_backlog.update_place(task.into(), place) {
+            self.need_tickets(task.into(), place, now, now);
+        }
+    }
+
+    /// Why a step waits for tickets; `task` is one of its tasks.
+    pub(crate) fn ticket_reason(&self, job: &Job, task: TaskId, now: u64) -> &'static str {
+        let step = StepId::from(task);
+        let Some(tickets) = job.tickets.get(&step) else {
+            return match self.ticket_backlog.contains(step) {
+                true => "it waits for its turn at the ticket service",
+                false => "no worker with room has a ticket",
+            };
         };
-        let Some(advice) = job.submission.policy.ticket_times else {
+        if tickets.is_asking() {
+            return "the ticket service has yet to answer";
+        }
+        if self.ticket_backlog.contains(step) {
+            return "it waits for its turn at the ticket service";
+        }
+        if !tickets.may_ask(now) {
+            return "the last answers of the ticket service were of no use, so it is asked again later";
+        }
+        "the ticket service bars every worker with room"
+    }
+
+    /// Queues a question about a step, which waits since a time, if one is needed now.
+    fn need_tickets(&mut self, step: StepId, place: usize, since: u64, now: u64) {
+        let Some(job) = self.jobs.get(&step.job) else {
             return;
         };
-        let spec = job.step(task.step);
-        let empty = StepTickets::default();
-        let tickets = job.tickets.get(&(task.round, task.step)).unwrap_or(&empty);
-        if tickets.asking || tickets.ask_at > now {
+        let paused = job.tickets.get(&step).is_some_and(|tickets| !tickets.may_ask(now));
+        if paused || self.question(step, since, now).is_none() {
             return;
         }
-        let has_valid = tickets.good.values().any(|(_, until)| *until > now);
-        let candidates = self
-            .workers
-            .iter()
-            .filter(|(_, w)| w.accepts_work(now) && self.has_room(w, job, spec, task));
-        // Answers don't change, so workers that were refused aren't asked about again.
-        let candidates = candidates
-            .filter(|(id, _)| !tickets.asked.contains(id) || tickets.good.contains_key(*id));
-        let mut candidates: Vec<_> = candidates.collect();
-        candidates.retain(|(id, _)| !has_valid || !tickets.asked.contains(id));
-        candidates.sort_by_key(|(_, w)| std::cmp::Reverse(w.free().cpu));
-        let workers: Vec<_> =
-            candidates.into_iter().take(MAX_WORKERS).map(|(id, _)| id.clone()).collect();
+        let policy = &job.submission.policy;
+        let need = Need { since, queue: policy.queue.clone(), priority: policy.priority, place };
+        self.ticket_backlog.add(step, need);
+    }
+
+    /// The question about a step; nothing if it needs no tickets now.
+    fn question(&self, step: StepId, since: u64, now: u64) -> Option<Question> {
+        let job = self.jobs.get(&step.job).filter(|job| !job.progress.state.over())?;
+        let times = job.submission.policy.ticket_times?;
+        let round = job.progress.rounds.get(&step.round)?;
+        if !round.ready(&job.submission.spec, usize::from(step.step)) {
+            return None;
+        }
+        let task = *self.waiting(step.job, step.round, step.step, now).first()?;
+        let workers = self.workers_to_name(job, step, task, now);
         if workers.is_empty() {
-            return;
+            return None;
+        }
+        let work = times.call_ms + times.worker_ms * workers.len() as u64;
+        Some(Question { step, workers, work, since })
+    }
+
+    /// The workers about which to ask: those that could run a task of the step, first those with
+    /// room. Workers that are full now are named too, as they may have room while the tickets are
+    /// valid; nothing is asked unless one has room.
+    fn workers_to_name(&self, job: &Job, step: StepId, task: TaskId, now: u64) -> Vec<Incarnation> {
+        let spec = job.step(step.step);
+        let empty = StepTickets::default();
+        let tickets = job.tickets.get(&step).unwrap_or(&empty);
+        let has_room = |w: &Worker| spec.claim().fits(&w.free());
+        let open = || {
+            let workers = self.workers.iter().filter(|(_, w)| w.accepts_work(now));
+            workers.filter(|(_, w)| self.eligible(w, job, spec, task))
+        };
+        let mut named: Vec<_> = open().filter(|(id, _)| tickets.wants(id, now)).collect();
+        let any_room = named.iter().any(|(id, w)| has_room(w) && self.takes(job, task, id, w, now));
+        if !any_room {
+            return Vec::new();
         }
-        let limit = advice.call_ms + advice.worker_ms * workers.len() as u64;
-        let question =
-            Question { job: task.job, round: task.round, step: task.step, workers, limit };
-        self.questions.push(question);
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.tickets.entry((task.round, task.step)).or_default().asking = true;
+        if spec.gang {
+            let claim = spec.claim();
+            let usable = open().filter(|(id, _)| !tickets.is_refused(id));
+            let room: u64 = usable.map(|(_, w)| u64::from(claim.count_in(&w.free()))).sum();
+            if room < u64::from(spec.count) {
+                return Vec::new();
+            }
         }
+        named.sort_by_key(|(_, w)| (!has_room(w), std::cmp::Reverse(w.free().cpu)));
+        named.into_iter().take(MAX_WORKERS).map(|(id, _)| id.clone()).collect()
     }
-}
 
-impl Job {
-    /// The ticket for a worker, if the step has one that is still valid.
-    pub(crate) fn ticket(&self, task: TaskId, worker: &Incarnation, now: u64) -> Option<Arc<str>> {
-        let tickets = self.tickets.get(&(task.round, task.step))?;
-        let (ticket, until) = tickets.good.get(worker)?;
-        (*until > now).then(|| ticket.clone())
+    /// Whether a worker with room would be given a task, were it not for the ticket.
+    fn takes(
+        &self,
+        job: &Job,
+        task: TaskId,
+        incarnation: &Incarnation,
+        worker: &Worker,
+        now: u64,
+    ) -> bool {
+        let spec = job.step(task.step);
+        let last = job.last_attempt(spec, task, now);
+        self.pass.reservations.fits_beside(incarnation, worker, spec)
+            && !self.quarantined(worker, task, self.is_suspected(task), job.waited(now), now)
+            && worker.trusted_with(last)
     }
 }
--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -6,7 +6,7 @@
 use rand::seq::SliceRandom;
 
 use myrtle_job::{Incarnation, Listing, OrderReply, Replacement, TaskId};
-use myrtle_owner::{Order, Outcome};
+use myrtle_owner::{Answer, Order, Outcome};
 
 use super::{STEP, World};
 
@@ -59,16 +59,26 @@
             self.send_all(at, again);
         }
         self.owners[at].cell.plan(now);
-        for question in self.owners[at].cell.take_questions() {
-            let permitted = question.workers.iter().filter(|w| self.permitted.contains(&&**w.id()));
-            let permitted = permitted.map(|w| (w.clone(), "t".to_string())).collect();
-            self.owners[at].cell.record_answer(&question, Some(permitted), now, now);
-        }
+        self.ask(at);
         let orders = self.owners[at].cell.orders();
         self.send_all(at, orders);
         self.commit(at);
     }
 
+    /// Asks which workers may run the steps that need tickets.
+    fn ask(&mut self, at: usize) {
+        let now = self.now;
+        if self.service.is_some() {
+            return self.call_service(at);
+        }
+        while let Some(question) = self.owners[at].cell.next_question(now) {
+            let permitted = question.workers.iter().filter(|w| self.permitted.contains(&&**w.id()));
+            let permitted = permitted.map(|w| (w.clone(), "t".to_string())).collect();
+            let answer = Answer::Granted(permitted);
+            self.owners[at].cell.record_answer(&question, answer, now, now);
+        }
+    }
+
     /// Writes an owner's state to the log, unless the owner is cut off from it or deposed.
     fn commit(&mut self, at: usize) {
         let now = self.now;
@@ -223,6 +233,13 @@
     /// Executes an order on the current incarnation of its worker.
     fn execute(&mut self, order: &Order, fence: u64, until: u64) -> Outcome {
         let now = self.now;
+        if let Order::Start { worker, task, ticket, .. } = order
+            && self.judge.needs_ticket(*task)
+            && let Some(service) = &mut self.service
+            && !service.holds(*task, worker, ticket.as_deref().unwrap_or(""), now)
+        {
+            return Outcome::Replied(OrderReply::InvalidTicket);
+        }
         let Some(worker) = self.workers.get_mut(order.worker().id()).filter(|w| !w.gone) else {
             return Outcome::Unknown;
         };
--- a/crates/owner/tests/common/judge.rs
+++ b/crates/owner/tests/common/judge.rs
@@ -49,6 +49,11 @@
         &self.jobs[&task.job].spec.steps[usize::from(task.step)]
     }
 
+    /// Whether a task starts only with a ticket.
+    pub fn needs_ticket(&self, task: TaskId) -> bool {
+        self.jobs[&task.job].policy.ticket_times.is_some()
+    }
+
     /// Records that a worker began a run, and checks that it was allowed to.
     pub fn begun(&mut self, worker: &Arc<str>, task: TaskId, now: u64) {
         let submission = &self.jobs[&task.job];
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -9,6 +9,7 @@
 pub mod jobs;
 mod judge;
 pub mod lease;
+pub mod service;
 mod succession;
 mod worker;
 
@@ -24,6 +25,7 @@
 
 use act::LateRun;
 use crash::Back;
+use service::{Calls, Service};
 
 pub use jobs::{job, policy, step};
 pub use judge::Judge;
@@ -107,6 +109,10 @@
     pub rng: ChaCha8Rng,
     /// Workers that a queue with advice may use.
     pub permitted: Vec<&'static str>,
+    /// The ticket service; without one, questions are answered at once.
+    pub service: Option<Service>,
+    /// The calls to it, by owner.
+    pub calls: BTreeMap<usize, Calls>,
     /// Tasks that crash each worker that runs them, and how long they run before that, in milliseconds.
     pub culprits: BTreeMap<TaskId, u64>,
     /// The number of workers that each task has crashed.
@@ -160,6 +166,8 @@
             faults: Faults::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             permitted: Vec::new(),
+            service: None,
+            calls: BTreeMap::new(),
             culprits: BTreeMap::new(),
             crashes: BTreeMap::new(),
             stale: BTreeMap::new(),
@@ -285,6 +293,7 @@
         self.come_back();
         self.late_orders();
         self.queued_orders();
+        self.work_service();
         for at in 0..self.owners.len() {
             if self.owners[at].awake && !self.owners[at].deposed {
                 self.act(at);
--- a/crates/standin/src/runner/calls.rs
+++ b/crates/standin/src/runner/calls.rs
@@ -19,6 +19,8 @@
     until_ms: u64,
     #[serde(default)]
     fence: u64,
+    #[serde(default)]
+    ticket: String,
 }
 
 #[derive(Deserialize)]
@@ -103,6 +105,10 @@
         if current.is_some() || start.run <= closed {
             return self.refuse("old");
         }
+        let service = self.tickets.get();
+        if service.is_some_and(|s| !s.holds(&start.task, &self.incarnation(), &start.ticket)) {
+            return self.refuse("ticket");
+        }
         self.begin(&mut state, start.task, start.run);
         self.done()
     }
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 
+use crate::TicketService;
 use calls::StartRequest;
 use process::Process;
 
@@ -75,6 +76,8 @@
     strayed: AtomicU32,
     /// The task that crashes the worker soon after its start.
     crash_task: Mutex<Option<String>>,
+    /// The service whose tickets it requires, if there is one.
+    tickets: OnceLock<Arc<TicketService>>,
     book: Arc<RunLog>,
 }
 
@@ -102,6 +105,7 @@
             calls: AtomicU32::new(0),
             strayed: AtomicU32::new(0),
             crash_task: Mutex::default(),
+            tickets: OnceLock::new(),
             book,
         });
         tokio::spawn(process::listen(runner.clone(), listener));
@@ -115,6 +119,11 @@
         *self.crash_task.lock().expect("no holder panics") = Some(task.into());
     }
 
+    /// Makes the worker require tickets of a service for all starts.
+    pub fn require_tickets(&self, service: &Arc<TicketService>) {
+        let _ = self.tickets.set(service.clone());
+    }
+
     /// The number of calls received.
     pub fn calls(&self) -> u32 {
         self.calls.load(Ordering::Relaxed)
