Waves: successors count the machines that may be down

Cause: only completed machines were recorded. Ruled out: an order that is carried out late (each was answered within milliseconds).

Change: a machine's turn is in the log of waves before maintenance is ordered, and again at once when it has begun; a new owner fences the others off that log before it reads (it did so only by its first write), counts the turns it finds, and where it can't know what came of an order drains the worker there and orders again. On the same path: an answer for a machine that was done before made the owner take its living worker for gone; now only a worker that another one has replaced is gone, and one that replies 1.5 s after the answer shows that nothing was to be done (6 s before).

--- a/crates/front/src/maintenance.rs
+++ b/crates/front/src/maintenance.rs
@@ -1,22 +1,23 @@
 //! Carries out maintenance waves, for the owner of the first cell.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use log::{info, warn};
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
 
 use myrtle_adapter::{
     MaintenanceReply, StoreError, WaveOrder, Writer, frame_keyed, topics, wave_status,
 };
 use myrtle_job::{decode, encode};
-use myrtle_owner::{Maintenance, Wave};
+use myrtle_owner::{Maintenance, Wave, WaveChange, WaveRecord};
 
 use crate::clock::now;
 use crate::host::Host;
-use crate::names::{OWNER_WRITER, WAVES};
+use crate::names::{OWNER_WRITER, TURNS, WAVES};
 use crate::newest::newest;
 use crate::owned::Owned;
 
@@ -29,41 +30,62 @@
 /// The time limit for a call to the store or the machine service.
 const CALL_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// The call number of an owner's first write, which fences earlier owners off the log of waves.
+const FENCE_WRITE: u64 = 0;
+
+/// The key of that write.
+const FENCE_KEY: &str = "owner";
+
+/// What earlier owners have recorded, by the number of the wave.
+type Records = BTreeMap<u64, WaveRecord>;
+
+/// The number of writes to each topic so far.
+#[derive(Debug, Default)]
+struct Writes {
+    records: u64,
+    statuses: u64,
+}
+
 /// Runs until the owner is closed.
 pub async fn run(host: Arc<Host>, owned: Arc<Owned>) {
     if owned.cell != WAVE_CELL {
         return;
     }
-    let mut writes = 0;
-    let mut done: Option<BTreeMap<u64, BTreeSet<String>>> = None;
+    let mut writes = Writes::default();
+    let mut records: Option<Records> = None;
+    let replied = Arc::new(Notify::new());
     while !owned.closed() {
-        sleep(EVERY).await;
+        // What has begun is recorded at once: a successor has to find out otherwise.
+        let _ = timeout(EVERY, replied.notified()).await;
         let waves = host.waves();
         if waves.is_empty() {
             continue;
         }
-        // The machines that earlier owners completed are read before the first wave continues.
-        if done.is_none() {
-            done = read(&host).await.inspect_err(|e| host.store_failed(e)).ok();
+        if records.is_none() {
+            records = inherit(&host, &owned).await;
         }
-        let Some(earlier) = &done else {
+        let Some(earlier) = &records else {
             continue;
         };
         for wave in waves {
-            let completed = earlier.get(&wave.number).cloned().unwrap_or_default();
-            owned.state().add_wave(wave_of(wave), completed, now());
+            let record = earlier.get(&wave.number).cloned().unwrap_or_default();
+            owned.state().add_wave(wave_of(wave), record, now());
         }
         let (orders, changes) = {
             let mut cell = owned.state();
             (cell.advance_waves(now()), cell.changed_waves())
         };
-        for (machine, wave) in orders {
-            let (host, owned) = (host.clone(), owned.clone());
-            tokio::spawn(async move { order(&host, &owned, &machine, wave).await });
+        for change in changes {
+            if !write(&host, &owned, &mut writes, change).await {
+                return;
+            }
         }
-        for (number, machines, complete) in changes {
-            writes += 1;
-            write(&host, &owned, writes, number, &machines, complete).await;
+        for (machine, wave) in orders {
+            let (host, owned, replied) = (host.clone(), owned.clone(), replied.clone());
+            tokio::spawn(async move {
+                order(&host, &owned, &machine, wave).await;
+                replied.notify_one();
+            });
         }
         owned.wake.notify_one();
     }
@@ -77,7 +99,7 @@
 async fn order(host: &Host, owned: &Owned, machine: &str, wave: u64) {
     let Some(machines) = &host.machines else {
         warn!("event=no-machine-service wave={wave} machine={machine}");
-        return;
+        return owned.state().maintenance_replied(wave, machine, Maintenance::Again, now());
     };
     if !owned.may_lease() {
         // After a pause of this process another host may own the cell, and not every machine service checks tokens.
@@ -101,44 +123,83 @@
     owned.state().maintenance_replied(wave, machine, outcome, now());
 }
 
-async fn read(host: &Host) -> Result<BTreeMap<u64, BTreeSet<String>>, StoreError> {
-    let mut done = BTreeMap::new();
-    newest(host, WAVES, 0, CALL_LIMIT, |item| match (item.key.parse(), decode(&item.value)) {
-        (Ok(number), Ok(machines)) => drop(done.insert(number, machines)),
-        _ => warn!("event=wave-record-unread key={}", item.key),
+/// Fences earlier owners off the log of waves, then reads what they have recorded; nothing if that fails.
+async fn inherit(host: &Host, owned: &Owned) -> Option<Records> {
+    let mut body = BytesMut::new();
+    // Without a value no record stays.
+    frame_keyed(&mut body, FENCE_KEY, &[]);
+    let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, seq: FENCE_WRITE };
+    let fenced = host.store.append(WAVES, 0, Some(writer), body.freeze(), CALL_LIMIT).await;
+    if matches!(fenced, Err(StoreError::Fenced)) {
+        owned.depose("the log of waves");
+    }
+    fenced.inspect_err(|e| host.store_failed(e)).ok()?;
+    read(host).await.inspect_err(|e| host.store_failed(e)).ok()
+}
+
+async fn read(host: &Host) -> Result<Records, StoreError> {
+    let mut records = Records::new();
+    newest(host, WAVES, 0, CALL_LIMIT, |item| {
+        if read_item(&mut records, &item.key, &item.value).is_none() {
+            warn!("event=wave-record-unread key={}", item.key);
+        }
     })
     .await?;
-    Ok(done)
+    Ok(records)
+}
+
+/// Reads a record of completed machines, or of those that may be down; nothing if it makes no sense.
+fn read_item(records: &mut Records, key: &str, value: &[u8]) -> Option<()> {
+    match key.strip_suffix(TURNS) {
+        Some(number) => {
+            let record = records.entry(number.parse().ok()?).or_default();
+            record.turns = decode(value).ok()?;
+        }
+        None => {
+            let record = records.entry(key.parse().ok()?).or_default();
+            record.done = decode(value).ok()?;
+        }
+    }
+    Some(())
 }
 
-/// Writes the progress of a wave under the owner's fencing token.
-async fn write(
-    host: &Host,
-    owned: &Owned,
-    call: u64,
-    number: u64,
-    machines: &BTreeSet<String>,
-    complete: bool,
-) {
+/// Writes the progress of a wave under the owner's fencing token; false if the owner has ended.
+async fn write(host: &Host, owned: &Owned, writes: &mut Writes, change: WaveChange) -> bool {
+    let WaveChange { number, record: WaveRecord { done, turns }, complete, news } = change;
     let mut record = BytesMut::new();
-    frame_keyed(&mut record, &number.to_string(), &encode(machines));
+    frame_keyed(&mut record, &number.to_string(), &encode(&done));
+    frame_keyed(&mut record, &format!("{number}{TURNS}"), &encode(&turns));
+    writes.records += 1;
+    if !append(host, owned, WAVES, writes.records, record.freeze()).await {
+        return false;
+    }
+    info!(
+        "event=wave-told wave={number} done={} turns={} complete={complete}",
+        done.len(),
+        turns.len()
+    );
+    if !news {
+        return true;
+    }
     let mut status = BytesMut::new();
     let key = format!("{}{number}", topics::WAVES);
     frame_keyed(&mut status, &key, wave_status(complete).as_bytes());
-    for (topic, body) in [(WAVES, record), (topics::STATUS, status)] {
-        let body = body.freeze();
-        let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, seq: call };
-        while let Err(e) = host.store.append(topic, 0, Some(writer), body.clone(), CALL_LIMIT).await
-        {
-            if matches!(e, StoreError::Fenced) {
-                return owned.depose("the log of waves");
-            }
-            host.store_failed(&e);
-            if owned.closed() {
-                return;
-            }
-            sleep(EVERY).await;
+    writes.statuses += 1;
+    append(host, owned, topics::STATUS, writes.statuses, status.freeze()).await
+}
+
+/// Appends until the store has it; false if the owner has ended.
+async fn append(host: &Host, owned: &Owned, topic: &str, number: u64, body: Bytes) -> bool {
+    let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, seq: number };
+    while let Err(e) = host.store.append(topic, 0, Some(writer), body.clone(), CALL_LIMIT).await {
+        if matches!(e, StoreError::Fenced) {
+            owned.depose("the log of waves");
+        }
+        host.store_failed(&e);
+        if owned.closed() {
+            return false;
         }
+        sleep(EVERY).await;
     }
-    info!("event=wave-told wave={number} done={} complete={complete}", machines.len());
+    true
 }
--- a/crates/front/src/names.rs
+++ b/crates/front/src/names.rs
@@ -8,9 +8,12 @@
 /// The progress of jobs by name, the workers that were given work, and the owners, which alone write to it.
 pub const PROGRESS: &str = "keyed.progress";
 
-/// The machines that a maintenance wave has completed, by the wave's number.
+/// The machines that a maintenance wave has completed, by the wave's number, and those that may be down.
 pub const WAVES: &str = "keyed.waves";
 
+/// The suffix of the key of a wave's machines that may be down.
+pub const TURNS: &str = ".turns";
+
 /// The layout of cells, under one key.
 pub const LAYOUT: &str = "keyed.layout";
 
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -23,7 +23,7 @@
 use tokio::time::{sleep, timeout};
 
 use myrtle_platform::serve;
-use myrtle_standin::{RunLog, Store, TicketService, TicketSpans, WorkerStandin};
+use myrtle_standin::{MachineService, RunLog, Store, TicketService, TicketSpans, WorkerStandin};
 
 pub use call::{call, call_with, status};
 pub use links::Links;
@@ -117,6 +117,17 @@
         self.host_with(name, |text| text + &line).await;
     }
 
+    /// Starts a host that knows a machine service and waits until it is ready.
+    pub async fn maintained_host(&mut self, name: &str, service: &MachineService) {
+        let line = format!("machines: {}\n", service.address);
+        self.host_with(name, |text| text + &line).await;
+    }
+
+    /// A site of four workers without hosts.
+    pub async fn without_hosts(work: Duration) -> Self {
+        Self::build(work, 10_000, ["d"; 4], false).await
+    }
+
     /// The ticket service.
     pub fn tickets(&self) -> &TicketService {
         self.tickets.as_ref().expect("the site has a ticket service")
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -35,5 +35,5 @@
 pub use summary::CellSummary;
 pub use workers::lease::RenewalArgs;
 pub use workers::record::WorkerRecord;
-pub use workers::wave::{Maintenance, Wave};
+pub use workers::wave::{Maintenance, TurnRecord, Wave, WaveChange, WaveRecord};
 pub use workers::worker::{Presence, Worker};
--- a/crates/owner/src/workers/wave.rs
+++ b/crates/owner/src/workers/wave.rs
@@ -1,8 +1,14 @@
 //! Maintenance waves: machines are drained and handed to the platform, a few at a time.
+//!
+//! Fault: an owner ends while machines are down, and its successor, which doesn't know of them, takes
+//! down as many again. So a machine's turn is in the log before its maintenance is ordered, and
+//! successors begin with the turns that they find there.
 
-use log::{info, warn};
 use std::collections::{BTreeMap, BTreeSet};
 
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+
 use myrtle_job::Incarnation;
 
 use crate::{Cell, Presence};
@@ -14,6 +20,14 @@
 /// skipped, in milliseconds: maintenance and the listing of the next incarnation take less.
 const SKIPPED_AFTER: u64 = 6_000;
 
+/// How long after the order the same incarnation must have replied for that, in milliseconds: a
+/// machine goes down at once, so a reply that was sent before has arrived by then.
+const ALIVE_AFTER: u64 = 1_500;
+
+/// How long a successor waits for a worker on a machine that an earlier owner may have ordered
+/// maintenance for, in milliseconds; without one there is nothing to drain.
+const WORKER_WAIT: u64 = 3_000;
+
 /// The share of a machine's time in the wave that draining may take; after that, runs that can be
 /// started again are stopped.
 const DRAIN_SHARE: f64 = 0.5;
@@ -38,12 +52,45 @@
     }
 }
 
+/// What successors have to know of a wave.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct WaveRecord {
+    /// The completed machines.
+    pub done: BTreeSet<String>,
+    /// The machines that may be down.
+    pub turns: BTreeMap<String, TurnRecord>,
+}
+
+/// What successors have to know of a machine that may be down.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnRecord {
+    /// The incarnation of its worker when maintenance was ordered.
+    pub incarnation: Incarnation,
+    /// Whether the platform said that maintenance has begun.
+    pub begun: bool,
+}
+
+/// A change of a wave to write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaveChange {
+    /// The wave's number.
+    pub number: u64,
+    /// What successors have to know.
+    pub record: WaveRecord,
+    /// Whether all machines are completed.
+    pub complete: bool,
+    /// Whether the operator has yet to be told so.
+    pub news: bool,
+}
+
 /// The progress of a machine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Turn {
-    /// Its worker is being drained.
-    Draining { incarnation: Incarnation, since: u64 },
-    /// Maintenance has been ordered; it is ordered again at `retry_at` unless it has begun.
+    /// An earlier owner may have ordered maintenance; its worker is awaited.
+    Inherited { since: u64 },
+    /// Its worker is being drained; an earlier owner may have ordered maintenance.
+    Draining { incarnation: Incarnation, since: u64, inherited: bool },
+    /// Maintenance is ordered once that is in the log, and again at `retry_at` unless it has begun.
     Ordered { incarnation: Incarnation, retry_at: u64 },
     /// It has gone down; another incarnation is expected.
     Down { incarnation: Incarnation, since: u64 },
@@ -57,6 +104,8 @@
     turns: BTreeMap<String, Turn>,
     done: BTreeSet<String>,
     recorded: bool,
+    /// Whether the wave was complete when the operator was last told.
+    told: Option<bool>,
 }
 
 /// The outcome of an order for maintenance.
@@ -71,37 +120,44 @@
 }
 
 impl Cell {
-    /// Adds a wave; `done` are the machines that earlier owners have completed.
-    pub fn add_wave(&mut self, wave: Wave, done: BTreeSet<String>, now: u64) {
+    /// Adds a wave, with what earlier owners have recorded of it.
+    pub fn add_wave(&mut self, wave: Wave, record: WaveRecord, now: u64) {
         if self.waves.contains_key(&wave.number) {
             return;
         }
+        let WaveRecord { done, turns } = record;
         info!(
-            "event=wave wave={} machines={} limit={} duration_ms={} done={}",
+            "event=wave wave={} machines={} limit={} duration_ms={} done={} inherited={}",
             wave.number,
             wave.machines.len(),
             wave.limit,
             wave.duration,
-            done.len()
+            done.len(),
+            turns.len()
         );
-        let state = WaveState {
-            since: now,
-            turns: BTreeMap::new(),
-            done,
-            recorded: false,
-            wave: wave.clone(),
-        };
-        self.waves.insert(wave.number, state);
+        let turns = turns.into_iter().filter(|(machine, _)| !done.contains(machine));
+        let turns = turns.map(|(machine, record)| {
+            let turn = match record.begun {
+                true => Turn::Down { incarnation: record.incarnation, since: now },
+                false => Turn::Inherited { since: now },
+            };
+            (machine, turn)
+        });
+        let (number, turns) = (wave.number, turns.collect());
+        let state = WaveState { since: now, turns, done, recorded: false, told: None, wave };
+        self.waves.insert(number, state);
     }
 
-    /// The waves whose records have to be written: number, completed machines, whether all are
-    /// completed.
-    pub fn changed_waves(&mut self) -> Vec<(u64, BTreeSet<String>, bool)> {
+    /// The waves whose records have to be written before the orders of the last
+    /// [`Cell::advance_waves`] may be sent.
+    pub fn changed_waves(&mut self) -> Vec<WaveChange> {
         let changed = self.waves.iter_mut().filter(|(_, w)| !w.recorded);
         changed
             .map(|(&number, w)| {
                 w.recorded = true;
-                (number, w.done.clone(), w.complete())
+                let complete = w.complete();
+                let news = w.told.replace(complete) != Some(complete);
+                WaveChange { number, record: w.record(), complete, news }
             })
             .collect()
     }
@@ -137,11 +193,9 @@
         };
         match outcome {
             Maintenance::Begun => {
-                state.turns.insert(
-                    machine.into(),
-                    Turn::Down { incarnation: incarnation.clone(), since: now },
-                );
-                self.mark_replaced(&incarnation, now);
+                // Its worker may live on, as maintenance may have been done before.
+                state.turns.insert(machine.into(), Turn::Down { incarnation, since: now });
+                state.recorded = false;
             }
             Maintenance::Dropped => state.finish(machine),
             Maintenance::Again => {
@@ -155,8 +209,12 @@
     fn advance(&mut self, state: &mut WaveState, now: u64, orders: &mut Vec<(String, u64)>) {
         let turns: Vec<_> = state.turns.iter().map(|(m, t)| (m.clone(), t.clone())).collect();
         for (machine, turn) in turns {
-            let incarnation = match turn {
-                Turn::Draining { incarnation, since } => {
+            let due = match turn {
+                Turn::Inherited { since } => {
+                    self.take_on(state, &machine, since, now);
+                    None
+                }
+                Turn::Draining { incarnation, since, .. } => {
                     let urgent =
                         now.saturating_sub(since) as f64 > DRAIN_SHARE * state.wave.machine_time();
                     self.drain(&incarnation, urgent, now).then_some(incarnation)
@@ -167,11 +225,14 @@
                     None
                 }
             };
-            if let Some(incarnation) = incarnation {
-                let retry_at = now + RETRY_AFTER;
-                state.turns.insert(machine.clone(), Turn::Ordered { incarnation, retry_at });
-                orders.push((machine, state.wave.number));
+            let Some(incarnation) = due else {
+                continue;
+            };
+            let turn = Turn::Ordered { incarnation, retry_at: now + RETRY_AFTER };
+            if !matches!(state.turns.insert(machine.clone(), turn), Some(Turn::Ordered { .. })) {
+                state.recorded = false;
             }
+            orders.push((machine, state.wave.number));
         }
         self.begin_turns(state, now);
         if state.complete() && state.since > 0 {
@@ -179,6 +240,24 @@
         }
     }
 
+    /// Takes on the turn of an earlier owner, which may have ordered maintenance that was never
+    /// begun, is under way or is over. The worker there now is drained first in case it is the first;
+    /// ordering it again does no harm in the other cases.
+    fn take_on(&mut self, state: &mut WaveState, machine: &str, since: u64, now: u64) {
+        let turn = match self.incarnation_on(machine) {
+            Some(incarnation) => {
+                if let Some(worker) = self.workers.get_mut(&incarnation) {
+                    worker.in_maintenance = true;
+                }
+                Turn::Draining { incarnation, since: now, inherited: true }
+            }
+            None if now < since + WORKER_WAIT => return,
+            None => Turn::Ordered { incarnation: nobody(), retry_at: now },
+        };
+        info!("event=wave-turn-inherited wave={} machine={machine}", state.wave.number);
+        state.turns.insert(machine.into(), turn);
+    }
+
     /// Moves the turn of a worker that has restarted to its next incarnation: its machine still
     /// needs maintenance.
     pub(crate) fn rebind_turns(&mut self, incarnation: &Incarnation, next: &Incarnation) {
@@ -207,12 +286,22 @@
         since: u64,
         now: u64,
     ) {
+        let Some(current) = self.incarnation_on(machine) else {
+            return;
+        };
         // The same incarnation is there if maintenance was done before.
-        let skipped = now.saturating_sub(since) > SKIPPED_AFTER;
-        if self.incarnation_on(machine).is_some_and(|l| l != *incarnation || skipped) {
+        let replied_at = self.workers.get(&current).map_or(0, |w| w.answered_at);
+        let alive = replied_at >= since + ALIVE_AFTER;
+        let replaced = current != *incarnation && *incarnation != nobody();
+        if replaced || alive || now.saturating_sub(since) > SKIPPED_AFTER {
+            if replaced {
+                self.mark_replaced(incarnation, now);
+            }
             state.finish(machine);
-            if let Some(worker) = self.workers.get_mut(incarnation) {
-                worker.in_maintenance = false;
+            for incarnation in [incarnation, &current] {
+                if let Some(worker) = self.workers.get_mut(incarnation) {
+                    worker.in_maintenance = false;
+                }
             }
         }
     }
@@ -233,7 +322,8 @@
             if let Some(worker) = self.workers.get_mut(&incarnation) {
                 worker.in_maintenance = true;
             }
-            state.turns.insert(machine, Turn::Draining { incarnation, since: now });
+            let turn = Turn::Draining { incarnation, since: now, inherited: false };
+            state.turns.insert(machine, turn);
         }
     }
 
@@ -251,6 +341,22 @@
         self.wave.machines.iter().all(|m| self.done.contains(m))
     }
 
+    /// What successors have to know: machines that are only being drained can be begun anew.
+    fn record(&self) -> WaveRecord {
+        let turns = self.turns.iter().filter_map(|(machine, turn)| {
+            let (incarnation, begun) = match turn {
+                Turn::Draining { inherited: false, .. } => return None,
+                Turn::Inherited { .. } => (nobody(), false),
+                Turn::Draining { incarnation, .. } | Turn::Ordered { incarnation, .. } => {
+                    (incarnation.clone(), false)
+                }
+                Turn::Down { incarnation, .. } => (incarnation.clone(), true),
+            };
+            Some((machine.clone(), TurnRecord { incarnation, begun }))
+        });
+        WaveRecord { done: self.done.clone(), turns: turns.collect() }
+    }
+
     fn finish(&mut self, machine: &str) {
         self.turns.remove(machine);
         self.done.insert(machine.into());
@@ -258,6 +364,11 @@
     }
 }
 
+/// The incarnation of a machine whose worker is not known.
+fn nobody() -> Incarnation {
+    Incarnation::new("", 0)
+}
+
 /// Logs that a wave has ended, and whether it was in time.
 fn log_end(state: &mut WaveState, now: u64) {
     let took = now.saturating_sub(state.since);
--- a/crates/owner/tests/tickets_and_waves.rs
+++ b/crates/owner/tests/tickets_and_waves.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use myrtle_job::{StepSpec, TicketTimes};
-use myrtle_owner::{Maintenance, Wave};
+use myrtle_owner::{Maintenance, Wave, WaveRecord};
 
 use common::{World, job, policy, step};
 
@@ -86,13 +86,10 @@
     let machines: Vec<String> = (0..4).map(|n| format!("m{n}")).collect();
     let wave = Wave { number: 1, machines: machines.clone(), duration: 40_000, limit: 1 };
     let now = world.now;
-    world.owner().cell.add_wave(wave, BTreeSet::new(), now);
+    world.owner().cell.add_wave(wave, WaveRecord::default(), now);
     assert_eq!(maintain(&mut world, 30_000, 1), machines.into_iter().collect());
     let news = world.owner().cell.changed_waves();
-    assert!(
-        news.iter()
-            .any(|(number, done, complete)| (*number, done.len(), *complete) == (1, 4, true))
-    );
+    assert!(news.iter().any(|n| (n.number, n.record.done.len(), n.complete) == (1, 4, true)));
     assert_eq!(world.judge.broken, Vec::<String>::new());
 }
 
@@ -103,7 +100,7 @@
     let wave = Wave { number: 7, machines, duration: 20_000, limit: 2 };
     let done = BTreeSet::from(["m0".to_string()]);
     let now = world.now;
-    world.owner().cell.add_wave(wave, done, now);
+    world.owner().cell.add_wave(wave, WaveRecord { done, ..WaveRecord::default() }, now);
     assert_eq!(maintain(&mut world, 6_000, 2), BTreeSet::from(["m1".to_string()]));
 }
 
@@ -115,7 +112,7 @@
     let machines: Vec<String> = (0..4).map(|n| format!("m{n}")).collect();
     let wave = Wave { number: 1, machines: machines.clone(), duration: 40_000, limit: 1 };
     let now = world.now;
-    world.owner().cell.add_wave(wave, BTreeSet::new(), now);
+    world.owner().cell.add_wave(wave, WaveRecord::default(), now);
     let seen = maintain_with(&mut world, 12_000, 1, |address| format!("w{address}"));
     assert_eq!(seen, machines.into_iter().collect());
 }
@@ -128,7 +125,7 @@
     world.run(500);
     let wave = Wave { number: 1, machines: vec!["m0".into()], duration: 60_000, limit: 1 };
     let now = world.now;
-    world.owner().cell.add_wave(wave, BTreeSet::new(), now);
+    world.owner().cell.add_wave(wave, WaveRecord::default(), now);
     assert!(world.owner().cell.advance_waves(now).is_empty(), "the machine has to be empty first");
     let id = world.workers.keys().next().unwrap().clone();
     world.restart(&id, 300);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod hosts;
 mod log;
+mod machines;
 mod record;
 mod runner;
 mod site;
@@ -15,6 +16,7 @@
 
 pub use hosts::Hosts;
 pub use log::{Log, LogMode};
+pub use machines::{MachineMode, MachineService};
 pub use record::{Record, Run, RunEnd, Summary, UpstreamSeen};
 pub use runner::{RunLog, RunRecord, WorkerStandin};
 pub use site::until;
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -226,6 +226,13 @@
         self.mute(false);
     }
 
+    /// Ends its process and starts another one under a new incarnation after `away`; connections break and runs are
+    /// lost.
+    pub async fn replace(&self, away: Duration) {
+        self.crashes.fetch_add(1, Ordering::Relaxed);
+        self.restart(away).await;
+    }
+
     /// Drops its state; its runs are lost.
     fn drop_state(&self) {
         let lost = std::mem::take(&mut *self.state.lock().expect("no holder panics")).runs;
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -125,18 +125,27 @@
 
     /// The keys in a topic's first partition that have a value.
     pub fn keys(&self, topic: &str) -> BTreeSet<String> {
-        let mut keys = BTreeSet::new();
+        self.newest_values(topic).into_keys().collect()
+    }
+
+    /// The newest value of a key in a topic's first partition.
+    pub fn value(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        self.newest_values(topic).remove(key)
+    }
+
+    fn newest_values(&self, topic: &str) -> BTreeMap<String, Vec<u8>> {
+        let mut values = BTreeMap::new();
         self.partition(topic, 0, |partition| {
             for record in &partition.records {
                 let (key, value) = record[1..].split_at(usize::from(record[0]));
                 let key = String::from_utf8_lossy(key).into_owned();
                 match value.is_empty() {
-                    true => drop(keys.remove(&key)),
-                    false => drop(keys.insert(key)),
+                    true => drop(values.remove(&key)),
+                    false => drop(values.insert(key, value.to_vec())),
                 }
             }
         });
-        keys
+        values
     }
 
     /// The partitions of a group with their members.
