Waves: orders that fail are sent less often, and no more than the platform takes

Change: the next attempt waits for the reply to the last one, the pause doubles to 3.2 s, and all waves together are ordered at 40 machines a second.

--- a/crates/front/tests/waves.rs
+++ b/crates/front/tests/waves.rs
@@ -127,3 +127,14 @@
         site.service.set(MachineMode::Ok);
     }
 );
+
+case!(
+    /// Guards against orders that are sent again while one is under way, and at a fixed pace however often they fail.
+    a_machine_service_that_refuses_is_sent_few_orders, 3, site, {
+        site.service.set(MachineMode::Refusing);
+        sleep(Duration::from_millis(4_000)).await;
+        let orders = site.service.orders();
+        assert!(orders <= MACHINES as u32 * 5, "{orders} orders");
+        site.service.set(MachineMode::Ok);
+    }
+);
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -120,6 +120,8 @@
     pub(crate) repeating: BTreeSet<JobId>,
     /// Maintenance waves.
     pub(crate) waves: BTreeMap<u64, WaveState>,
+    /// When the machine service may be sent the next order.
+    pub(crate) next_wave_order: u64,
     /// Steps that wait for their question to the ticket service.
     pub(crate) ticket_backlog: Backlog,
     /// Jobs that were cancelled before they were known.
@@ -168,6 +170,7 @@
             orders: Vec::new(),
             repeating: BTreeSet::new(),
             waves: BTreeMap::new(),
+            next_wave_order: 0,
             ticket_backlog: Backlog::default(),
             early_cancels: HashMap::new(),
             obsolete_records: Vec::new(),
--- a/crates/owner/src/workers/wave.rs
+++ b/crates/owner/src/workers/wave.rs
@@ -13,9 +13,20 @@
 
 use crate::{Cell, Presence};
 
-/// The pause before maintenance that was refused or got no reply is ordered again, in milliseconds.
+/// The pause before maintenance that was refused or got no reply is ordered again, in milliseconds;
+/// it doubles with each failure of the machine.
 const RETRY_AFTER: u64 = 400;
 
+/// The number of doublings of that pause.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// The time between two orders of all waves, in milliseconds: the platform limits them for all
+/// hosts together.
+const ORDER_GAP: u64 = 25;
+
+/// The time whose unused orders may be made up for, in milliseconds.
+const ORDER_BURST: u64 = 200;
+
 /// How long after the order the same incarnation must still be present for its machine to count as
 /// skipped, in milliseconds: maintenance and the listing of the next incarnation take less.
 const SKIPPED_AFTER: u64 = 6_000;
@@ -91,7 +102,7 @@
     /// Its worker is being drained; an earlier owner may have ordered maintenance.
     Draining { incarnation: Incarnation, since: u64, inherited: bool },
     /// Maintenance is ordered once that is in the log, and again at `retry_at` unless it has begun.
-    Ordered { incarnation: Incarnation, retry_at: u64 },
+    Ordered { incarnation: Incarnation, retry_at: u64, failures: u32 },
     /// It has gone down; another incarnation is expected.
     Down { incarnation: Incarnation, since: u64 },
 }
@@ -162,7 +173,8 @@
             .collect()
     }
 
-    /// Advances all waves; returns the machines to order maintenance for, and their waves.
+    /// Advances all waves; returns the machines to order maintenance for, and their waves. Each
+    /// order is to be answered by [`Cell::maintenance_replied`].
     pub fn advance_waves(&mut self, now: u64) -> Vec<(String, u64)> {
         let numbers: Vec<u64> = self.waves.keys().copied().collect();
         let mut orders = Vec::new();
@@ -188,7 +200,8 @@
         let Some(state) = self.waves.get_mut(&number) else {
             return;
         };
-        let Some(Turn::Ordered { incarnation, .. }) = state.turns.get(machine).cloned() else {
+        let Some(Turn::Ordered { incarnation, failures, .. }) = state.turns.get(machine).cloned()
+        else {
             return;
         };
         match outcome {
@@ -199,8 +212,10 @@
             }
             Maintenance::Dropped => state.finish(machine),
             Maintenance::Again => {
-                let retry_at = now + RETRY_AFTER;
-                state.turns.insert(machine.into(), Turn::Ordered { incarnation, retry_at });
+                let retry_at = now + (RETRY_AFTER << failures.min(MAX_DOUBLINGS));
+                let failures = failures.saturating_add(1);
+                let turn = Turn::Ordered { incarnation, retry_at, failures };
+                state.turns.insert(machine.into(), turn);
             }
         }
     }
@@ -217,18 +232,21 @@
                 Turn::Draining { incarnation, since, .. } => {
                     let urgent =
                         now.saturating_sub(since) as f64 > DRAIN_SHARE * state.wave.machine_time();
-                    self.drain(&incarnation, urgent, now).then_some(incarnation)
+                    self.drain(&incarnation, urgent, now).then_some((incarnation, 0))
+                }
+                Turn::Ordered { incarnation, retry_at, failures } => {
+                    (now >= retry_at).then_some((incarnation, failures))
                 }
-                Turn::Ordered { incarnation, retry_at } => (now >= retry_at).then_some(incarnation),
                 Turn::Down { incarnation, since } => {
                     self.end_turn(state, &machine, &incarnation, since, now);
                     None
                 }
             };
-            let Some(incarnation) = due else {
+            let Some((incarnation, failures)) = due.filter(|_| self.may_order(now)) else {
                 continue;
             };
-            let turn = Turn::Ordered { incarnation, retry_at: now + RETRY_AFTER };
+            // The next attempt waits for the reply to this one.
+            let turn = Turn::Ordered { incarnation, retry_at: u64::MAX, failures };
             if !matches!(state.turns.insert(machine.clone(), turn), Some(Turn::Ordered { .. })) {
                 state.recorded = false;
             }
@@ -240,6 +258,16 @@
         }
     }
 
+    /// Counts an order to the machine service, unless the platform would refuse it.
+    fn may_order(&mut self, now: u64) -> bool {
+        if self.next_wave_order > now {
+            return false;
+        }
+        self.next_wave_order =
+            self.next_wave_order.max(now.saturating_sub(ORDER_BURST)) + ORDER_GAP;
+        true
+    }
+
     /// Takes on the turn of an earlier owner, which may have ordered maintenance that was never
     /// begun, is under way or is over. The worker there now is drained first in case it is the first;
     /// ordering it again does no harm in the other cases.
@@ -252,7 +280,7 @@
                 Turn::Draining { incarnation, since: now, inherited: true }
             }
             None if now < since + WORKER_WAIT => return,
-            None => Turn::Ordered { incarnation: nobody(), retry_at: now },
+            None => Turn::Ordered { incarnation: nobody(), retry_at: now, failures: 0 },
         };
         info!("event=wave-turn-inherited wave={} machine={machine}", state.wave.number);
         state.turns.insert(machine.into(), turn);
--- a/crates/owner/tests/waves.rs
+++ b/crates/owner/tests/waves.rs
@@ -227,3 +227,23 @@
         machines.finish(&mut world, 240_000);
     }
 }
+
+// Guards against orders that are sent again while one is under way, and at a fixed pace however often they fail.
+#[test]
+fn a_service_that_fails_is_sent_fewer_orders() {
+    let mut world = World::new(5, 12);
+    let mut machines = Machines::new(12, 12, 1);
+    machines.lost = 1.0;
+    machines.run(&mut world, 10_000);
+    assert!(machines.orders <= 12 * 6, "{} orders", machines.orders);
+}
+
+// Guards against a wave of many machines at once whose orders the platform refuses, as they are more than it takes.
+#[test]
+fn a_wide_wave_is_ordered_at_the_pace_that_the_platform_takes() {
+    let mut world = World::new(5, 100);
+    let mut machines = Machines::new(100, 100, 1);
+    machines.run(&mut world, 1_000);
+    assert!((20..=50).contains(&machines.orders), "{} orders in a second", machines.orders);
+    machines.finish(&mut world, 20_000);
+}
