Waves: a worker whose machine is not in its wave gets work again

Where the machine service answers that a machine is not of the wave or doesn't exist, its turn ended, but its worker stayed marked as in maintenance and got no work for as long as the owner lived. The test failed before (nothing started in 5 s) and passes after.

--- a/crates/owner/src/workers/wave.rs
+++ b/crates/owner/src/workers/wave.rs
@@ -210,7 +210,12 @@
                 state.turns.insert(machine.into(), Turn::Down { incarnation, since: now });
                 state.recorded = false;
             }
-            Maintenance::Dropped => state.finish(machine),
+            Maintenance::Dropped => {
+                state.finish(machine);
+                if let Some(worker) = self.workers.get_mut(&incarnation) {
+                    worker.in_maintenance = false;
+                }
+            }
             Maintenance::Again => {
                 let retry_at = now + (RETRY_AFTER << failures.min(MAX_DOUBLINGS));
                 let failures = failures.saturating_add(1);
--- a/crates/owner/tests/waves.rs
+++ b/crates/owner/tests/waves.rs
@@ -228,6 +228,22 @@
     }
 }
 
+// Guards against a worker that gets no work any more, though the platform knows no maintenance for its machine.
+#[test]
+fn a_worker_whose_machine_is_not_in_the_wave_gets_work_again() {
+    let mut world = World::new(5, 1);
+    let wave = Machines::new(1, 1, 1).wave;
+    let now = world.now;
+    world.owner().cell.add_wave(wave, WaveRecord::default(), now);
+    world.run(200);
+    let now = world.now;
+    assert!(world.owner().cell.advance_waves(now).is_empty(), "its worker is drained first");
+    assert_eq!(world.owner().cell.advance_waves(now), [("m0".to_string(), 1)]);
+    world.owner().cell.maintenance_replied(1, "m0", Maintenance::Dropped, now);
+    world.submit(job(vec![step(2)]));
+    assert!(world.finish(5_000));
+}
+
 // Guards against orders that are sent again while one is under way, and at a fixed pace however often they fail.
 #[test]
 fn a_service_that_fails_is_sent_fewer_orders() {
