Tickets: a service that rejects every question is asked little

A rejection was taken for an answer, so that one question's fault holds up no other. From the eighth rejection in a row it now counts as failing and gets one question after each pause: at most 30 calls in that time, as the test demands, and the jobs go on once it answers.

--- a/crates/front/src/tickets/call.rs
+++ b/crates/front/src/tickets/call.rs
@@ -48,10 +48,10 @@
             info!("event=tickets-failed step={step} reason=\"{error}\"");
             ("failed", CallEnd::Failed, Answer::Missing)
         }
-        // The service is there; the question is at fault, and the others go on.
+        // The question may be at fault, and the others go on.
         TicketError::Rejected { .. } | TicketError::Strange(_) => {
             warn!("event=tickets-failed step={step} reason=\"{error}\"");
-            ("rejected", CallEnd::Answered, Answer::Rejected)
+            ("rejected", CallEnd::Rejected, Answer::Rejected)
         }
     }
 }
--- a/crates/front/tests/tickets.rs
+++ b/crates/front/tests/tickets.rs
@@ -152,6 +152,20 @@
     }
 );
 
+case!(
+    /// The same where the service rejects whatever it is asked, as one that is set up wrongly does.
+    a_service_that_rejects_everything_is_asked_little_and_used_again, site, SPANS, {
+        site.tickets().set(TicketMode::Refusing(404));
+        submit_burst(&site, &["h1", "h2"]).await;
+        sleep(Duration::from_millis(2_000)).await;
+        let received = site.tickets().received();
+        assert!((1..=30).contains(&received), "{received} calls");
+        site.tickets().set(TicketMode::Ok);
+        wait_burst(&site, "h1").await;
+        check_answers(&site, BURST / 10);
+    }
+);
+
 case!(
     /// Guards against questions of an owner that was killed and that hold up its successor's.
     a_successor_of_a_killed_owner_gets_answers, site, SPANS, {
--- a/crates/owner/tests/common/service.rs
+++ b/crates/owner/tests/common/service.rs
@@ -204,7 +204,9 @@
             .into_iter()
             .map(|(call, at)| {
                 let answer = self.answer(&call.question, at);
-                (call.host, (call.id, CallEnd::Answered, answer))
+                let rejected = answer == Answer::Rejected;
+                let end = if rejected { CallEnd::Rejected } else { CallEnd::Answered };
+                (call.host, (call.id, end, answer))
             })
             .collect()
     }
--- a/crates/tickets/src/window.rs
+++ b/crates/tickets/src/window.rs
@@ -42,6 +42,10 @@
 /// The longest pause after failures, in milliseconds.
 const MAX_PAUSE: u64 = 800;
 
+/// The number of questions in a row that a service rejects from which it counts as failing: a single
+/// job's questions may be at fault.
+const MAX_REJECTED: u32 = 8;
+
 /// How much later a call must have been sent for its answer to show that an earlier one is lost, in
 /// milliseconds: calls on two connections may overtake one another.
 const ORDER_MARGIN: u64 = 250;
@@ -53,8 +57,10 @@
 /// How a call ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallEnd {
-    /// The service answered the question, or rejected it.
+    /// The service answered the question.
     Answered,
+    /// The service answered that it can't make sense of the question.
+    Rejected,
     /// The service refused the call because it is overloaded or unavailable.
     Busy,
     /// The service could not be reached, or the connection broke.
@@ -104,6 +110,8 @@
     resume_at: u64,
     /// Whether the last failure was a refusal.
     busy: bool,
+    /// Questions in a row that were rejected.
+    rejected: u32,
 }
 
 impl Default for Window {
@@ -117,6 +125,7 @@
             failures: 0,
             resume_at: 0,
             busy: false,
+            rejected: 0,
         }
     }
 }
@@ -160,14 +169,18 @@
             return;
         };
         match end {
-            CallEnd::Answered => self.answered(id, &call, now),
-            // Calls that fail together are one failure.
-            CallEnd::Busy | CallEnd::Failed if now >= self.resume_at => {
-                self.failures = self.failures.saturating_add(1);
-                self.busy = end == CallEnd::Busy;
-                self.resume_at = now + pause(FIRST_PAUSE, MAX_PAUSE, self.failures);
+            CallEnd::Answered => {
+                self.rejected = 0;
+                self.answered(id, &call, now);
+            }
+            CallEnd::Rejected => {
+                self.rejected = self.rejected.saturating_add(1);
+                match self.rejected < MAX_REJECTED {
+                    true => self.answered(id, &call, now),
+                    false => self.failed(true, now),
+                }
             }
-            CallEnd::Busy | CallEnd::Failed => {}
+            CallEnd::Busy | CallEnd::Failed => self.failed(end == CallEnd::Busy, now),
         }
     }
 
@@ -218,6 +231,15 @@
         self.calls.is_empty()
     }
 
+    fn failed(&mut self, busy: bool, now: u64) {
+        // Calls that fail together are one failure.
+        if now >= self.resume_at {
+            self.failures = self.failures.saturating_add(1);
+            self.busy = busy;
+            self.resume_at = now + pause(FIRST_PAUSE, MAX_PAUSE, self.failures);
+        }
+    }
+
     fn answered(&mut self, id: CallId, call: &Call, now: u64) {
         let began = call.sent_at.max(self.answered_at);
         let took = now.saturating_sub(began) as f64 / call.work.max(1) as f64;
--- a/crates/tickets/tests/window.rs
+++ b/crates/tickets/tests/window.rs
@@ -102,6 +102,32 @@
     assert_eq!(fill(&mut window, 20, 11_020).len(), 5);
 }
 
+// Guards against a service that rejects every question and is asked about each waiting step again and again.
+#[test]
+fn a_service_that_rejects_everything_is_asked_little() {
+    let mut window = Window::default();
+    let mut sent = 0;
+    for now in (0..10_000).step_by(10) {
+        for id in fill(&mut window, 20, now) {
+            sent += 1;
+            window.end(id, CallEnd::Rejected, now);
+        }
+    }
+    assert!((15..=30).contains(&sent), "{sent} calls in 10 s");
+    assert_eq!(window.condition(10_000), Condition::Busy);
+}
+
+#[test]
+fn questions_that_are_rejected_between_answers_hold_up_no_other() {
+    let mut window = Window::default();
+    for turn in 0..40 {
+        let end = if turn % 4 == 0 { CallEnd::Answered } else { CallEnd::Rejected };
+        let id = window.send(20, turn * 20);
+        window.end(id, end, turn * 20 + 20);
+        assert!(window.may_send(turn * 20 + 20));
+    }
+}
+
 // Guards against a connection that breaks with several calls on the way and counts as several failures in a row.
 #[test]
 fn calls_that_fail_together_are_one_failure() {
