Tickets: a queue that was idle takes no more than its turns when it comes back

Found on reading the change again. What queues had used was forgotten only once nothing waited at all. A queue that was asked about early and came back while others were still waiting had used far less than they, and took three of four turns until it had caught up; the counts of jobs grew for as long as something waited.

Queues and jobs share one piece (`shares.rs`): a party that has nothing waiting is forgotten, and begins again with the least that another one has used.

--- a/crates/tickets/src/backlog.rs
+++ b/crates/tickets/src/backlog.rs
@@ -11,6 +11,7 @@
 use myrtle_job::JobId;
 
 use crate::StepId;
+use crate::shares::Shares;
 
 /// Of so many questions, one is about the step that has waited longest.
 const LONGEST_EVERY: u64 = 4;
@@ -32,20 +33,21 @@
 #[derive(Debug, Default)]
 pub struct Backlog {
     needs: BTreeMap<StepId, Need>,
-    /// The service's time that each queue with waiting steps has used, in milliseconds.
-    used: BTreeMap<String, u64>,
-    /// The questions about each job with waiting steps.
-    asked: BTreeMap<JobId, u32>,
+    /// The service's time that queues have used, in milliseconds.
+    queues: Shares<String>,
+    /// The questions about jobs.
+    jobs: Shares<JobId>,
     turns: u64,
 }
 
 impl Backlog {
     /// Adds a step, unless it waits already.
     pub fn add(&mut self, step: StepId, need: Need) {
-        // A queue that comes back continues with those that have used least.
-        let least = self.used.values().min().copied().unwrap_or(0);
-        self.used.entry(need.queue.clone()).or_insert(least);
-        self.needs.entry(step).or_insert(need);
+        if !self.contains(step) {
+            self.queues.enter(&need.queue);
+            self.jobs.enter(&step.job);
+            self.needs.insert(step, need);
+        }
     }
 
     /// Updates the place of a step; false if it doesn't wait.
@@ -66,23 +68,21 @@
             false => self.needs.iter().min_by_key(|(step, need)| self.rank(step, need)),
         };
         let step = *next?.0;
-        self.needs.remove(&step).map(|need| (step, need))
+        self.remove(step).map(|need| (step, need))
     }
 
     /// Counts a question that is sent and takes the service `work` milliseconds.
     pub fn sent(&mut self, step: StepId, need: &Need, work: u64) {
         self.turns += 1;
-        *self.used.entry(need.queue.clone()).or_default() += work;
-        *self.asked.entry(step.job).or_default() += 1;
-        if self.needs.is_empty() {
-            self.used.clear();
-            self.asked.clear();
-        }
+        self.queues.charge(&need.queue, work);
+        self.jobs.charge(&step.job, 1);
     }
 
     /// Drops the steps that no longer wait for a question.
     pub fn retain(&mut self, keep: impl Fn(StepId) -> bool) {
-        self.needs.retain(|step, _| keep(*step));
+        let needless: Vec<StepId> =
+            self.needs.keys().copied().filter(|step| !keep(*step)).collect();
+        needless.into_iter().for_each(|step| drop(self.remove(step)));
     }
 
     /// The number of steps that wait.
@@ -100,9 +100,15 @@
         self.needs.values().map(|need| need.since).min()
     }
 
-    fn rank(&self, step: &StepId, need: &Need) -> (u32, u64, u32, usize, u64, StepId) {
-        let used = self.used.get(&need.queue).copied().unwrap_or(0);
-        let asked = self.asked.get(&step.job).copied().unwrap_or(0);
+    fn remove(&mut self, step: StepId) -> Option<Need> {
+        let need = self.needs.remove(&step)?;
+        self.queues.leave(&need.queue);
+        self.jobs.leave(&step.job);
+        Some(need)
+    }
+
+    fn rank(&self, step: &StepId, need: &Need) -> (u32, u64, u64, usize, u64, StepId) {
+        let (used, asked) = (self.queues.used(&need.queue), self.jobs.used(&step.job));
         (need.priority, used, asked, need.place, need.since, *step)
     }
 }
--- a/crates/tickets/src/lib.rs
+++ b/crates/tickets/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod backlog;
 mod pause;
+mod shares;
 mod step;
 mod window;
 
--- a/crates/tickets/tests/backlog.rs
+++ b/crates/tickets/tests/backlog.rs
@@ -72,6 +72,22 @@
     assert!((8..=14).contains(&of_old), "{of_old} of 20 questions");
 }
 
+// The same where others were asked about meanwhile, so that it has used far less than they have.
+#[test]
+fn a_queue_that_was_idle_for_long_takes_no_more_than_its_turns() {
+    let mut backlog = Backlog::default();
+    backlog.add(step(1, 0), need("idle", 0, 0, 0));
+    (100..400).for_each(|job| backlog.add(step(job, 0), need("busy", 0, 0, job)));
+    for _ in 0..200 {
+        let (step, need) = backlog.take().unwrap();
+        backlog.sent(step, &need, 100);
+    }
+    (2..60).for_each(|job| backlog.add(step(job, 0), need("idle", 0, 0, 1_000)));
+    let order = drain(&mut backlog);
+    let of_busy = order[..40].iter().filter(|step| step.job.0 >= 100).count();
+    assert!((16..=28).contains(&of_busy), "{of_busy} of 40 questions");
+}
+
 #[test]
 fn jobs_take_turns_with_one_of_many_steps() {
     let mut backlog = Backlog::default();
