Starts: one place withdraws those whose ticket has expired, also on their host

Found on reading the change again: the check stood beside the mechanism that withdraws starts (`withdraw_if_closed`) and covered only those whose record was being written. The check is one of the reasons of that mechanism (now `withdraw_if_moot`), and a start that has waited gets the newest ticket of its worker when it is sent, as it gets the newest lease.

--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -16,14 +16,14 @@
 const ORDER_LIMIT: Duration = Duration::from_millis(400);
 
 /// Sends one order unless it is no longer valid.
-pub async fn send(owned: Arc<Owned>, order: Order) {
+pub async fn send(owned: Arc<Owned>, mut order: Order) {
     let Some(link) = owned.link(order.worker()) else {
         return answer(&owned, &order, Outcome::Unsent);
     };
     let Ok(_permit) = link.permits.acquire().await else {
         return;
     };
-    if owned.closed() || !owned.state().still_wanted(&order, now()) {
+    if owned.closed() || !owned.state().still_wanted(&mut order, now()) {
         return;
     }
     let outcome = call(&owned, &link, &order).await;
--- a/crates/owner/src/jobs/job.rs
+++ b/crates/owner/src/jobs/job.rs
@@ -1,6 +1,7 @@
 //! Jobs as the owner tracks them.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use crate::account::job::JobAccount;
 use crate::account::phase::Phase;
@@ -70,6 +71,11 @@
             || self.tickets.get(&task.into()).is_some_and(|t| t.usable(worker, now).is_some())
     }
 
+    /// The ticket with which a task is started on a worker, if there is one.
+    pub(crate) fn ticket(&self, task: TaskId, worker: &Incarnation) -> Option<Arc<str>> {
+        self.tickets.get(&task.into())?.held(worker).cloned()
+    }
+
     /// Whether a task of the job has to be started here; `record` is its own.
     pub fn waits(&self, task: TaskId, record: &Task) -> bool {
         record.is_waiting() && !self.progress.is_transferred(task) && !self.progress.given_up(task)
--- a/crates/owner/src/orders/commit.rs
+++ b/crates/owner/src/orders/commit.rs
@@ -111,9 +111,7 @@
         if active.run != run || !matches!(active.stage, Stage::Written | Stage::Unanswered) {
             return None;
         }
-        if self.withdraw_if_closed(incarnation, task, run, now)
-            || self.withdraw_if_expired(incarnation, task, run, now)
-        {
+        if self.withdraw_if_moot(incarnation, task, run, now) {
             return None;
         }
         let active = self.workers.get_mut(incarnation)?.active_runs.get_mut(&task)?;
@@ -121,8 +119,7 @@
         let job = self.jobs.get_mut(&task.job)?;
         job.account.enter(task, run, Phase::Start, now);
         let saved = job.progress.task(task)?.checkpoint.clone();
-        let tickets = job.tickets.get(&task.into());
-        let ticket = tickets.and_then(|t| t.held(incarnation)).cloned();
+        let ticket = job.ticket(task, incarnation);
         self.counts.starts += 1;
         let body = job.submission.spec.body.clone();
         Some(Order::Start { worker: incarnation.clone(), task, run, body, saved, ticket })
--- a/crates/owner/src/orders/replies.rs
+++ b/crates/owner/src/orders/replies.rs
@@ -93,15 +93,17 @@
     }
 
     /// Whether a queued order is still to be sent: meanwhile its run may have become needless, its
-    /// worker's room may have shrunk, its worker may have begun to leave, or its data centre may
-    /// have begun to be evacuated.
-    pub fn still_wanted(&mut self, order: &Order, now: u64) -> bool {
-        let Order::Start { worker, task, run, .. } = order else {
+    /// worker's room may have shrunk, its worker may have begun to leave, its data centre may have
+    /// begun to be evacuated, or its ticket may have expired. A start gets the newest ticket.
+    pub fn still_wanted(&mut self, order: &mut Order, now: u64) -> bool {
+        let Order::Start { worker, task, run, ticket, .. } = order else {
             return true;
         };
         let active = self.workers.get(worker).and_then(|w| w.active_runs.get(task));
-        active.is_some_and(|f| f.run == *run && f.stage == Stage::Sent)
-            && !self.withdraw_if_closed(worker, *task, *run, now)
+        let wanted = active.is_some_and(|f| f.run == *run && f.stage == Stage::Sent)
+            && !self.withdraw_if_moot(worker, *task, *run, now);
+        *ticket = self.jobs.get(&task.job).and_then(|job| job.ticket(*task, worker));
+        wanted
     }
 
     /// Returns the orders without reply that are due to be sent again.
--- a/crates/owner/src/orders/withdraw.rs
+++ b/crates/owner/src/orders/withdraw.rs
@@ -5,51 +5,52 @@
 
 use myrtle_job::{Incarnation, TaskId};
 
-use crate::{Cell, Stage, Worker};
+use crate::{Cell, Worker};
+
+/// The reason for a start whose ticket has expired.
+const EXPIRED: &str = "its ticket has expired";
 
 impl Cell {
-    /// Withdraws a start if its worker may start nothing any more; returns whether it did.
+    /// Withdraws a start that its worker may not or would not carry out any more; returns whether it
+    /// did.
     ///
     /// The start may have waited for seconds: for its record, on its host, or until the worker
     /// answered again.
-    pub(crate) fn withdraw_if_closed(
+    pub(crate) fn withdraw_if_moot(
         &mut self,
         incarnation: &Incarnation,
         task: TaskId,
         run: u32,
         now: u64,
     ) -> bool {
-        let Some(reason) = self.workers.get(incarnation).and_then(Worker::closed_reason) else {
+        let Some(worker) = self.workers.get(incarnation) else {
+            return false;
+        };
+        let expired = || self.ticket_expired(incarnation, task, now).then_some(EXPIRED);
+        let Some(reason) = worker.closed_reason().or_else(expired) else {
             return false;
         };
+        if reason == EXPIRED
+            && let Some(job) = self.jobs.get_mut(&task.job)
+            && let Some(tickets) = job.tickets.get_mut(&task.into())
+        {
+            tickets.invalid(now);
+        }
         self.withdraw(incarnation, task, run, reason, now);
         true
     }
 
-    /// Withdraws a start whose ticket has expired while its record was being written; returns whether
-    /// it did. The worker would refuse it; one that was sent before may be there, and goes on.
-    pub(crate) fn withdraw_if_expired(
-        &mut self,
-        incarnation: &Incarnation,
-        task: TaskId,
-        run: u32,
-        now: u64,
-    ) -> bool {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
+    /// Whether a start needs a ticket and its own has expired. One that was sent without a reply may
+    /// have been carried out before, and goes on.
+    fn ticket_expired(&self, incarnation: &Incarnation, task: TaskId, now: u64) -> bool {
+        let active = self.workers.get(incarnation).and_then(|w| w.active_runs.get(&task));
+        let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
-        let stage = self.workers.get(incarnation).and_then(|w| w.active_runs.get(&task));
-        let unsent = stage.is_some_and(|active| active.stage == Stage::Written);
-        let tickets = job.tickets.get_mut(&task.into());
-        let holds = tickets.as_ref().is_some_and(|t| t.holds(incarnation, now));
-        if !unsent || holds || job.submission.policy.ticket_times.is_none() {
-            return false;
-        }
-        if let Some(tickets) = tickets {
-            tickets.invalid(now);
-        }
-        self.withdraw(incarnation, task, run, "its ticket has expired", now);
-        true
+        let tickets = job.tickets.get(&task.into());
+        job.submission.policy.ticket_times.is_some()
+            && active.is_some_and(|active| !active.unanswered)
+            && !tickets.is_some_and(|tickets| tickets.holds(incarnation, now))
     }
 
     /// Withdraws a start; for a gang, all starts of the gang.
--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -185,9 +185,9 @@
         let (due, rest): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.queued).into_iter().partition(|(due, ..)| *due <= now);
         self.queued = rest;
-        for (_, at, order) in due {
+        for (_, at, mut order) in due {
             let owner = &mut self.owners[at];
-            if !owner.deposed && owner.cell.still_wanted(&order, now) {
+            if !owner.deposed && owner.cell.still_wanted(&mut order, now) {
                 self.send(at, order);
             }
         }
--- a/crates/owner/tests/ticket_courses.rs
+++ b/crates/owner/tests/ticket_courses.rs
@@ -260,6 +260,19 @@
     assert!(lines.contains("bars every worker"), "{lines}");
 }
 
+// Guards against starts that wait on their host until their ticket has expired and are sent all the same.
+#[test]
+fn a_start_whose_ticket_expires_on_its_host_is_not_sent() {
+    let mut world = world(13, Service::new(20, 2, 1_000));
+    let policy = ticketed(&mut world);
+    world.faults.queued = 0.5;
+    submit(&mut world, 8.0, 3_000, &policy);
+    world.run(8_000);
+    world.faults.queued = 0.0;
+    assert!(world.finish(10_000));
+    check(&mut world);
+}
+
 #[test]
 fn a_gang_gets_tickets_for_all_of_its_tasks() {
     let mut world = world(12, Service::new(60, 5, 3_000));
