Waves: split by concept; what a record says is a type; one growing pause for all

A turn's record named an incarnation that was read only once maintenance had begun, and an empty incarnation stood for one that isn't known; now the type says so. The doubling pause stood in crates/tickets and in the waves in two forms; it is in crates/base. The first write to the log of waves uses the loop of the later ones.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,8 +1,9 @@
-//! Basic types of all crates: error kinds, time, room, rendezvous hashing, events and detection of silent connections.
+//! Basic types of all crates: error kinds, time, pauses, room, rendezvous hashing, events and detection of silent connections.
 
 mod clock;
 mod event;
 mod kind;
+mod pause;
 mod rendezvous;
 mod room;
 mod silence;
@@ -11,6 +12,7 @@
 pub use clock::{Clock, Stamp};
 pub use event::{Event, Ring};
 pub use kind::{Kind, Ran};
+pub use pause::growing_pause;
 pub use rendezvous::{rank, winner};
 pub use room::Room;
 pub use silence::SilenceDetector;
--- a/crates/front/src/maintenance.rs
+++ b/crates/front/src/maintenance.rs
@@ -128,12 +128,9 @@
     let mut body = BytesMut::new();
     // Without a value no record stays.
     frame_keyed(&mut body, FENCE_KEY, &[]);
-    let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, seq: FENCE_WRITE };
-    let fenced = host.store.append(WAVES, 0, Some(writer), body.freeze(), CALL_LIMIT).await;
-    if matches!(fenced, Err(StoreError::Fenced)) {
-        owned.depose("the log of waves");
+    if !append(host, owned, WAVES, FENCE_WRITE, body.freeze()).await {
+        return None;
     }
-    fenced.inspect_err(|e| host.store_failed(e)).ok()?;
     read(host).await.inspect_err(|e| host.store_failed(e)).ok()
 }
 
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -16,7 +16,7 @@
 use crate::placing::unplaceable::Unplaceable;
 use crate::workers::crash::Silence;
 use crate::workers::late_starts::LateStarts;
-use crate::workers::wave::WaveState;
+use crate::workers::wave::{OrderPace, WaveState};
 use crate::{InterferenceModel, Job, LoadCycles, Order, TimeLimits, Worker};
 
 /// Counts of events since this owner began.
@@ -120,8 +120,8 @@
     pub(crate) repeating: BTreeSet<JobId>,
     /// Maintenance waves.
     pub(crate) waves: BTreeMap<u64, WaveState>,
-    /// When the machine service may be sent the next order.
-    pub(crate) next_wave_order: u64,
+    /// The pace of orders to the machine service.
+    pub(crate) wave_pace: OrderPace,
     /// Steps that wait for their question to the ticket service.
     pub(crate) ticket_backlog: Backlog,
     /// Jobs that were cancelled before they were known.
@@ -170,7 +170,7 @@
             orders: Vec::new(),
             repeating: BTreeSet::new(),
             waves: BTreeMap::new(),
-            next_wave_order: 0,
+            wave_pace: OrderPace::default(),
             ticket_backlog: Backlog::default(),
             early_cancels: HashMap::new(),
             obsolete_records: Vec::new(),
--- a/crates/tickets/src/lib.rs
+++ b/crates/tickets/src/lib.rs
@@ -8,7 +8,6 @@
 //! Without I/O and clock: times are passed as milliseconds of the host's steady clock (`now`).
 
 mod backlog;
-mod pause;
 mod shares;
 mod step;
 mod window;
--- a/crates/tickets/src/step.rs
+++ b/crates/tickets/src/step.rs
@@ -5,10 +5,9 @@
 
 use derive_more::Display;
 
+use myrtle_base::growing_pause;
 use myrtle_job::{Incarnation, JobId, TaskId};
 
-use crate::pause::pause;
-
 /// The part of a ticket's validity, as a divisor, that at most counts as over when it arrives, and
 /// in which at most no start is planned with it.
 const RESERVE_SHARE: u64 = 4;
@@ -119,7 +118,7 @@
     pub fn rejected(&mut self, now: u64) {
         self.calls = self.calls.saturating_sub(1);
         self.useless += 1;
-        self.ask_at = now + pause(FIRST_PAUSE, MAX_PAUSE, self.useless);
+        self.ask_at = now + growing_pause(FIRST_PAUSE, MAX_PAUSE, self.useless);
     }
 
     /// Records the answer to a question about `workers` that was sent at `asked_at` and took the
@@ -150,7 +149,8 @@
             self.granted.insert(worker, Ticket { text: text.into(), plan_until, until });
         }
         if unused {
-            self.ask_at = plan_until.saturating_add(pause(FIRST_PAUSE, MAX_PAUSE, self.useless));
+            self.ask_at =
+                plan_until.saturating_add(growing_pause(FIRST_PAUSE, MAX_PAUSE, self.useless));
         }
     }
 
@@ -172,6 +172,6 @@
         }
         self.granted.clear();
         self.useless += 1;
-        self.ask_at = now + pause(FIRST_PAUSE, MAX_PAUSE, self.useless - 1);
+        self.ask_at = now + growing_pause(FIRST_PAUSE, MAX_PAUSE, self.useless - 1);
     }
 }
--- a/crates/tickets/src/window.rs
+++ b/crates/tickets/src/window.rs
@@ -11,7 +11,7 @@
 
 use derive_more::Display;
 
-use crate::pause::pause;
+use myrtle_base::growing_pause;
 
 /// The number of calls under way up to which more are sent at any rate: one being worked on, one
 /// that waits.
@@ -236,7 +236,7 @@
         if now >= self.resume_at {
             self.failures = self.failures.saturating_add(1);
             self.busy = busy;
-            self.resume_at = now + pause(FIRST_PAUSE, MAX_PAUSE, self.failures);
+            self.resume_at = now + growing_pause(FIRST_PAUSE, MAX_PAUSE, self.failures);
         }
     }
 
