Tickets and outbox: pieces that stood twice serve both; nothing is ranked in vain

No change of behaviour. What keeps a worker with room from a task (reserved room, doubts about the task, trust in the worker) was checked by the search for a worker and again, for each worker anew, by the choice of those to ask about: one `takes` serves both. A step that needs a question only counts its workers; they are ranked when the question is made. The outbox uses the host's `Backoff` in place of a pause of its own.

--- a/crates/front/src/delivery/mod.rs
+++ b/crates/front/src/delivery/mod.rs
@@ -57,7 +57,7 @@
                 host.store_failed(&e);
                 let rejected = matches!(e, StoreError::Unexpected { .. });
                 let pause = owned.outbox().failed(cell, batch, rejected);
-                sleep(Duration::from_millis(pause)).await;
+                sleep(pause).await;
             }
         }
     }
--- a/crates/front/src/delivery/outbox.rs
+++ b/crates/front/src/delivery/outbox.rs
@@ -5,20 +5,23 @@
 //! append at a time, with all that waits for it by then.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use myrtle_owner::Delivery;
 
+use crate::backoff::Backoff;
+
 /// The most records of an append.
 const MAX_RECORDS: usize = 256;
 
 /// The most bytes of an append beyond its first record; below the platform's limit of 2 MB a call.
 const MAX_BYTES: usize = 1 << 20;
 
-/// The pause after a first failure, in milliseconds; it doubles with each one.
-const FIRST_PAUSE: u64 = 100;
+/// The pause after a first failure; it doubles with each one.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
-/// The longest pause, in milliseconds.
-const MAX_PAUSE: u64 = 800;
+/// The longest pause.
+const MAX_PAUSE: Duration = Duration::from_millis(800);
 
 /// The records for one cell.
 #[derive(Debug)]
@@ -26,7 +29,7 @@
     waiting: VecDeque<Delivery>,
     /// The most records of the next append.
     most: usize,
-    pause: u64,
+    backoff: Backoff,
 }
 
 /// The records for other cells, by cell.
@@ -39,7 +42,8 @@
     /// Adds a record; true if nothing is being appended for its cell, so that it has to be begun.
     pub fn add(&mut self, delivery: Delivery) -> bool {
         let idle = !self.lanes.contains_key(&delivery.to);
-        let empty = || Lane { waiting: VecDeque::new(), most: MAX_RECORDS, pause: FIRST_PAUSE };
+        let backoff = || Backoff::new(FIRST_PAUSE, MAX_PAUSE);
+        let empty = || Lane { waiting: VecDeque::new(), most: MAX_RECORDS, backoff: backoff() };
         let lane = self.lanes.entry(delivery.to).or_insert_with(empty);
         lane.waiting.push_back(delivery);
         idle
@@ -69,17 +73,17 @@
     pub fn succeeded(&mut self, cell: u32) {
         if let Some(lane) = self.lanes.get_mut(&cell) {
             lane.most = (2 * lane.most).min(MAX_RECORDS);
-            lane.pause = FIRST_PAUSE;
+            lane.backoff.reset();
         }
     }
 
-    /// Puts the records of a failed append back; returns the pause before the next one, in milliseconds.
+    /// Puts the records of a failed append back; returns the pause before the next one.
     ///
     /// If the store rejects an append for good, one of its records is at fault. Smaller ones find it, and it then goes
     /// behind all others.
-    pub fn failed(&mut self, cell: u32, batch: Vec<Delivery>, rejected: bool) -> u64 {
+    pub fn failed(&mut self, cell: u32, batch: Vec<Delivery>, rejected: bool) -> Duration {
         let Some(lane) = self.lanes.get_mut(&cell) else {
-            return 0;
+            return Duration::ZERO;
         };
         if rejected && batch.len() == 1 {
             lane.waiting.extend(batch);
@@ -89,8 +93,6 @@
             }
             batch.into_iter().rev().for_each(|delivery| lane.waiting.push_front(delivery));
         }
-        let pause = lane.pause;
-        lane.pause = (2 * pause).min(MAX_PAUSE);
-        pause
+        lane.backoff.pause()
     }
 }
--- a/crates/front/src/tickets/report.rs
+++ b/crates/front/src/tickets/report.rs
@@ -20,7 +20,7 @@
 /// What was shown last.
 #[derive(Debug, Default)]
 pub(super) struct Report {
-    condition: Option<Condition>,
+    condition: Condition,
     updated_at: u64,
     logged_at: u64,
 }
@@ -34,8 +34,7 @@
             let state = host.questions.state();
             (state.window.condition(at), state.window.len())
         };
-        let changed =
-            self.condition.replace(condition).unwrap_or(Condition::Answering) != condition;
+        let changed = std::mem::replace(&mut self.condition, condition) != condition;
         let idle = under_way == 0 && !cells(host).any(|owned| owned.state().needs_tickets());
         // Counting visits every step that waits.
         if !changed && !idle && at < self.updated_at + UPDATE_EVERY {
--- a/crates/front/tests/outbox.rs
+++ b/crates/front/tests/outbox.rs
@@ -56,14 +56,14 @@
     for _ in 0..5 {
         let batch = outbox.next(1);
         assert_eq!(jobs(&batch), [0, 1, 2]);
-        pauses.push(outbox.failed(1, batch, false));
+        pauses.push(outbox.failed(1, batch, false).as_millis());
     }
     assert_eq!(pauses, [100, 200, 400, 800, 800]);
     outbox.next(1);
     outbox.succeeded(1);
     outbox.add(record(9, 10));
     let batch = outbox.next(1);
-    assert_eq!(outbox.failed(1, batch, false), 100);
+    assert_eq!(outbox.failed(1, batch, false).as_millis(), 100);
 }
 
 // Guards against one record that the store rejects for good and that holds up all others.
--- a/crates/owner/src/placing/cost.rs
+++ b/crates/owner/src/placing/cost.rs
@@ -60,6 +60,17 @@
 /// The weight of the pressure that a filler adds, relative to the free share of a worker.
 const PRESSURE_WEIGHT: f64 = 8.0;
 
+/// The doubts about a task, which keep it from some workers; the same for all of them.
+pub(crate) struct Doubts {
+    task: TaskId,
+    /// Whether it may crash its workers.
+    suspect: bool,
+    /// How long its job has waited, in milliseconds.
+    waited: u64,
+    /// Whether a failure would be its last.
+    last: LastAttempt,
+}
+
 impl Cell {
     /// The best worker for a task now, if there is any.
     pub(crate) fn best_worker(
@@ -72,36 +83,29 @@
         let avoided = job.avoided.get(&task).map_or(&[][..], Vec::as_slice);
         self.pass.visit(self.workers.len());
         let mut search = Search::new(self, spec, task, job.tolerance(task, now), now);
-        let (suspect, waited) = (self.is_suspected(task), job.waited(now));
-        let last = job.last_attempt(spec, task, now);
+        let doubts = self.doubts(job, spec, task, now);
         let mut best: Option<(f64, &Incarnation)> = None;
         for (incarnation, worker) in &self.workers {
             if !worker.accepts_work(now) || !self.has_room(worker, job, spec, task) {
                 continue;
             }
-            if !self.pass.reservations.fits_beside(incarnation, worker, spec) {
+            if !self.takes(incarnation, worker, spec, &doubts, now) {
                 continue;
             }
             if spec.filler && self.about_to_halt(worker, now) {
                 continue;
             }
-            if self.quarantined(worker, task, suspect, waited, now) {
-                continue;
-            }
-            if !worker.trusted_with(last) {
-                continue;
-            }
             if !job.admits(task, incarnation, now) {
                 continue;
             }
             let Some(mut cost) = self.cost(worker, &mut search) else {
                 continue;
             };
-            cost += worker.health.standing.cost(last != LastAttempt::No);
+            cost += worker.health.standing.cost(doubts.last != LastAttempt::No);
             if now < worker.warm_at {
                 cost += COLD_COST;
             }
-            if avoided.contains(incarnation) || suspect && worker.just_started(now) {
+            if avoided.contains(incarnation) || doubts.suspect && worker.just_started(now) {
                 cost += AVOID_COST;
             }
             if best.is_none_or(|(b, _)| cost < b) {
@@ -111,6 +115,28 @@
         best.map(|(_, incarnation)| incarnation.clone())
     }
 
+    /// The doubts about a task.
+    pub(crate) fn doubts(&self, job: &Job, spec: &StepSpec, task: TaskId, now: u64) -> Doubts {
+        let last = job.last_attempt(spec, task, now);
+        Doubts { task, suspect: self.is_suspected(task), waited: job.waited(now), last }
+    }
+
+    /// Whether a worker that has room for a task may be given it, for what is reserved there and what
+    /// is known of both; tickets aside.
+    pub(crate) fn takes(
+        &self,
+        incarnation: &Incarnation,
+        worker: &Worker,
+        spec: &StepSpec,
+        doubts: &Doubts,
+        now: u64,
+    ) -> bool {
+        let Doubts { task, suspect, waited, last } = *doubts;
+        self.pass.reservations.fits_beside(incarnation, worker, spec)
+            && !self.quarantined(worker, task, suspect, waited, now)
+            && worker.trusted_with(last)
+    }
+
     /// Whether a worker has room for a task and may run it.
     pub(crate) fn has_room(
         &self,
--- a/crates/owner/src/placing/tickets.rs
+++ b/crates/owner/src/placing/tickets.rs
@@ -1,6 +1,8 @@
 //! Tickets for queues whose policy allows only some workers: which steps need some, the questions
 //! about them, and the answers.
 
+use std::cmp::Reverse;
+
 use log::info;
 
 use myrtle_job::{Incarnation, TaskId};
@@ -84,7 +86,7 @@
         // A job with a schedule would otherwise gather answers about all of its repetitions.
         job.tickets.retain(|step, _| job.progress.rounds.contains_key(&step.round));
         let tickets = job.tickets.entry(step).or_default();
-        let answered = matches!(answer, Answer::Granted(_));
+        self.open.insert(step.job);
         match answer {
             Answer::Granted(good) => {
                 info!(
@@ -93,17 +95,17 @@
                     good.len(),
                     now.saturating_sub(asked_at)
                 );
+                // The plan that follows shows what is still needed.
                 tickets.answered(&question.workers, good, asked_at, question.work, valid, now);
             }
+            // The plans after the pause ask again.
             Answer::Rejected => tickets.rejected(now),
-            Answer::Missing => tickets.unanswered(),
-        }
-        self.open.insert(step.job);
-        if answered {
-            return;
+            Answer::Missing => {
+                tickets.unanswered();
+                // It keeps its age.
+                self.need_tickets(step, 0, question.since, now);
+            }
         }
-        // It keeps its age. The plan that follows an answer shows what is still needed.
-        self.need_tickets(step, 0, question.since, now);
     }
 
     /// The steps that wait for the ticket service.
@@ -155,7 +157,7 @@
             return;
         };
         let paused = job.tickets.get(&step).is_some_and(|tickets| !tickets.may_ask(now));
-        if paused || self.question(step, since, now).is_none() {
+        if paused || self.workers_to_name(step, now).is_empty() {
             return;
         }
         let policy = &job.submission.policy;
@@ -165,14 +167,13 @@
 
     /// The question about a step; nothing if it needs no tickets now.
     fn question(&self, step: StepId, since: u64, now: u64) -> Option<Question> {
-        let job = self.jobs.get(&step.job).filter(|job| !job.progress.state.over())?;
+        let job = self.jobs.get(&step.job)?;
         let times = job.submission.policy.ticket_times?;
-        let round = job.progress.rounds.get(&step.round)?;
-        if !round.ready(&job.submission.spec, usize::from(step.step)) {
-            return None;
-        }
-        let task = *self.waiting(step.job, step.round, step.step, now).first()?;
-        let workers = self.workers_to_name(job, step, task, now);
+        let claim = job.submission.spec.steps.get(usize::from(step.step))?.claim();
+        let mut workers = self.workers_to_name(step, now);
+        workers.sort_by_key(|(_, w)| (!claim.fits(&w.free()), Reverse(w.free().cpu)));
+        let workers: Vec<Incarnation> =
+            workers.into_iter().take(MAX_WORKERS).map(|(id, _)| id.clone()).collect();
         if workers.is_empty() {
             return None;
         }
@@ -181,48 +182,44 @@
         Some(Question { step, workers, work, since })
     }
 
-    /// The workers about which to ask: those that could run a task of the step, first those with
-    /// room. Workers that are full now are named too, as they may have room while the tickets are
-    /// valid; nothing is asked unless one has room.
-    fn workers_to_name(&self, job: &Job, step: StepId, task: TaskId, now: u64) -> Vec<Incarnation> {
+    /// The workers about which to ask for a step: those that could run a task of it. Workers that are
+    /// full now are named too, as they may have room while the tickets are valid; there are none
+    /// unless one has room.
+    fn workers_to_name(&self, step: StepId, now: u64) -> Vec<(&Incarnation, &Worker)> {
+        let Some((job, task)) = self.waiting_task(step, now) else {
+            return Vec::new();
+        };
         let spec = job.step(step.step);
         let empty = StepTickets::default();
         let tickets = job.tickets.get(&step).unwrap_or(&empty);
-        let has_room = |w: &Worker| spec.claim().fits(&w.free());
         let open = || {
             let workers = self.workers.iter().filter(|(_, w)| w.accepts_work(now));
             workers.filter(|(_, w)| self.eligible(w, job, spec, task))
         };
-        let mut named: Vec<_> = open().filter(|(id, _)| tickets.wants(id, now)).collect();
-        let any_room = named.iter().any(|(id, w)| has_room(w) && self.takes(job, task, id, w, now));
-        if !any_room {
+        let claim = spec.claim();
+        let doubts = self.doubts(job, spec, task, now);
+        let takes = |id, w: &Worker| claim.fits(&w.free()) && self.takes(id, w, spec, &doubts, now);
+        let named: Vec<_> = open().filter(|(id, _)| tickets.wants(id, now)).collect();
+        if !named.iter().any(|(id, w)| takes(id, w)) {
             return Vec::new();
         }
-        if spec.gang {
-            let claim = spec.claim();
-            let usable = open().filter(|(id, _)| !tickets.is_refused(id));
-            let room: u64 = usable.map(|(_, w)| u64::from(claim.count_in(&w.free()))).sum();
-            if room < u64::from(spec.count) {
-                return Vec::new();
-            }
+        let usable = open().filter(|(id, _)| !tickets.is_refused(id));
+        let room = || usable.map(|(_, w)| u64::from(claim.count_in(&w.free()))).sum::<u64>();
+        if spec.gang && room() < u64::from(spec.count) {
+            return Vec::new();
         }
-        named.sort_by_key(|(_, w)| (!has_room(w), std::cmp::Reverse(w.free().cpu)));
-        named.into_iter().take(MAX_WORKERS).map(|(id, _)| id.clone()).collect()
+        named
     }
 
-    /// Whether a worker with room would be given a task, were it not for the ticket.
-    fn takes(
-        &self,
-        job: &Job,
-        task: TaskId,
-        incarnation: &Incarnation,
-        worker: &Worker,
-        now: u64,
-    ) -> bool {
-        let spec = job.step(task.step);
-        let last = job.last_attempt(spec, task, now);
-        self.pass.reservations.fits_beside(incarnation, worker, spec)
-            && !self.quarantined(worker, task, self.is_suspected(task), job.waited(now), now)
-            && worker.trusted_with(last)
+    /// The first task of a step that waits, with its job, if the job needs tickets and the step's
+    /// turn has come.
+    fn waiting_task(&self, step: StepId, now: u64) -> Option<(&Job, TaskId)> {
+        let job = self.jobs.get(&step.job).filter(|job| !job.progress.state.over())?;
+        job.submission.policy.ticket_times?;
+        let round = job.progress.rounds.get(&step.round)?;
+        if !round.ready(&job.submission.spec, usize::from(step.step)) {
+            return None;
+        }
+        Some((job, *self.waiting(step.job, step.round, step.step, now).first()?))
     }
 }
--- a/crates/tickets/src/window.rs
+++ b/crates/tickets/src/window.rs
@@ -68,9 +68,10 @@
 }
 
 /// How the service does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Condition {
     /// It answers in time, or has nothing to answer.
+    #[default]
     #[display("answering")]
     Answering,
     /// It refuses calls.
