--- a/crates/load/src/demo.rs
+++ b/crates/load/src/demo/mod.rs
@@ -1,21 +1,24 @@
 //! The demo: load, injected faults, and a report.
 
+mod faults;
+mod print;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use argh::FromArgs;
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
 use serde_json::{Value, json};
-use uuid::Uuid;
 
 use myrtle_base::{Event, Ring, Stamp};
 use myrtle_platform::{Caller as Http, Host, HostList, Role};
 use myrtle_standin::{Run, Summary};
 
-use crate::callers::{Call, Caller, Log, Mix, drive};
-use crate::check::{Report, judge, resumed};
+use crate::callers::{Caller, Log, Mix, drive};
+use crate::check::{judge, resumed};
+
+use faults::FREEZE_TIME;
+use print::print;
 
 /// Concurrent callers.
 const CALLERS: u64 = 48;
@@ -32,12 +35,6 @@
 /// Timeout of calls to hosts and to the stand-in.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// How long a gate is frozen, longer than its lease.
-const FREEZE_TIME: Duration = Duration::from_secs(11);
-
-/// Most events of the timeline that are printed.
-const MAX_EVENTS: usize = 60;
-
 /// run the demo against started stand-ins and hosts
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "demo")]
@@ -181,83 +178,6 @@
         Ok(broken)
     }
 
-    /// Evicts a running task as an operator would.
-    async fn evict_task(&mut self) -> Result<String, String> {
-        let runs = self.runs().await?;
-        let running = runs.iter().rev().find(|r| r.to.is_none());
-        let task = running.map(|r| r.task.clone()).ok_or("no task is running")?;
-        let centre = task.split('/').next().unwrap_or_default().to_string();
-        let scheds: Vec<Host> =
-            self.hosts_of(Role::Sched).filter(|h| h.data_centre == centre).cloned().collect();
-        let mut last = String::new();
-        for sched in scheds {
-            let path = format!("/evict?task={task}");
-            match self.http.post::<Value>(sched.http, &path, &(), CALL_TIMEOUT).await {
-                Ok(_) => {
-                    self.note(format!("task {task} evicted by an operator"));
-                    return Ok(task);
-                }
-                Err(e) => last = e.to_string(),
-            }
-        }
-        Err(format!("cannot evict {task}: {last}"))
-    }
-
-    fn kill_sched(&mut self, demo: &Demo) -> Result<(), String> {
-        let Some(pid) = demo.kill else { return Ok(()) };
-        kill(Pid::from_raw(pid), Signal::SIGKILL).map_err(|e| e.to_string())?;
-        self.note(format!("sched process {pid} killed"));
-        Ok(())
-    }
-
-    /// Freezes a gate until its lease has expired, then resumes it.
-    async fn freeze_gate(&mut self, demo: &Demo) -> Result<(), String> {
-        let Some(pid) = demo.freeze.map(Pid::from_raw) else { return Ok(()) };
-        kill(pid, Signal::SIGSTOP).map_err(|e| e.to_string())?;
-        self.note(format!("gate process {pid} frozen"));
-        tokio::time::sleep(FREEZE_TIME).await;
-        kill(pid, Signal::SIGCONT).map_err(|e| e.to_string())?;
-        self.note(format!("gate process {pid} resumed"));
-        Ok(())
-    }
-
-    /// Kills the worker with the most tasks; returns its name and the tasks.
-    async fn kill_worker(&mut self) -> Result<(String, Vec<String>), String> {
-        let runs = self.runs().await?;
-        let open = |name: &str| runs.iter().filter(|r| r.worker == name && r.to.is_none()).count();
-        let names: Vec<String> = self.hosts_of(Role::Worker).map(|h| h.name.clone()).collect();
-        let victim = names.into_iter().max_by_key(|n| open(n)).ok_or("no worker is listed")?;
-        let tasks = runs.iter().filter(|r| r.worker == victim && r.to.is_none());
-        let tasks: Vec<String> = tasks.map(|r| r.task.clone()).collect();
-        self.control(json!({"worker": [victim, "down"]})).await?;
-        self.control(json!({"upstream": [victim, "close"]})).await?;
-        self.note(format!("worker {victim} killed with {} tasks", tasks.len()));
-        Ok((victim, tasks))
-    }
-
-    /// Sends each of 20 keyed requests to two gates concurrently.
-    async fn send_twice(&mut self, log: &Arc<Log>, mix: &Mix, gates: &[SocketAddr]) {
-        let caller = Caller::new(log.clone());
-        let mut same = 0;
-        for n in 0..20 {
-            let call = Call {
-                id: format!("twice-{n}"),
-                customer: mix.customers[0].clone(),
-                class: mix.classes[0].0.clone(),
-                safe: false,
-                key: Some(Uuid::now_v7()),
-                work: 3000,
-                body: format!("twice {n}"),
-            };
-            let (a, b) = (gates[n % gates.len()], gates[(n + 1) % gates.len()]);
-            let outcomes = tokio::join!(caller.send(a, &call), caller.send(b, &call));
-            same += usize::from(outcomes.0 == outcomes.1);
-        }
-        self.note(format!(
-            "20 keyed requests sent to two gates each, {same} with the same outcome at both"
-        ));
-    }
-
     /// Waits 2 s for jobs to end and reads the stand-in's record.
     async fn settle(&mut self) -> Result<Summary, String> {
         tokio::time::sleep(Duration::from_secs(2)).await;
@@ -309,49 +229,3 @@
         },
     }
 }
-
-/// Returns whether the demo prints an event; starts and ends of tasks are left out.
-fn is_shown(event: &Event) -> bool {
-    const WORDS: [&str; 8] = [
-        "evicted",
-        "suspected",
-        "given up",
-        "contact",
-        "Stopped",
-        "to stop",
-        "rejected",
-        "in force",
-    ];
-    let first_start = event.text.contains("entered, life 1 ");
-    let again = event.text.contains("entered, life");
-    event.part == "demo" || !first_start && (again || WORDS.iter().any(|w| event.text.contains(w)))
-}
-
-fn print(demo: &Demo, report: &Report, notes: &[String], events: &[Event]) {
-    if demo.json {
-        println!("{}", json!(report));
-        return;
-    }
-    println!("\ntimeline (excerpt; 'myrtlectl timeline' shows all {} events)", events.len());
-    for event in events.iter().filter(|e| is_shown(e)).take(MAX_EVENTS) {
-        let ms = event.stamp.millis() % 1_000_000;
-        println!("  {ms:>6} {:14} {:7} {}", event.host, event.part, event.text);
-    }
-    println!("\nreport");
-    println!("  answered     {}", report.answered);
-    println!("  refused      {:?}", report.refused);
-    println!("  unanswered   {}", report.unanswered);
-    println!("  started      {}", report.started);
-    println!("  evicted      {}", report.evicted);
-    println!("  resumed      {}", report.resumed);
-    println!("  lost         {}", report.lost);
-    println!("  doubled      {}", report.doubled);
-    println!("  in force     {} ms", report.in_force_ms);
-    println!("  most slots   {} of 8, connections {} of 64", report.most_busy, report.most_open);
-    println!("  appends      {}", report.appends);
-    for (class, p) in &report.latency_us {
-        println!("  {class:12} p50 {} us, p99 {} us, p99.9 {} us", p.p50, p.p99, p.p999);
-    }
-    println!("  {} steps, {} promises broken", notes.len(), report.broken.len());
-    report.broken.iter().for_each(|text| println!("  BROKEN: {text}"));
-}
--- a/crates/load/src/policy/mod.rs
+++ b/crates/load/src/policy/mod.rs
@@ -1,5 +1,7 @@
 //! Routing policies compared on the same seeded traces, in virtual time.
 
+mod event;
+mod outcome;
 mod report;
 mod scene;
 mod sim;
@@ -8,9 +10,10 @@
 
 use argh::FromArgs;
 
+pub use outcome::{Outcome, Policy};
 pub use report::{Line, lines, table};
 pub use scene::{CLASSES, Noise, Scene, scenes};
-pub use sim::{Outcome, Policy, simulate};
+pub use sim::simulate;
 
 /// compare routing policies on the same seeded traces and write a report
 #[derive(Debug, FromArgs)]
--- a/crates/load/src/policy/report.rs
+++ b/crates/load/src/policy/report.rs
@@ -5,8 +5,9 @@
 
 use plotters::prelude::*;
 
+use super::outcome::{Outcome, Policy};
 use super::scene::{CLASSES, Scene};
-use super::sim::{Outcome, Policy, simulate};
+use super::sim::simulate;
 
 /// Figures of one policy in one scene over all seeds.
 #[derive(Debug, Clone)]
--- a/crates/load/src/policy/sim.rs
+++ b/crates/load/src/policy/sim.rs
@@ -14,6 +14,8 @@
     TwoChoices, Upstreams,
 };
 
+use super::event::{AttemptEnd, Event};
+use super::outcome::{Outcome, Policy};
 use super::scene::{CLASSES, SLOTS, Scene};
 
 /// Multiple of the usual latency after which a safe request is hedged, as in the gate.
@@ -31,62 +33,6 @@
 /// Slots of an upstream for policies without admission, in effect no limit.
 const UNLIMITED: u32 = 1 << 20;
 
-/// A routing policy.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Policy {
-    /// The gate's policy: hedge binding by score, admission by price and deadline.
-    Own,
-    /// A random upstream, queueing there.
-    Random,
-    /// Each upstream in turn, queueing there.
-    RoundRobin,
-    /// The upstream with the fewest requests, queueing there.
-    LeastBusy,
-    /// The less busy of two random upstreams, queueing there.
-    TwoChoices,
-}
-
-impl Policy {
-    /// All policies.
-    pub const ALL: [Policy; 5] =
-        [Policy::Own, Policy::Random, Policy::RoundRobin, Policy::LeastBusy, Policy::TwoChoices];
-}
-
-/// Figures of one simulation.
-#[derive(Debug)]
-pub struct Outcome {
-    /// Latencies in microseconds by class.
-    pub latency: Vec<Histogram<u64>>,
-    /// Requests offered, by class.
-    pub offered: Vec<u64>,
-    /// Requests answered within their deadline, by class.
-    pub good: Vec<u64>,
-    /// Refusals by kind.
-    pub refused: BTreeMap<Kind, u64>,
-    /// Attempts at upstreams.
-    pub attempts: u64,
-    /// The most concurrent requests at one upstream.
-    pub max_busy: u32,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Arrive,
-    /// An attempt of the request with this id end at its upstream.
-    End(u64, AttemptEnd),
-    /// The request is hedged if this attempt is still its newest.
-    Hedge(u64, u32),
-    /// An attempt at a stalled upstream releases its slot.
-    Abandon(u32),
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct AttemptEnd {
-    upstream: u32,
-    since: Duration,
-    failed: bool,
-}
-
 #[derive(Debug)]
 struct Request {
     class: usize,
