Signals: handlers stand before the host listens

What callers saw: a host that is told to reload while it starts ends, and with it every request that has arrived. Cause: the handler of SIGHUP was installed by a task that first ran after the addresses were bound and others had begun; until then a signal ends the process. The same held of SIGTERM, for a shorter time. Now both are installed before anything is bound. Ruled out: the reload itself, which reads the file and changes nothing.

--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -6,7 +6,7 @@
 
 use log::{info, warn};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -37,6 +37,9 @@
 /// Fails if an address can't be bound or a signal handler can't be installed.
 pub async fn run(settings: Settings, path: PathBuf) -> std::io::Result<()> {
     crate::clock::now();
+    // Until a handler is installed, a signal ends the process with whatever has arrived at it.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
     let clients = TcpListener::bind(settings.clients).await?;
     let checks = TcpListener::bind(settings.checks).await?;
     let peers = TcpListener::bind(settings.peer()).await?;
@@ -63,10 +66,10 @@
     tokio::spawn(answer_peers(host.clone(), peers));
     tokio::spawn(serve_cells(host.clone()));
     tokio::spawn(regain::run(host.clone()));
-    tokio::spawn(reload(path));
+    tokio::spawn(reload(path, hangup));
     tokio::spawn(log_calls(host.clone()));
     tokio::spawn(tickets::run(host.clone()));
-    signal(SignalKind::terminate())?.recv().await;
+    terminate.recv().await;
     stop(&host, &closing, &tracker).await;
     Ok(())
 }
@@ -100,11 +103,7 @@
 }
 
 /// Checks the settings file on SIGHUP; the settings in force stay until the next start.
-async fn reload(path: PathBuf) {
-    let Ok(mut signals) = signal(SignalKind::hangup()) else {
-        warn!("event=no-reload reason=\"the handler of SIGHUP can't be installed\"");
-        return;
-    };
+async fn reload(path: PathBuf, mut signals: Signal) {
     while signals.recv().await.is_some() {
         match Settings::load(&path) {
             Ok(_) => info!("event=reload outcome=read"),
--- a/crates/front/tests/common/host.rs
+++ b/crates/front/tests/common/host.rs
@@ -75,6 +75,12 @@
         self.host_with(name, |text| text).await;
     }
 
+    /// Starts a host that gets SIGHUP as soon as it listens for clients, and waits until it is ready.
+    pub async fn reloaded_host(&mut self, name: &str) {
+        self.reload_at_start = true;
+        self.host(name).await;
+    }
+
     /// Starts a host without the capacity for a cell of more than one worker.
     pub async fn small_host(&mut self, name: &str) {
         let capacity = "capacity: {share: 0.001, cores: 1, link: 1000}\n";
@@ -105,6 +111,11 @@
         let process = Command::new(program()).arg(&path).stdout(Stdio::null()).spawn().unwrap();
         let (clients, checks) = (at(ports[0]), at(ports[1]));
         let mut host = Host { clients, checks, process, settings: path };
+        if self.reload_at_start {
+            let refused = async || tokio::net::TcpStream::connect(clients).await.is_err();
+            while host.process.try_wait().unwrap().is_none() && refused().await {}
+            host.signal(Signal::SIGHUP);
+        }
         loop {
             if let Some(ended) = host.process.try_wait().unwrap() {
                 assert_eq!(ended.code(), Some(BIND_FAILED), "the host ended at its start");
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -50,6 +50,8 @@
     relays: Vec<Relay>,
     /// The relays between hosts, if there are any.
     pub links: Option<Links>,
+    /// Whether hosts get SIGHUP as soon as they listen.
+    reload_at_start: bool,
     /// The incarnations of workers that were listed last.
     listed: Mutex<BTreeMap<String, String>>,
 }
@@ -190,7 +192,20 @@
         let hosts = BTreeMap::new();
         let listed = Mutex::default();
         let (tickets, links) = (None, None);
-        Self { store, store_at, book, hosts, runners, tickets, lease, relays, links, listed }
+        let reload_at_start = false;
+        Self {
+            store,
+            store_at,
+            book,
+            hosts,
+            runners,
+            tickets,
+            lease,
+            relays,
+            links,
+            reload_at_start,
+            listed,
+        }
     }
 }
 
