Entry: bodies are read before a connection is used again

What callers saw: a request on a kept connection ends without an answer. Cause: a request that needs no body (unknown queue, malformed name, body over the limit, no configuration yet) was answered at once; if its body came later than its head, the connection was then closed without a word of it, and whatever the client sent next there was lost. Clients that write head and body apart do that on real sockets.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::HOST;
+use hyper::header::{EXPECT, HOST};
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use log::{info, warn};
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use myrtle_adapter::{Configuration, Queue, headers, pending_body, read_job, state_body};
 use myrtle_job::{JobId, Submission, encode};
@@ -17,6 +17,7 @@
 
 use crate::answer::{Answer, json, plain, refuse};
 use crate::ask::{ask, cell_of, counts, left};
+use crate::body::{self, BodyError, discard};
 use crate::clock::wall;
 use crate::host::Host;
 use crate::intake;
@@ -38,39 +39,47 @@
 /// Serves one request.
 pub async fn serve(host: Arc<Host>, request: Request<Incoming>) -> Answer {
     let started = Instant::now();
+    let (head, mut body) = request.into_parts();
+    let answer = respond(&host, &head, &mut body, started).await;
+    if !head.headers.contains_key(EXPECT) {
+        discard(&mut body).await;
+    }
+    host.meter.took("myrtle_answer_micros", head.method.as_str(), started.elapsed());
+    host.meter.count("myrtle_answers", answer.status().as_str());
+    answer
+}
+
+/// Finds the queue of a request and has the request carried out there.
+async fn respond(host: &Host, head: &Parts, body: &mut Incoming, started: Instant) -> Answer {
     let Some(configuration) = host.configuration() else {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet");
     };
     if host.layout().is_none() {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "the cells are not known yet");
     }
-    let path = request.uri().path().to_string();
-    let name = request.headers().get(HOST).and_then(|h| h.to_str().ok()).unwrap_or("");
-    let Some(queue) = find(&configuration, name, &path) else {
+    let path = head.uri.path();
+    let name = head.headers.get(HOST).and_then(|h| h.to_str().ok()).unwrap_or("");
+    let Some(queue) = find(&configuration, name, path) else {
         if !host.in_contact() {
             // A newer configuration may have it.
             return refuse(StatusCode::SERVICE_UNAVAILABLE, "the configuration may be out of date");
         }
         return plain(StatusCode::NOT_FOUND, "no queue has this host and path");
     };
-    let requested = request.headers().get(headers::DEADLINE);
+    let requested = head.headers.get(headers::DEADLINE);
     let requested = requested.and_then(|h| h.to_str().ok()?.parse().ok());
     let limit = requested.or((queue.timeout > 0).then_some(queue.timeout));
     let limit = limit.map_or(DEFAULT_LIMIT, Duration::from_millis);
     let end = started + limit.saturating_sub(REPLY_TIME);
-    let rest = path.strip_prefix(&queue.prefix).unwrap_or("").to_string();
-    let target = Target { queue, rest: &rest, end };
-    let method = request.method().clone();
-    let answer = match method {
-        Method::POST => submit(&host, &configuration, &target, request).await,
-        Method::GET if rest.is_empty() => count(&host, &target).await,
-        Method::GET => state(&host, &target).await,
-        Method::DELETE => cancel(&host, &target).await,
+    let rest = path.strip_prefix(&queue.prefix).unwrap_or("");
+    let target = Target { queue, rest, end };
+    match head.method {
+        Method::POST => submit(host, &configuration, &target, body).await,
+        Method::GET if rest.is_empty() => count(host, &target).await,
+        Method::GET => state(host, &target).await,
+        Method::DELETE => cancel(host, &target).await,
         _ => plain(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE"),
-    };
-    host.meter.took("myrtle_answer_micros", method.as_str(), started.elapsed());
-    host.meter.count("myrtle_answers", answer.status().as_str());
-    answer
+    }
 }
 
 /// Finds the queue with this host and the longest prefix of the path.
@@ -85,14 +94,14 @@
     host: &Host,
     configuration: &Configuration,
     target: &Target<'_>,
-    request: Request<Incoming>,
+    body: &mut Incoming,
 ) -> Answer {
     let Ok(job) = target.rest.parse::<JobId>() else {
         return plain(StatusCode::BAD_REQUEST, "the path must end with 16 hexadecimal digits");
     };
-    let body = match read_body(request, configuration, target.end, job).await {
+    let body = match body::read(body, configuration.limits.body, target.end).await {
         Ok(body) => body,
-        Err(answer) => return answer,
+        Err(why) => return unread(job, &why),
     };
     let spec = match read_job(&body) {
         Ok(spec) => spec,
@@ -122,25 +131,15 @@
     }
 }
 
-/// Reads the body of a job; fails with the answer to the client.
-async fn read_body(
-    request: Request<Incoming>,
-    configuration: &Configuration,
-    end: Instant,
-    job: JobId,
-) -> Result<Bytes, Answer> {
-    let limited = Limited::new(request.into_body(), configuration.limits.body);
-    match timeout(left(end), limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over the limit"))
-        }
-        Ok(Err(e)) => {
-            info!("event=body-broken job={job} reason=\"{e}\"");
-            Err(plain(StatusCode::BAD_REQUEST, "the body broke off"))
-        }
-        Err(_) => Err(plain(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")),
-    }
+/// The answer to a job whose body could not be read.
+fn unread(job: JobId, why: &BodyError) -> Answer {
+    info!("event=body-unread job={job} reason=\"{why}\"");
+    let status = match why {
+        BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::Broken => StatusCode::BAD_REQUEST,
+        BodyError::Late => StatusCode::REQUEST_TIMEOUT,
+    };
+    plain(status, &why.to_string())
 }
 
 /// Returns the state of a job.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,6 +6,7 @@
 mod ask;
 mod backoff;
 mod balance;
+mod body;
 mod busy;
 mod capacity;
 pub mod clock;
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod host;
 mod jobs;
+mod kept;
 mod links;
 #[path = "../../../../platform/tests/common/mod.rs"]
 mod relay;
@@ -24,6 +25,7 @@
 
 pub use call::{call, call_with, status};
 pub use host::Host;
+pub use kept::{Kept, KeptAnswer};
 pub use links::Links;
 pub use relay::Relay;
 pub use text::{configuration, own_ip, settings, ticketed};
