Connections: idle ones are kept for the idle limit, and read before they are closed

What callers saw: a request on a kept connection ends without an answer. Cause: the limit on request heads (3 s) also closed idle connections, though the operator's configuration names a limit of its own for them (15 s), which nothing read. So a client that keeps its connection for the time it was told finds it closed, at the latest while its request is on its way. Now a connection has both limits, each for its own phase; before an idle one is closed, it is read for 100 ms more: a request that arrived during a stall becomes readable only some turns of the runtime later. Class: something is ended by its age, not by what is known of it. Test: 24 connections, one request each, 3.5 s of silence, another request.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 mod busy;
 mod capacity;
 pub mod clock;
+mod connection;
 mod delivery;
 mod discover;
 mod entry;
--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -17,23 +17,16 @@
 use tokio_util::task::TaskTracker;
 
 use crate::answer::Answer;
-use myrtle_adapter::Limits;
-
-use crate::entry::serve;
+use crate::connection;
 use crate::host::Host;
 
-/// The smallest buffer of a connection that hyper allows, in bytes.
-const MIN_BUFFER: usize = 8 << 10;
-
 /// How long a connection for checks may be idle; a dead one would stay open forever.
 const CHECK_IDLE: Duration = Duration::from_secs(10);
 
 /// The pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts clients; on `closing`, connections finish the request in progress.
-///
-/// The time limit for request heads also closes idle connections, and so dead ones.
+/// Accepts clients until the process ends; from `closing` on, idle connections are closed.
 pub async fn clients(
     host: Arc<Host>,
     listener: TcpListener,
@@ -50,32 +43,7 @@
             }
         };
         let _ = stream.set_nodelay(true);
-        let limits = host.configuration().map_or_else(Limits::default, |c| c.limits);
-        let head = Duration::from_millis(limits.header_timeout);
-        let size = limits.header.max(MIN_BUFFER);
-        let (host, closing) = (host.clone(), closing.clone());
-        tracker.spawn(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let host = host.clone();
-                async move { Ok::<Answer, Infallible>(serve(host, request).await) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(head)
-                .max_buf_size(size)
-                .serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            let result = tokio::select! {
-                result = &mut connection => result,
-                () = closing.cancelled() => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
-                }
-            };
-            if let Err(e) = result {
-                debug!("event=connection-broken reason=\"{e}\"");
-            }
-        });
+        tracker.spawn(connection::serve(host.clone(), stream, closing.clone()));
     }
 }
 
--- a/crates/front/tests/stopping.rs
+++ b/crates/front/tests/stopping.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use rstest::rstest;
 use tokio::time::sleep;
 
@@ -13,6 +14,37 @@
 /// The path of the queue; a GET counts its pending jobs.
 const QUEUE_PATH: &str = "/p/";
 
+/// The number of connections of a test: each of them may show the failure.
+const CONNECTIONS: usize = 24;
+
+/// Connections to a host on which one request was answered.
+async fn used_connections(site: &Site, host: &str) -> Vec<Kept> {
+    let mut connections = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut kept = Kept::to(site.clients(host)).await;
+        kept.send("GET", QUEUE_PATH, "", b"").await;
+        assert_eq!(kept.answer().await, Some(KeptAnswer { status: 200, closes: false }));
+        connections.push(kept);
+    }
+    connections
+}
+
+/// Sends a request on each connection.
+async fn ask_all(connections: &mut [Kept]) {
+    join_all(connections.iter_mut().map(|kept| kept.send("GET", QUEUE_PATH, "", b""))).await;
+}
+
+#[tokio::test]
+async fn a_connection_is_kept_for_longer_than_the_head_of_a_request_may_take() {
+    let site = Site::start(Duration::from_millis(60)).await;
+    let mut connections = used_connections(&site, "h1").await;
+    sleep(Duration::from_millis(3_500)).await;
+    ask_all(&mut connections).await;
+    for kept in &mut connections {
+        assert_eq!(kept.answer().await, Some(KeptAnswer { status: 200, closes: false }));
+    }
+}
+
 #[rstest]
 #[case::of_an_unknown_queue("/unknown/00000000000000a1", 404)]
 #[case::with_a_malformed_name("/p/no-name", 400)]
