Stops: a connection is kept for its next request, whose answer ends it

Cause: at that moment a stopping host closed each connection that was idle as far as it had read, though clients had not been told to leave, and without reading what had arrived meanwhile; on a busy machine that may be a request that has waited for long. What was also wrong: cells were handed over before the wait for connections began, one after the other, so with a slow store or several cells the process could be killed first; with a grace of 2 s it always was. Class: something is ended by its age, not by what is known of it. Now each answer of a stopping host tells the client to make another connection; one that is idle is kept until a second and a half before the kill, then read for 100 ms more and closed. Cells are handed over meanwhile. All times of a stop follow from the grace (StopTimes). Ruled out: the hand-over of the cell, SIGHUP (no request was cut near one).

--- a/crates/front/src/connection/mod.rs
+++ b/crates/front/src/connection/mod.rs
@@ -1,12 +1,14 @@
 //! Serves one client connection and decides when it is closed.
 //!
-//! Clients use a connection until its other end closes it, so a request may arrive at the moment of closing. An idle
-//! connection is closed only once everything that has arrived on it was read.
+//! Clients use a connection until its other end closes it, so a request may arrive at the moment of closing. While the
+//! host stops, each answer therefore tells the client to make another connection, and an idle connection is closed only
+//! once everything that has arrived on it was read.
 
 mod activity;
 mod watched;
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,7 +37,7 @@
 /// arrived become readable only some turns of the runtime later.
 const LAST_READ: Duration = Duration::from_millis(100);
 
-/// Serves the requests of a connection until either end closes it; on `closing`, it finishes the request in progress.
+/// Serves the requests of a connection until either end closes it; from `closing` on, it is closed once it is idle.
 pub async fn serve(host: Arc<Host>, stream: TcpStream, closing: CancellationToken) {
     let limits = host.configuration().map_or_else(Limits::default, |c| c.limits);
     let timeouts = Timeouts::new(&limits);
@@ -60,8 +62,7 @@
             biased;
             result = &mut connection => break Some(result),
             () = closing.cancelled() => {
-                connection.as_mut().graceful_shutdown();
-                break Some(connection.await);
+                break close_idle(&mut connection, &activity, |c| c.graceful_shutdown()).await;
             }
             () = activity.head_begun.notified() => {}
             () = sleep_until(activity.due(&timeouts)) => {}
@@ -84,3 +85,19 @@
         debug!("event=connection-broken reason=\"{e}\"");
     }
 }
+
+/// Closes a connection once it is idle and everything that has arrived on it was read; otherwise after the answer to
+/// the request in progress, which tells the client so.
+async fn close_idle<C: Future>(
+    connection: &mut Pin<&mut C>,
+    activity: &Activity,
+    shut_down: impl FnOnce(Pin<&mut C>),
+) -> Option<C::Output> {
+    if let Ok(result) = timeout(LAST_READ, connection.as_mut()).await {
+        return Some(result);
+    }
+    if activity.is_idle() {
+        shut_down(connection.as_mut());
+    }
+    Some(connection.as_mut().await)
+}
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -5,7 +5,7 @@
 
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{EXPECT, HOST};
+use hyper::header::{CONNECTION, EXPECT, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use log::{info, warn};
@@ -40,10 +40,13 @@
 pub async fn serve(host: Arc<Host>, request: Request<Incoming>) -> Answer {
     let started = Instant::now();
     let (head, mut body) = request.into_parts();
-    let answer = respond(&host, &head, &mut body, started).await;
+    let mut answer = respond(&host, &head, &mut body, started).await;
     if !head.headers.contains_key(EXPECT) {
         discard(&mut body).await;
     }
+    if host.stopping() {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     host.meter.took("myrtle_answer_micros", head.method.as_str(), started.elapsed());
     host.meter.count("myrtle_answers", answer.status().as_str());
     answer
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -39,6 +39,7 @@
 mod roster;
 mod run;
 mod settings;
+mod stop_times;
 mod survey;
 mod takeover;
 mod tick;
@@ -58,4 +59,5 @@
 pub use ownership::{Candidate, Directory, Entry, OwnerStatus, Step, Watch};
 pub use run::run;
 pub use settings::{Cells, Settings};
+pub use stop_times::StopTimes;
 pub use survey::Survey;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -7,7 +7,7 @@
 use log::{info, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -18,18 +18,12 @@
 use crate::ownership::{self, member, monitor};
 use crate::peers::Server;
 use crate::settings::Settings;
+use crate::stop_times::StopTimes;
 use crate::{discover, intake, listen, operator, regain, tickets};
 
-/// How long new connections still arrive after the host reports that it is not ready: two checks of a second each plus
-/// a margin.
-const DRAIN_TIME: Duration = Duration::from_millis(2_300);
-
 /// The time between two log lines on calls to the store.
 const LOG_EVERY: Duration = Duration::from_secs(30);
 
-/// The margin before the process would be killed.
-const KILL_MARGIN: Duration = Duration::from_millis(700);
-
 /// Runs a front host until SIGTERM.
 ///
 /// # Errors
@@ -114,21 +108,36 @@
 
 /// Releases cells and lets clients finish, all before the process would be killed.
 async fn stop(host: &Arc<Host>, closing: &CancellationToken, tracker: &TaskTracker) {
+    let times = StopTimes::new(Instant::now(), host.settings.grace());
     info!("event=stop open={}", tracker.len());
     host.stop();
-    let grace = host.settings.grace().saturating_sub(KILL_MARGIN);
-    let end = tokio::time::Instant::now() + grace;
-    for cell in 0..host.layout().map_or(0, Layout::count) {
-        member::hand_over(host, cell, "the host stops").await;
-    }
-    sleep(DRAIN_TIME).await;
-    closing.cancel();
-    tracker.close();
-    host.successor_calls.close();
-    let left = end.saturating_duration_since(tokio::time::Instant::now());
-    let finish = async { tokio::join!(tracker.wait(), host.successor_calls.wait()) };
-    let finished = timeout(left, finish).await.is_ok();
+    let release = async {
+        for cell in 0..host.layout().map_or(0, Layout::count) {
+            member::hand_over(host, cell, "the host stops").await;
+        }
+        host.successor_calls.close();
+        host.successor_calls.wait().await;
+    };
+    let finish = async {
+        tokio::join!(release, close_connections(closing, tracker, &times));
+    };
+    let finished = timeout_at(times.end, finish).await.is_ok();
     info!("event=stopped finished={finished}");
     // A separate thread writes the last log lines.
     sleep(Duration::from_millis(50)).await;
 }
+
+/// Waits until clients have left, and from some time on closes idle connections.
+///
+/// A client whose request was answered while the host stops has left. One that is idle may send its next request at any
+/// moment, so its connection is kept for as long as such a request could still be answered.
+async fn close_connections(closing: &CancellationToken, tracker: &TaskTracker, times: &StopTimes) {
+    sleep_until(times.all_left).await;
+    tracker.close();
+    if timeout_at(times.close_idle, tracker.wait()).await.is_ok() {
+        return;
+    }
+    info!("event=connections-closing open={}", tracker.len());
+    closing.cancel();
+    tracker.wait().await;
+}
--- a/crates/front/tests/stopping.rs
+++ b/crates/front/tests/stopping.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use nix::sys::signal::Signal;
 use rstest::rstest;
 use tokio::time::sleep;
 
@@ -17,6 +18,9 @@
 /// The number of connections of a test: each of them may show the failure.
 const CONNECTIONS: usize = 24;
 
+/// When a stopping host no longer gets new connections and may close idle ones.
+const LEFT: Duration = Duration::from_millis(2_000);
+
 /// Connections to a host on which one request was answered.
 async fn used_connections(site: &Site, host: &str) -> Vec<Kept> {
     let mut connections = Vec::new();
@@ -29,11 +33,41 @@
     connections
 }
 
-/// Sends a request on each connection.
+/// Sends a request on each connection; returns the number of complete answers that end their connections.
 async fn ask_all(connections: &mut [Kept]) {
     join_all(connections.iter_mut().map(|kept| kept.send("GET", QUEUE_PATH, "", b""))).await;
 }
 
+/// The number of connections on which a complete answer comes, which tells that they end.
+async fn last_answers(connections: &mut [Kept]) -> usize {
+    let answers = join_all(connections.iter_mut().map(Kept::answer)).await;
+    answers.into_iter().flatten().filter(|answer| answer.closes).count()
+}
+
+#[tokio::test]
+async fn requests_that_arrive_while_a_stopping_host_stands_still_are_answered() {
+    let site = Site::start(Duration::from_millis(60)).await;
+    let mut connections = used_connections(&site, "h1").await;
+    let host = &site.hosts["h1"];
+    host.signal(Signal::SIGTERM);
+    sleep(LEFT).await;
+    host.signal(Signal::SIGSTOP);
+    ask_all(&mut connections).await;
+    sleep(Duration::from_millis(2_500)).await;
+    host.signal(Signal::SIGCONT);
+    assert_eq!(last_answers(&mut connections).await, CONNECTIONS);
+}
+
+#[tokio::test]
+async fn a_connection_is_kept_for_its_next_request_while_its_host_stops() {
+    let site = Site::start(Duration::from_millis(60)).await;
+    let mut connections = used_connections(&site, "h1").await;
+    site.hosts["h1"].signal(Signal::SIGTERM);
+    sleep(LEFT + Duration::from_millis(1_000)).await;
+    ask_all(&mut connections).await;
+    assert_eq!(last_answers(&mut connections).await, CONNECTIONS);
+}
+
 #[tokio::test]
 async fn a_connection_is_kept_for_longer_than_the_head_of_a_request_may_take() {
     let site = Site::start(Duration::from_millis(60)).await;
