Stops: what is still in progress gets a last answer before the process ends

What callers saw: a request whose time is longer than that of its stopping host ends without an answer, as the process ends beside it. Cause: at the end of the grace open requests were dropped with their connections. After a stall of the process what has arrived is still read and answered. `last-answer` in the log and `myrtle_last_answers` count them; `stopped .. answered=` says whether all were written. Tests: a state and a cancellation that may take 20 s, with a store that is silent, at a host that stops.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -40,8 +40,12 @@
 pub async fn serve(host: Arc<Host>, request: Request<Incoming>) -> Answer {
     let started = Instant::now();
     let (head, mut body) = request.into_parts();
-    let mut answer = respond(&host, &head, &mut body, started).await;
-    if !head.headers.contains_key(EXPECT) {
+    let mut answer = tokio::select! {
+        biased;
+        answer = respond(&host, &head, &mut body, started) => answer,
+        () = host.ending.cancelled() => last_answer(&host, &head),
+    };
+    if !head.headers.contains_key(EXPECT) && !host.ending.is_cancelled() {
         discard(&mut body).await;
     }
     if host.stopping() {
@@ -85,6 +89,16 @@
     }
 }
 
+/// The answer to a request that is still in progress when the process has to end.
+fn last_answer(host: &Host, head: &Parts) -> Answer {
+    host.meter.count("myrtle_last_answers", head.method.as_str());
+    warn!("event=last-answer method={} path={}", head.method, head.uri.path());
+    match head.method {
+        Method::POST => plain(StatusCode::GATEWAY_TIMEOUT, "the job may have been taken"),
+        _ => refuse(StatusCode::SERVICE_UNAVAILABLE, "this host stops"),
+    }
+}
+
 /// Finds the queue with this host and the longest prefix of the path.
 fn find<'a>(configuration: &'a Configuration, host: &str, path: &str) -> Option<&'a Queue> {
     let host = host.split(':').next().unwrap_or(host);
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -7,6 +7,7 @@
 
 use log::{info, warn};
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use myrtle_adapter::{Configuration, Machines, Store, Tickets, WaveOrder};
@@ -71,6 +72,8 @@
     intakes: Mutex<HashMap<u32, Arc<Intake>>>,
     releases: Mutex<BTreeSet<u32>>,
     stopping: AtomicBool,
+    /// Cancelled when requests in progress get their last answers, as the process has to end.
+    pub ending: CancellationToken,
     /// Calls to successors that should finish before the process ends.
     pub successor_calls: TaskTracker,
     layout: OnceLock<Layout>,
@@ -101,6 +104,7 @@
             intakes: Mutex::default(),
             releases: Mutex::default(),
             stopping: AtomicBool::new(false),
+            ending: CancellationToken::new(),
             successor_calls: TaskTracker::new(),
             layout: OnceLock::new(),
         }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -18,7 +18,7 @@
 use crate::ownership::{self, member, monitor};
 use crate::peers::Server;
 use crate::settings::Settings;
-use crate::stop_times::StopTimes;
+use crate::stop_times::{StopTimes, WRITE_TIME};
 use crate::{discover, intake, listen, operator, regain, tickets};
 
 /// The time between two log lines on calls to the store.
@@ -121,8 +121,13 @@
     let finish = async {
         tokio::join!(release, close_connections(closing, tracker, &times));
     };
-    let finished = timeout_at(times.end, finish).await.is_ok();
-    info!("event=stopped finished={finished}");
+    let finished = timeout_at(times.answer_all, finish).await.is_ok();
+    closing.cancel();
+    host.ending.cancel();
+    // All of them have an answer now, which only has to be written; after a stall what has arrived is read first.
+    let end = times.end.max(Instant::now() + WRITE_TIME);
+    let answered = timeout_at(end, tracker.wait()).await.is_ok();
+    info!("event=stopped finished={finished} answered={answered}");
     // A separate thread writes the last log lines.
     sleep(Duration::from_millis(50)).await;
 }
--- a/crates/front/tests/stopping.rs
+++ b/crates/front/tests/stopping.rs
@@ -10,6 +10,8 @@
 use rstest::rstest;
 use tokio::time::sleep;
 
+use myrtle_standin::StoreMode;
+
 use common::{Kept, KeptAnswer, Site, call};
 
 /// The path of the queue; a GET counts its pending jobs.
@@ -79,6 +81,22 @@
     }
 }
 
+#[rstest]
+#[case::for_a_state("GET", 503)]
+#[case::to_cancel("DELETE", 503)]
+#[tokio::test]
+async fn a_request_in_progress_is_answered_before_its_host_ends(
+    #[case] method: &str,
+    #[case] status: u16,
+) {
+    let site = Site::start(Duration::from_millis(60)).await;
+    let mut kept = Kept::to(site.clients("h1")).await;
+    site.store.set(StoreMode::Silent);
+    site.hosts["h1"].signal(Signal::SIGTERM);
+    kept.send(method, "/p/00000000000000a1", "deadline-ms: 20000\r\n", b"").await;
+    assert_eq!(kept.answer().await, Some(KeptAnswer { status, closes: true }));
+}
+
 #[rstest]
 #[case::of_an_unknown_queue("/unknown/00000000000000a1", 404)]
 #[case::with_a_malformed_name("/p/no-name", 400)]
