Takeover: an owner that asks whether a job is unknown reads all that was accepted

What callers saw: an accepted job is answered as unknown (410) for up to seconds after its acceptance. Cause: the owner read one page of accepted jobs, up to 1 MB, and took that for all; a job further back counted as unknown. It takes a backlog of more than a page: an owner that stood still while others accepted for it. Now pages are read until one reaches the end. The stand-in's pages are short (16 kB), as its other pages were, so that tests can show this. Test: 300 long jobs accepted while the owner stands still, all asked for as it goes on.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -186,8 +186,20 @@
 
 /// Reads all jobs accepted before now; false if that failed or the ownership is in doubt.
 async fn caught_up(host: &Host, owned: &Owned) -> bool {
-    owned.state().loaded && read_new(host, owned, Duration::ZERO).await.is_ok() && {
-        // The owner may have been replaced unnoticed while it was cut off.
-        !owned.closed() && owned.may_lease()
+    if !owned.state().loaded || !read_all_new(host, owned).await {
+        return false;
+    }
+    // The owner may have been replaced unnoticed while it was cut off.
+    !owned.closed() && owned.may_lease()
+}
+
+/// Reads pages of new accepted jobs until there are no more; false if that failed.
+async fn read_all_new(host: &Host, owned: &Owned) -> bool {
+    loop {
+        match read_new(host, owned, Duration::ZERO).await {
+            Ok(true) => return true,
+            Ok(false) => {}
+            Err(_) => return false,
+        }
     }
 }
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -223,7 +223,7 @@
 async fn follow_jobs(host: Arc<Host>, owned: Arc<Owned>) {
     while !owned.closed() {
         match read_new(&host, &owned, READ_WAIT).await {
-            Ok(()) => host.store_reached(),
+            Ok(_) => host.store_reached(),
             Err(StoreError::Gone { first }) => {
                 warn!("event=job-log-cut cell={} first={first}", owned.cell);
                 match read_jobs(&host, owned.cell).await {
@@ -242,12 +242,12 @@
     }
 }
 
-/// Reads new accepted jobs once, and waits up to `wait` if there are none.
+/// Reads a page of new accepted jobs, and waits up to `wait` if there are none; true if there are no more.
 ///
 /// # Errors
 ///
 /// Fails if the store does not return the page.
-pub async fn read_new(host: &Host, owned: &Owned, wait: Duration) -> Result<(), StoreError> {
+pub async fn read_new(host: &Host, owned: &Owned, wait: Duration) -> Result<bool, StoreError> {
     let from = owned.next_offset.load(Ordering::Relaxed);
     let page = host.store.read(JOBS, owned.cell, from, wait, wait + REPLY_MARGIN).await?;
     let next = from + page.records.len() as u64;
@@ -265,7 +265,7 @@
     if any {
         owned.wake.notify_one();
     }
-    Ok(())
+    Ok(next >= page.end)
 }
 
 /// Applies an accepted job, an incoming transfer, or its recall.
--- a/crates/front/tests/common/jobs.rs
+++ b/crates/front/tests/common/jobs.rs
@@ -4,6 +4,9 @@
 
 use super::{Site, call, call_with, until};
 
+/// The length of a long description, close to what the platform allows.
+const LONG_SPEC: usize = 3_500;
+
 impl Site {
     /// Submits a job of some tasks and one after them; returns the status.
     pub async fn submit(&self, host: &str, id: &str, tasks: u32) -> u16 {
@@ -15,6 +18,13 @@
         self.submit_with(host, id, 1, &format!("deadline-ms: {limit}\r\n")).await
     }
 
+    /// Submits a job of one task with a long description; returns the status.
+    pub async fn submit_long(&self, host: &str, id: &str) -> u16 {
+        let task = json!({ "count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60 });
+        let body = json!({ "spec": "t".repeat(LONG_SPEC), "steps": [task] });
+        call(self.clients(host), "POST", &format!("/p/{id}"), &body.to_string()).await.0
+    }
+
     async fn submit_with(&self, host: &str, id: &str, tasks: u32, headers: &str) -> u16 {
         let body = json!({ "spec": "t", "steps": [
             { "count": tasks, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60 },
--- a/crates/front/tests/handover.rs
+++ b/crates/front/tests/handover.rs
@@ -6,11 +6,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use futures::future::join_all;
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use tokio::time::sleep;
 
-use myrtle_standin::{StoreMode, WorkerStandin};
+use myrtle_standin::{JOINS, StoreMode, WorkerStandin};
 
 use common::{Site, call, owner, until};
 
@@ -23,6 +24,12 @@
 /// The delay of each page of the log; shorter than the owner's time limit.
 const PAGE_DELAY: Duration = Duration::from_millis(1_500);
 
+/// The delay of joins; shorter than their time limit.
+const JOIN_DELAY: Duration = Duration::from_millis(400);
+
+/// The number of jobs that an owner has not read; more than two pages of the stand-in.
+const BACKLOG: usize = 300;
+
 /// A lease far longer than any wait of a test, in milliseconds.
 const LONG_LEASE: u64 = 120_000;
 
@@ -172,3 +179,43 @@
     assert_eq!(site.book.runs().len(), 7);
     assert_eq!(site.book.overlapping(), vec![]);
 }
+
+#[tokio::test]
+async fn a_join_that_is_answered_while_its_host_stops_does_not_make_it_the_owner_again() {
+    let mut site = Site::start(Duration::from_millis(60)).await;
+    let first = owner(&site).await;
+    let next = other(&site, &first);
+    site.store.delay(JOINS, JOIN_DELAY);
+    until(|| async { site.store.waiting_joins() > 0 }).await;
+    let mut host = site.hosts.remove(&first).unwrap();
+    host.signal(Signal::SIGTERM);
+    // Each owner begins with a record under its token.
+    let mut tokens = BTreeSet::new();
+    while host.process.try_wait().unwrap().is_none() {
+        tokens
+            .extend(site.store.keys(PROGRESS).into_iter().filter(|key| key.starts_with("owner.")));
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(tokens.len(), 2, "owners besides {first} and {next}: {tokens:?}");
+}
+
+#[tokio::test]
+async fn a_job_far_back_in_the_log_is_not_reported_as_unknown() {
+    let site = Site::start(Duration::from_millis(60)).await;
+    let first = owner(&site).await;
+    let next = other(&site, &first);
+    let ids: Vec<_> = (0..BACKLOG).map(|n| format!("{:016x}", 0xb000 + n)).collect();
+    site.hosts[&first].signal(Signal::SIGSTOP);
+    let statuses = join_all(ids.iter().map(|id| site.submit_long(&next, id))).await;
+    // What is refused or in doubt while the owner stands still says nothing here.
+    let accepted = ids.iter().zip(statuses).filter(|(_, status)| *status == 200);
+    let accepted: Vec<_> = accepted.map(|(id, _)| id).collect();
+    assert!(accepted.len() > BACKLOG / 2, "{} jobs", accepted.len());
+    let states = join_all(accepted.iter().rev().map(|id| state_at(&site, &first, id)));
+    let resume = async {
+        sleep(Duration::from_millis(200)).await;
+        site.hosts[&first].signal(Signal::SIGCONT);
+    };
+    let (states, ()) = tokio::join!(states, resume);
+    assert_eq!(states.len(), accepted.len());
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,7 +20,7 @@
 pub use record::{Record, Run, RunEnd, Summary, UpstreamSeen};
 pub use runner::{RunLog, RunRecord, WorkerStandin};
 pub use site::until;
-pub use store::{Store, StoreMode};
+pub use store::{JOINS, Store, StoreMode};
 pub use tickets::{TicketMode, TicketService, TicketSpans};
 pub use upstream::{Upstream, UpstreamMode, body_mark};
 pub use worker::{Worker, WorkerMode};
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use base64::Engine;
@@ -24,9 +25,15 @@
 /// The number of partitions of a topic, as on the users' platform.
 const PARTITIONS: u32 = 24;
 
+/// The size from which a page of a read ends, in bytes; pages are short so that callers need more than one.
+const PAGE_BYTES: usize = 16 << 10;
+
 /// The maximum wait of a read.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
+/// The key of the delay of joins, beside those of topics.
+pub const JOINS: &str = "log-join";
+
 /// The behaviour of the store.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub enum StoreMode {
@@ -55,6 +62,8 @@
     /// Serializes appends while the store is slow.
     append_lock: tokio::sync::Mutex<()>,
     calls: Mutex<BTreeMap<String, u64>>,
+    /// The number of joins that wait for their delay.
+    waiting_joins: AtomicUsize,
     /// The number of appends by topic.
     appends: Mutex<BTreeMap<String, u64>>,
     /// The delay of reads by topic.
@@ -156,6 +165,11 @@
         group.rows().map(|(partition, member)| (partition, member.to_string())).collect()
     }
 
+    /// The number of joins that wait for their delay.
+    pub fn waiting_joins(&self) -> usize {
+        self.waiting_joins.load(Ordering::Relaxed)
+    }
+
     /// Lets a member join a group and leave at once, as one that arrives late does; returns whether that took
     /// `partition` from its previous member.
     pub fn join_briefly(&self, group: &str, member: &str, partition: u32) -> bool {
@@ -224,7 +238,12 @@
                 self.delay_read(&ask).await;
                 self.newest(&ask)
             }
-            "/api/log-join" => self.join(&ask),
+            "/api/log-join" => {
+                self.waiting_joins.fetch_add(1, Ordering::Relaxed);
+                self.wait_delay(JOINS).await;
+                self.waiting_joins.fetch_sub(1, Ordering::Relaxed);
+                self.join(&ask)
+            }
             "/api/log-leave" => self.leave(&ask),
             "/api/log-owners" => self.list_owners(&ask),
             _ => text(404, "unknown path"),
@@ -233,8 +252,12 @@
 
     /// Waits for the delay of reads of the topic.
     async fn delay_read(&self, ask: &HttpRequest) {
-        let topic = ask.param("topic").unwrap_or_default();
-        let wait = self.delays.lock().expect("no holder panics").get(topic).copied();
+        self.wait_delay(ask.param("topic").unwrap_or_default()).await;
+    }
+
+    /// Waits for the delay of calls of a kind.
+    async fn wait_delay(&self, key: &str) {
+        let wait = self.delays.lock().expect("no holder panics").get(key).copied();
         sleep(wait.unwrap_or_default()).await;
     }
 
@@ -287,7 +310,12 @@
                 let mut body = bytes::BytesMut::new();
                 body.extend(last.to_be_bytes());
                 body.extend((first as u64).to_be_bytes());
-                records.iter().for_each(|r| frame(&mut body, r));
+                for record in &records {
+                    if body.len() >= PAGE_BYTES {
+                        break;
+                    }
+                    frame(&mut body, record);
+                }
                 return reply(200, "application/octet-stream", body.to_vec());
             }
             let _ = timeout(left, appended).await;
