--- a/crates/front/src/ownership/member.rs
+++ b/crates/front/src/ownership/member.rs
@@ -135,6 +135,8 @@
     sent_at: u64,
 ) -> bool {
     match (assigned, host.owned(cell)) {
+        // It would hand over nothing: that has been done, or there was nothing.
+        (_, None) if host.stopping() => return false,
         (true, None) => start_owner(host, cell, generation, sent_at),
         (true, Some(owned)) if owned.deposed() => {
             host.disown(cell);
