Connections: a client that closes its sending side gets its answer

Cause: the end of the client's data was taken for the end of the connection, and the request was dropped, perhaps after the job had been sent on. Now only the sending side counts as closed. Test: two such requests at each of two hosts; before 2 of 2 cases fail, now none.

--- a/crates/front/src/connection/mod.rs
+++ b/crates/front/src/connection/mod.rs
@@ -54,6 +54,8 @@
     // The time limits are those of `activity`: hyper's limit on heads would close idle connections as well.
     let connection = http1::Builder::new()
         .header_read_timeout(None)
+        // A client that has sent all it wants may close its sending side before the answer.
+        .half_close(true)
         .max_buf_size(limits.header.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(Watched::new(stream, activity.clone())), service);
     tokio::pin!(connection);
--- a/crates/front/tests/common/kept.rs
+++ b/crates/front/tests/common/kept.rs
@@ -48,6 +48,11 @@
         let _ = self.0.write_all(part).await;
     }
 
+    /// Closes the sending side.
+    pub async fn finish(&mut self) {
+        self.0.shutdown().await.unwrap();
+    }
+
     /// The answer to the request sent last; nothing if the connection ends without a complete one.
     pub async fn answer(&mut self) -> Option<KeptAnswer> {
         timeout(ANSWER_LIMIT, self.read_answer()).await.expect("no answer, and no end of it")
--- a/crates/front/tests/stopping.rs
+++ b/crates/front/tests/stopping.rs
@@ -17,6 +17,9 @@
 /// The path of the queue; a GET counts its pending jobs.
 const QUEUE_PATH: &str = "/p/";
 
+/// A job of one task.
+const JOB: &str = r#"{"spec":"t","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimate_ms":60}]}"#;
+
 /// The number of connections of a test: each of them may show the failure.
 const CONNECTIONS: usize = 24;
 
@@ -128,3 +131,21 @@
         assert_ne!(status, 0, "attempt {attempt}: the host has ended");
     }
 }
+
+#[rstest]
+#[case::of_a_submission("POST", JOB)]
+#[case::of_a_count("GET", "")]
+#[tokio::test]
+async fn a_client_that_closes_its_sending_side_gets_its_answer(
+    #[case] method: &str,
+    #[case] body: &str,
+) {
+    let site = Site::start(Duration::from_millis(60)).await;
+    for host in ["h1", "h2"] {
+        let path = if method == "POST" { "/p/00000000000000a1" } else { QUEUE_PATH };
+        let mut kept = Kept::to(site.clients(host)).await;
+        kept.send(method, path, "", body.as_bytes()).await;
+        kept.finish().await;
+        assert_eq!(kept.answer().await.map(|answer| answer.status), Some(200), "at {host}");
+    }
+}
