Entry: a request is answered when its time is over

Cause: calls to owners and to the store have limits of their own, which may end later than the request. Now the request is answered 20 ms after its end at the latest. No test of its own; those of slow stores pass.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -9,7 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use log::{info, warn};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use myrtle_adapter::{Configuration, Queue, headers, pending_body, read_job, state_body};
 use myrtle_job::{JobId, Submission, encode};
@@ -29,6 +29,10 @@
 /// The time limit if neither the client nor the queue sets one.
 const DEFAULT_LIMIT: Duration = Duration::from_secs(3);
 
+/// How long after the end of a client's time a request that has no answer by then is answered: one that has found an
+/// answer of its own meanwhile is preferred.
+const LAST_CHANCE: Duration = Duration::from_millis(20);
+
 /// The queue and path of a client's request, and when it has to be answered.
 struct Target<'a> {
     queue: &'a Queue,
@@ -80,22 +84,26 @@
     let end = started + limit.saturating_sub(REPLY_TIME);
     let rest = path.strip_prefix(&queue.prefix).unwrap_or("");
     let target = Target { queue, rest, end };
-    match head.method {
-        Method::POST => submit(host, &configuration, &target, body).await,
-        Method::GET if rest.is_empty() => count(host, &target).await,
-        Method::GET => state(host, &target).await,
-        Method::DELETE => cancel(host, &target).await,
-        _ => plain(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE"),
-    }
+    let answer = async {
+        match head.method {
+            Method::POST => submit(host, &configuration, &target, body).await,
+            Method::GET if rest.is_empty() => count(host, &target).await,
+            Method::GET => state(host, &target).await,
+            Method::DELETE => cancel(host, &target).await,
+            _ => plain(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE"),
+        }
+    };
+    // Calls to other hosts and to the store have limits of their own, which may end later.
+    timeout_at(end + LAST_CHANCE, answer).await.unwrap_or_else(|_| last_answer(host, head))
 }
 
-/// The answer to a request that is still in progress when the process has to end.
+/// The answer to a request that is still in progress when its time is over or the process has to end.
 fn last_answer(host: &Host, head: &Parts) -> Answer {
     host.meter.count("myrtle_last_answers", head.method.as_str());
     warn!("event=last-answer method={} path={}", head.method, head.uri.path());
     match head.method {
         Method::POST => plain(StatusCode::GATEWAY_TIMEOUT, "the job may have been taken"),
-        _ => refuse(StatusCode::SERVICE_UNAVAILABLE, "this host stops"),
+        _ => refuse(StatusCode::SERVICE_UNAVAILABLE, "no owner has answered in time"),
     }
 }
 
