Entry: time limits beyond measure are taken for long ones

Limits are capped at five minutes. The test passes before, too, as the host then writes the job itself: it guards only.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -29,6 +29,9 @@
 /// The time limit if neither the client nor the queue sets one.
 const DEFAULT_LIMIT: Duration = Duration::from_secs(3);
 
+/// The longest time limit that a client may set.
+const MAX_LIMIT: Duration = Duration::from_secs(300);
+
 /// How long after the end of a client's time a request that has no answer by then is answered: one that has found an
 /// answer of its own meanwhile is preferred.
 const LAST_CHANCE: Duration = Duration::from_millis(20);
@@ -80,7 +83,7 @@
     let requested = head.headers.get(headers::DEADLINE);
     let requested = requested.and_then(|h| h.to_str().ok()?.parse().ok());
     let limit = requested.or((queue.timeout > 0).then_some(queue.timeout));
-    let limit = limit.map_or(DEFAULT_LIMIT, Duration::from_millis);
+    let limit = limit.map_or(DEFAULT_LIMIT, Duration::from_millis).min(MAX_LIMIT);
     let end = started + limit.saturating_sub(REPLY_TIME);
     let rest = path.strip_prefix(&queue.prefix).unwrap_or("");
     let target = Target { queue, rest, end };
--- a/crates/front/tests/stopping.rs
+++ b/crates/front/tests/stopping.rs
@@ -162,3 +162,14 @@
     site.hosts["h1"].signal(Signal::SIGCONT);
     assert_eq!(kept.answer().await, Some(KeptAnswer { status: 200, closes: false }));
 }
+
+#[tokio::test]
+async fn a_time_limit_beyond_all_measure_is_taken_for_a_long_one() {
+    let site = Site::start(Duration::from_millis(60)).await;
+    for host in ["h1", "h2"] {
+        let mut kept = Kept::to(site.clients(host)).await;
+        let limit = format!("deadline-ms: {}\r\n", 1_u64 << 45);
+        kept.send("POST", "/p/00000000000000a1", &limit, JOB.as_bytes()).await;
+        assert_eq!(kept.answer().await, Some(KeptAnswer { status: 200, closes: false }));
+    }
+}
