Fillers: serving tasks that are slow by themselves don't keep fillers out

What callers see: a job of fillers never begins though most room is free. Cause: a worker whose serving task had exceeded its target for 1 s took no fillers, whatever they had to do with it and however long the job had waited; those there were halted for as long as it lasted. On a machine that is busy for other reasons, or with a load above the target by itself, no report could ever show that fillers have no part in it. Class: a belief that keeps out what would correct it.

--- a/crates/owner/src/disruption/headroom.rs
+++ b/crates/owner/src/disruption/headroom.rs
@@ -43,7 +43,10 @@
     /// The pressure that fillers may add to each serving image of a worker.
     pub(crate) fn headrooms<'a>(&self, worker: &'a Worker, now: u64) -> Vec<Headroom<'a>> {
         let settled = now >= worker.throttled_at + SETTLE_MS;
-        let headrooms = worker.forecasts.iter().map(|forecast| {
+        let excused = worker.blame.excused(now);
+        let slow_alone = |image| excused && exceeds_target(worker, image);
+        let protected = worker.forecasts.iter().filter(|forecast| !slow_alone(&forecast.image));
+        let headrooms = protected.map(|forecast| {
             let image = &forecast.image;
             let expected = LIMIT - FORECAST_MARGIN - forecast.highest(HORIZON_MS);
             let seen = highest_over(worker, image, now).filter(|_| settled);
@@ -70,6 +73,12 @@
     }
 }
 
+/// Whether a task of the image exceeds its target.
+fn exceeds_target(worker: &Worker, image: &Arc<str>) -> bool {
+    let mut tasks = worker.active_runs.values().filter(|f| f.image.as_ref() == Some(image));
+    tasks.any(|f| f.over_since.is_some())
+}
+
 /// The highest reported pressure of the image's tasks that have exceeded their target for longer
 /// than a spike.
 fn highest_over(worker: &Worker, image: &Arc<str>, now: u64) -> Option<f64> {
--- a/crates/owner/src/disruption/mod.rs
+++ b/crates/owner/src/disruption/mod.rs
@@ -1,5 +1,6 @@
 //! Predicts how tasks on one worker slow each other, and throttles fillers accordingly.
 
+pub(crate) mod blame;
 pub(crate) mod forecast;
 pub(crate) mod headroom;
 pub(crate) mod interference;
--- a/crates/owner/src/disruption/throttle.rs
+++ b/crates/owner/src/disruption/throttle.rs
@@ -37,9 +37,11 @@
     /// Throttles the fillers of a worker that would slow its serving tasks too much, raises the
     /// limits of others as far as the tasks allow, and moves fillers that stay halted.
     pub(crate) fn throttle_fillers(&mut self, incarnation: &Incarnation, now: u64) {
-        let Some(worker) = self.workers.get(incarnation) else {
+        let Some(worker) = self.workers.get_mut(incarnation) else {
             return;
         };
+        worker.update_blame(now);
+        let worker = &self.workers[incarnation];
         let changes = self.limit_changes(worker, now);
         let slower = changes.iter().any(|c| c.limit < c.from);
         if let Some(worker) = self.workers.get_mut(incarnation).filter(|_| slower) {
@@ -197,8 +199,19 @@
     }
 }
 
-/// For how long the worker's tasks have exceeded their targets, in milliseconds: the longest of
-/// them.
+impl Worker {
+    /// Notes whether fillers work here and whether a serving task exceeds its target.
+    fn update_blame(&mut self, now: u64) {
+        let fillers_work = self.fillers().any(|(_, f)| f.speed_limit > 0);
+        self.blame.update(fillers_work, self.active_runs.sums().over_since, now);
+    }
+}
+
+/// For how long the worker's tasks have exceeded their targets in a way that fillers may have caused, in milliseconds: the
+/// longest of them.
 fn over_target_for(worker: &Worker, now: u64) -> Option<u64> {
+    if worker.blame.excused(now) {
+        return None;
+    }
     worker.active_runs.sums().over_since.map(|since| now.saturating_sub(since))
 }
--- a/crates/owner/src/placing/cost.rs
+++ b/crates/owner/src/placing/cost.rs
@@ -92,7 +92,7 @@
             if !self.takes(incarnation, worker, spec, &doubts, now) {
                 continue;
             }
-            if spec.filler && self.about_to_halt(worker, now) {
+            if spec.filler && search.tolerance < Tolerance::Any && self.about_to_halt(worker, now) {
                 continue;
             }
             if !job.admits(task, incarnation, now) {
--- a/crates/owner/src/workers/worker.rs
+++ b/crates/owner/src/workers/worker.rs
@@ -5,6 +5,7 @@
 use myrtle_base::Room;
 use myrtle_job::{Listing, TaskId};
 
+use crate::disruption::blame::Blame;
 use crate::disruption::forecast::LoadForecast;
 use crate::disruption::interference::Usage;
 use crate::health::book::WorkerHealth;
@@ -75,6 +76,8 @@
     pub(crate) forecasts: Vec<LoadForecast>,
     /// When its fillers were last throttled.
     pub throttled_at: u64,
+    /// Whether its fillers slow its serving tasks.
+    pub(crate) blame: Blame,
     /// Fillers that ended recently.
     pub(crate) ended_fillers: Vec<EndedFiller>,
     /// Whether the log holds its description.
@@ -117,6 +120,7 @@
             usage: Usage::new(),
             forecasts: Vec::new(),
             throttled_at: 0,
+            blame: Blame::default(),
             ended_fillers: Vec::new(),
             logged: false,
             in_maintenance: false,
