Fillers: one that had nothing else of its job running is not halted on a forecast

What callers see: a job that waits beside free room, placed, halted within 0.1 s, moved 1.2 s later, fourteen runs long, while most room is free. Fillers halt each other: a job without a run goes wherever there is room, but once a worker had no headroom at all, neither its load nor the fillers there counted any more, so such jobs piled up on the same workers (11 fillers in the median); 77 % of the halts were fillers against fillers, 43 ms after the start. Now the pressure above the limit counts when a worker is chosen, and such a filler works at full speed until a serving task has exceeded its target for 0.4 s, so that each of its turns brings it on; at most one for 16 workers, as each may slow serving tasks for a while.

--- a/crates/owner/src/disruption/forecast.rs
+++ b/crates/owner/src/disruption/forecast.rs
@@ -11,6 +11,9 @@
 /// as the last of these times.
 pub(crate) const LOOKAHEAD: [u64; 6] = [100, 500, 900, 1_400, 2_000, 2_700];
 
+/// How far ahead an excess is considered, in milliseconds.
+const SOON: u64 = 900;
+
 /// How far below its limit a pressure has to stay when work is added: more than when work is
 /// throttled, so that added work seldom has to be throttled again.
 const START_MARGIN: f64 = 0.16;
@@ -62,6 +65,11 @@
         near.map(|(load, _)| *load).fold(0.0, f64::max)
     }
 
+    /// How far the pressure would exceed its limit if a filler added `rise`.
+    pub(crate) fn excess(&self, rise: f64) -> f64 {
+        (self.highest(SOON) + self.beside + rise - LIMIT).max(0.0)
+    }
+
     /// Adds a filler that uses a share of the worker.
     pub(crate) fn count(&mut self, interference: &InterferenceModel, filler: &str, share: f64) {
         let rise = interference.added_pressure(&self.image, filler, share);
--- a/crates/owner/src/disruption/throttle.rs
+++ b/crates/owner/src/disruption/throttle.rs
@@ -21,6 +21,10 @@
 /// bound on it: a report may come 0.8 s late, and the order takes effect after 0.2 s.
 const HALT_SHARE: f64 = 0.5;
 
+/// How long a serving task may exceed its target beside an assured filler, in milliseconds: until then the filler works
+/// whatever forecasts say, so that each of its turns brings it on.
+const ASSURED_OVER: u64 = 400;
+
 /// How long a filler is halted before it is moved, in milliseconds: stopping it and starting it
 /// from a checkpoint costs about as much.
 const MOVE_AFTER: u64 = 1_000;
@@ -72,8 +76,12 @@
         let mut headrooms = self.headrooms(worker, now);
         let mut changes = Vec::new();
         for (&task, active) in self.by_pressure(worker) {
-            let limit =
-                if halt { 0 } else { self.limit_for(worker, active, light, &mut headrooms) };
+            let assured = active.assured && over.is_none_or(|time| time < ASSURED_OVER);
+            let limit = match assured {
+                _ if halt => 0,
+                true => 100,
+                false => self.limit_for(worker, active, light, &mut headrooms),
+            };
             let slower = limit < active.speed_limit;
             let faster =
                 limit >= active.speed_limit + MIN_RAISE || limit == 100 && active.speed_limit < 100;
--- a/crates/owner/src/orders/active_run.rs
+++ b/crates/owner/src/orders/active_run.rs
@@ -41,6 +41,8 @@
     pub unanswered: bool,
     /// Whether its task may have crashed a worker before.
     pub suspect: bool,
+    /// Whether nothing else of its job was running when it was placed, so that it may not be halted on a forecast.
+    pub assured: bool,
     /// The room that it claims.
     pub claim: Room,
     /// The processors that it asks for, in thousandths of a core.
@@ -95,6 +97,7 @@
             started_at: None,
             unanswered: false,
             suspect: false,
+            assured: false,
             claim: spec.claim(),
             cpu: spec.room.cpu,
             image: spec.image.clone(),
--- a/crates/owner/src/orders/active_runs.rs
+++ b/crates/owner/src/orders/active_runs.rs
@@ -38,6 +38,8 @@
     pub(crate) long_running: bool,
     /// Whether one of the tasks may have crashed a worker.
     pub(crate) suspect: bool,
+    /// Whether one of them is an assured filler.
+    pub(crate) assured: bool,
     /// Since when a task has exceeded its target: the earliest such time.
     pub(crate) over_since: Option<u64>,
 }
@@ -70,6 +72,7 @@
             short: self.short + usize::from(!active.long_running),
             long_running: self.long_running || active.long_running,
             suspect: self.suspect || active.suspect,
+            assured: self.assured || active.assured,
             over_since: self.over_since.into_iter().chain(active.over_since).min(),
         }
     }
--- a/crates/owner/src/placing/cost.rs
+++ b/crates/owner/src/placing/cost.rs
@@ -60,6 +60,9 @@
 /// The weight of the pressure that a filler adds, relative to the free share of a worker.
 const PRESSURE_WEIGHT: f64 = 8.0;
 
+/// The cost of a worker with an assured filler, which is not throttled for others.
+const ASSURED_COST: f64 = 10.0;
+
 /// The doubts about a task, which keep it from some workers; the same for all of them.
 pub(crate) struct Doubts {
     task: TaskId,
@@ -244,11 +247,12 @@
         }
         let share = cpu / worker.size();
         let mut speed = FillerSpeed::new();
-        let mut pressure = 0.0;
+        let (mut pressure, mut excess) = (0.0, 0.0);
         for forecast in &worker.forecasts {
             let effect = search.effect(&self.interference, &forecast.image);
             speed.count(forecast, effect.risk, share);
             pressure += f64::from(forecast.tasks) * effect.rise * share;
+            excess += forecast.excess(effect.rise * share);
         }
         let speed = speed.mean_speed(spec.estimate_ms);
         let min_speed = match search.tolerance {
@@ -259,7 +263,9 @@
         if speed < min_speed {
             return None;
         }
-        Some(PRESSURE_WEIGHT * pressure + 1.0 - speed - idle / worker.size())
+        let assured = if worker.active_runs.sums().assured { ASSURED_COST } else { 0.0 };
+        let pressure_cost = PRESSURE_WEIGHT * (pressure + excess);
+        Some(assured + pressure_cost + 1.0 - speed - idle / worker.size())
     }
 
     /// Prefers workers with similar serving tasks, and fills one worker before the next.
--- a/crates/owner/src/placing/place.rs
+++ b/crates/owner/src/placing/place.rs
@@ -5,8 +5,12 @@
 use myrtle_job::{Incarnation, JobId, Run, TaskId};
 
 use crate::account::phase::Phase;
+use crate::placing::tolerance::Tolerance;
 use crate::{ActiveRun, Cell, Stage};
 
+/// The number of workers for each filler that is assured.
+const WORKERS_PER_ASSURED: usize = 16;
+
 impl Cell {
     /// Places the tasks of a step one by one; true if some still wait.
     pub(crate) fn place_step(&mut self, id: JobId, round: u32, step: u16, now: u64) -> bool {
@@ -120,10 +124,12 @@
     /// Assigns the next run of a task to a worker; it starts once the log holds it.
     fn assign(&mut self, task: TaskId, incarnation: &Incarnation, number: Option<u32>, now: u64) {
         let suspect = self.is_suspected(task);
+        let may_assure = self.may_assure();
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         let spec = job.step(task.step).clone();
+        let assured = may_assure && spec.filler && job.tolerance(task, now) == Tolerance::Any;
         let Some(record) = job.progress.task_mut(task) else {
             return;
         };
@@ -141,7 +147,8 @@
         }
         self.dirty.insert(task.job);
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            let active = ActiveRun { suspect, ..ActiveRun::new(run, &spec, Stage::Written, now) };
+            let fresh = ActiveRun::new(run, &spec, Stage::Written, now);
+            let active = ActiveRun { suspect, assured, ..fresh };
             worker.active_runs.insert(task, active);
             if spec.serves() {
                 // The load forecast has to include it before the next fillers are placed.
@@ -155,6 +162,12 @@
         debug!("event=placed task={task} run={run} worker={incarnation} fence={}", self.fence);
     }
 
+    /// Whether one more filler may be assured: each may slow the serving tasks of a worker.
+    fn may_assure(&self) -> bool {
+        let assured = self.workers.values().filter(|w| w.active_runs.sums().assured).count();
+        assured * WORKERS_PER_ASSURED < self.workers.len()
+    }
+
     /// Withdraws an assigned run.
     fn unassign(&mut self, task: TaskId, number: u32, now: u64) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
