--- a/crates/owner/src/disruption/throttle.rs
+++ b/crates/owner/src/disruption/throttle.rs
@@ -21,6 +21,10 @@
 /// bound on it: a report may come 0.8 s late, and the order takes effect after 0.2 s.
 const HALT_SHARE: f64 = 0.5;
 
+/// How long a serving task may exceed its target beside an assured filler, in milliseconds: until then the filler works
+/// whatever forecasts say, so that each of its turns brings it on.
+const ASSURED_OVER: u64 = 400;
+
 /// How long a filler is halted before it is moved, in milliseconds: stopping it and starting it
 /// from a checkpoint costs about as much.
 const MOVE_AFTER: u64 = 1_000;
@@ -37,9 +41,11 @@
     /// Throttles the fillers of a worker that would slow its serving tasks too much, raises the
     /// limits of others as far as the tasks allow, and moves fillers that stay halted.
     pub(crate) fn throttle_fillers(&mut self, incarnation: &Incarnation, now: u64) {
-        let Some(worker) = self.workers.get(incarnation) else {
+        let Some(worker) = self.workers.get_mut(incarnation) else {
             return;
         };
+        worker.update_blame(now);
+        let worker = &self.workers[incarnation];
         let changes = self.limit_changes(worker, now);
         let slower = changes.iter().any(|c| c.limit < c.from);
         if let Some(worker) = self.workers.get_mut(incarnation).filter(|_| slower) {
@@ -70,8 +76,12 @@
         let mut headrooms = self.headrooms(worker, now);
         let mut changes = Vec::new();
         for (&task, active) in self.by_pressure(worker) {
-            let limit =
-                if halt { 0 } else { self.limit_for(worker, active, light, &mut headrooms) };
+            let assured = active.assured && over.is_none_or(|time| time < ASSURED_OVER);
+            let limit = match assured {
+                _ if halt => 0,
+                true => 100,
+                false => self.limit_for(worker, active, light, &mut headrooms),
+            };
             let slower = limit < active.speed_limit;
             let faster =
                 limit >= active.speed_limit + MIN_RAISE || limit == 100 && active.speed_limit < 100;
@@ -197,8 +207,19 @@
     }
 }
 
-/// For how long the worker's tasks have exceeded their targets, in milliseconds: the longest of
-/// them.
+impl Worker {
+    /// Notes whether fillers work here and whether a serving task exceeds its target.
+    fn update_blame(&mut self, now: u64) {
+        let fillers_work = self.fillers().any(|(_, f)| f.speed_limit > 0);
+        self.blame.update(fillers_work, self.active_runs.sums().over_since, now);
+    }
+}
+
+/// For how long the worker's tasks have exceeded their targets in a way that fillers may have caused, in milliseconds: the
+/// longest of them.
 fn over_target_for(worker: &Worker, now: u64) -> Option<u64> {
+    if worker.blame.excused(now) {
+        return None;
+    }
     worker.active_runs.sums().over_since.map(|since| now.saturating_sub(since))
 }
