Tests of owners: workers that carry out no start, and where a task is assigned

Support for the tests that follow; nothing of the product is changed. A simulated worker can answer starts with a given outcome and not carry them out, while it still answers lease renewals and stops.

--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -204,6 +204,10 @@
         if !self.reaches(at, &id) || (start && until.is_none()) {
             return self.report(at, &order, Outcome::Unsent);
         }
+        let no_starts = self.workers.get(id.id()).and_then(|w| w.no_starts);
+        if let Some(outcome) = no_starts.filter(|_| start) {
+            return self.report(at, &order, outcome);
+        }
         let until = until.unwrap_or_default();
         let draw: f64 = self.rng.random();
         if draw < self.faults.late {
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -6,6 +6,7 @@
 
 mod act;
 mod crash;
+pub mod find;
 pub mod jobs;
 mod judge;
 pub mod lease;
--- a/crates/owner/tests/common/worker.rs
+++ b/crates/owner/tests/common/worker.rs
@@ -5,6 +5,7 @@
 
 use myrtle_base::Room;
 use myrtle_job::{EndReason, EndedRun, Listing, OrderReply, Running, StepSpec, TaskId, WorkerRuns};
+use myrtle_owner::Outcome;
 
 use super::Judge;
 
@@ -47,6 +48,8 @@
     pub tail: Option<f64>,
     /// Whether an owner has reached it with a lease renewal or an order that was meant for it.
     pub reached: bool,
+    /// The outcome of starts sent to it, if it doesn't carry them out.
+    pub no_starts: Option<Outcome>,
     /// Whether it starts tasks without regard to its room.
     pub unguarded: bool,
     /// Whether its clock is as slow as the platform allows; set before time passes.
@@ -84,6 +87,7 @@
             hanging: false,
             tail: None,
             reached: false,
+            no_starts: None,
             unguarded: false,
             slow: false,
             rooms,
