Losses: only runs that may have begun at a lost worker count against their tasks

Cause: whether a run may have begun was judged by its stage. A start that waits at its host is in the same stage as one that was sent, and a run in the course of being stopped counted even if nothing had been sent. So a worker that restarted counted against tasks of which it had got nothing, and as these runs have no start time, each such loss was a suspected one: the third ended the job as failed.

Ruled out: asking the stage of the order in place of that of the run. An order has no stage, and one run may have several starts.

Change: the last check before a start leaves its host marks its run as sent; outcomes that prove that the intended worker did not carry it out (not sent, refused, unhealthy, or answered by the next incarnation) take that back. A run may have begun if its worker said so, if its newest start was sent, if an earlier one got no reply, or if it is from an earlier owner. `run-lost` tells it as `begun=`.

The other tests of the owner and of the job crate pass, crash_courses.rs, crash_cells.rs, crashing.rs and restart_courses.rs unchanged.

--- a/crates/owner/src/jobs/termination.rs
+++ b/crates/owner/src/jobs/termination.rs
@@ -121,9 +121,10 @@
         for (task, active) in runs {
             // The time between its start and the last reply shows which runs had just started.
             info!(
-                "event=run-lost task={task} run={} worker={incarnation} stage={:?} ran_ms={}",
+                "event=run-lost task={task} run={} worker={incarnation} stage={:?} begun={} ran_ms={}",
                 active.run,
                 active.stage,
+                active.begun(),
                 answered_at.saturating_sub(active.started_at.unwrap_or(answered_at))
             );
             // The record may already name the worker's next incarnation.
--- a/crates/owner/src/orders/active_run.rs
+++ b/crates/owner/src/orders/active_run.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use derive_more::Display;
+
 use myrtle_base::Room;
 use myrtle_job::{Running, StepSpec};
 
@@ -26,6 +28,20 @@
     Stopped,
 }
 
+/// Whether a run has begun at its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum Begun {
+    /// No start has reached the worker.
+    #[display("no")]
+    No,
+    /// A start was sent, by this owner or perhaps by an earlier one, and nothing is known of it.
+    #[display("perhaps")]
+    Perhaps,
+    /// The worker has confirmed the start or reported the run.
+    #[display("yes")]
+    Yes,
+}
+
 /// A run that the owner tracks on a worker.
 #[derive(Debug, Clone)]
 pub struct ActiveRun {
@@ -39,6 +55,10 @@
     pub started_at: Option<u64>,
     /// Whether a start got no reply and may still be carried out.
     pub unanswered: bool,
+    /// Whether the newest start has left its host and may have been carried out.
+    pub sent: bool,
+    /// Whether an earlier owner wrote its record, so that its age is not known.
+    pub inherited: bool,
     /// Whether its task may have crashed a worker before.
     pub suspect: bool,
     /// The room that it claims.
@@ -94,6 +114,8 @@
             since: now,
             started_at: None,
             unanswered: false,
+            sent: false,
+            inherited: stage == Stage::Inherited,
             suspect: false,
             claim: spec.claim(),
             cpu: spec.room.cpu,
@@ -124,6 +146,18 @@
         self.since = now;
     }
 
+    /// Whether it has begun at its worker.
+    ///
+    /// The stage doesn't tell: a start waits at its host in the same stage in which it is sent, and
+    /// a run that is being stopped may never have begun.
+    pub(crate) fn begun(&self) -> Begun {
+        match self.started_at {
+            Some(_) => Begun::Yes,
+            None if self.sent || self.unanswered || self.inherited => Begun::Perhaps,
+            None => Begun::No,
+        }
+    }
+
     /// Applies the worker's report of the run; true if its figure has changed.
     pub(crate) fn show(&mut self, running: &Running, now: u64) -> bool {
         if matches!(self.stage, Stage::Sent | Stage::Unanswered | Stage::Inherited) {
--- a/crates/owner/src/orders/order.rs
+++ b/crates/owner/src/orders/order.rs
@@ -71,3 +71,14 @@
     /// The order may have been carried out, or may be later.
     Unknown,
 }
+
+impl Outcome {
+    /// Whether a start may have been carried out by the worker that it was meant for.
+    pub(crate) fn may_be_carried_out(self) -> bool {
+        match self {
+            Self::Replied(reply) => matches!(reply, OrderReply::Done | OrderReply::OutdatedRun),
+            Self::Unknown => true,
+            Self::Replaced(_) | Self::Unhealthy | Self::Unsent => false,
+        }
+    }
+}
--- a/crates/owner/src/orders/replies.rs
+++ b/crates/owner/src/orders/replies.rs
@@ -36,6 +36,9 @@
                 "event=start-told task={task} run={run} worker={incarnation} outcome={outcome:?}"
             );
         }
+        if !outcome.may_be_carried_out() {
+            self.mark_not_carried_out(incarnation, task, run);
+        }
         match outcome {
             Outcome::Replied(OrderReply::Done) => self.started(incarnation, task, run, now),
             Outcome::Replied(OrderReply::Fenced) => return true,
@@ -94,7 +97,8 @@
 
     /// Whether a queued order is still to be sent: meanwhile its run may have become needless, its
     /// worker's room may have shrunk, its worker may have begun to leave, its data centre may have
-    /// begun to be evacuated, or its ticket may have expired. A start gets the newest ticket.
+    /// begun to be evacuated, or its ticket may have expired. A start gets the newest ticket, and
+    /// counts as sent from then on.
     pub fn still_wanted(&mut self, order: &mut Order, now: u64) -> bool {
         let Order::Start { worker, task, run, ticket, .. } = order else {
             return true;
@@ -103,6 +107,10 @@
         let wanted = active.is_some_and(|f| f.run == *run && f.stage == Stage::Sent)
             && !self.withdraw_if_moot(worker, *task, *run, now);
         *ticket = self.jobs.get(&task.job).and_then(|job| job.ticket(*task, worker));
+        let active = self.workers.get_mut(worker).and_then(|w| w.active_runs.get_mut(task));
+        if let Some(active) = active.filter(|_| wanted) {
+            active.sent = true;
+        }
         wanted
     }
 
@@ -139,6 +147,16 @@
         orders
     }
 
+    /// Marks that the newest start of a run was not carried out by the worker that it was meant for;
+    /// an earlier one without reply may have been.
+    fn mark_not_carried_out(&mut self, incarnation: &Incarnation, task: TaskId, run: u32) {
+        let worker = self.workers.get_mut(incarnation);
+        let active = worker.and_then(|w| w.active_runs.get_mut(&task)).filter(|f| f.run == run);
+        if let Some(active) = active {
+            active.sent = false;
+        }
+    }
+
     fn started(&mut self, incarnation: &Incarnation, task: TaskId, run: u32, now: u64) {
         let Some(worker) = self.workers.get_mut(incarnation) else {
             return;
--- a/crates/owner/src/workers/crash.rs
+++ b/crates/owner/src/workers/crash.rs
@@ -11,8 +11,9 @@
 
 use myrtle_job::{Crashes, Incarnation, Loss, State, TaskId};
 
+use crate::orders::active_run::Begun;
 use crate::placing::step::step_of;
-use crate::{ActiveRun, Cell, Presence, Stage, Worker};
+use crate::{ActiveRun, Cell, Presence, Worker};
 
 /// How long after its start a task is suspected first, in milliseconds: longer than a busy worker
 /// goes without an answer.
@@ -115,7 +116,7 @@
         let isolated =
             |f: &ActiveRun| f.suspect && f.started_at.is_some() && recent(f, answered_at);
         let repeated = alone && runs.iter().any(|(_, f)| isolated(f));
-        for (task, active) in runs.iter().filter(|(_, f)| maybe_started(f)) {
+        for (task, active) in runs.iter().filter(|(_, f)| f.begun() != Begun::No) {
             let recent = recent(active, answered_at);
             let age = active.started_at.map_or(0, |started_at| {
                 silent_since.unwrap_or(answered_at).saturating_sub(started_at)
@@ -280,16 +281,8 @@
     }
 }
 
-/// Whether a run may have started at all.
-fn maybe_started(active: &ActiveRun) -> bool {
-    // A run that is being stopped may still be there: if one run of a gang is lost, the others are
-    // stopped.
-    let sent = !matches!(active.stage, Stage::Written | Stage::Unanswered);
-    sent || active.started_at.is_some() || active.unanswered
-}
-
 /// Whether a run may have started shortly before its worker's last answer, or after it.
 fn recent(active: &ActiveRun, answered_at: u64) -> bool {
-    maybe_started(active)
+    active.begun() != Begun::No
         && active.started_at.is_none_or(|started_at| answered_at <= started_at + FRESH_MS)
 }
