Losses: starts without any reply end a job only by the bound on all losses

Cause: a start that gets no reply may never have reached its worker, but its run counted as one that had just begun there. A task whose starts went to three workers that had been cut off before was given up, though nothing of it had ever begun.

Ruled out: at least two known beginnings for the bound on all losses too. A task that ends its workers before they reply would then have no bound. Also ruled out: no known beginning in runs of earlier owners. A task that ends its workers within 10 ms is then given up after five in place of three workers if a new owner follows each (crashing.rs failed with it), so starts of earlier owners count as carried out.

Change: losses of runs that are not known to have begun are counted apart, at the end of the records of progress and of transfers; a record without them is read as if all had begun. Three suspected losses end a job only if two losses are of runs that had begun; five losses end it as before. `job-failed` and `task-given-back` tell the number as `begun=`.

--- a/crates/job/src/crashes.rs
+++ b/crates/job/src/crashes.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::{Progress, TaskId};
+
 /// The number of worker crashes that a task may have caused at which it is given up.
 ///
 /// A crash ends every run on the worker, and a bound of two gives up sound jobs in `crash_courses.rs`.
@@ -13,6 +15,13 @@
 /// its start could take six or seven in `crash_courses.rs`; counting them makes some sound jobs fail.
 const MAX_LOSSES: u8 = 5;
 
+/// The number of losses under runs that are known to have begun, without which the crashes that a task may have
+/// caused don't end its job.
+///
+/// A start without reply may never have reached its worker, and one such run looks like another: they end a job only
+/// by `MAX_LOSSES`.
+const MIN_BEGUN: u8 = 2;
+
 /// The largest difference, in milliseconds, between the ages of two runs at which both losses count as the same
 /// crash; two runs of a one-second task are that close by chance in one case of four.
 const AGE_TOLERANCE_MS: u32 = 120;
@@ -69,8 +78,37 @@
         self.suspect_losses == 0 && self.losses + 2 <= MAX_LOSSES
     }
 
-    /// Whether the task must not be started again.
-    pub fn exceeded(&self) -> bool {
-        self.suspect_losses >= MAX_SUSPECTED || self.losses >= MAX_LOSSES
+    /// Whether the task must not be started again, if `begun` of the losses are of runs that are known to have begun.
+    fn exceeded(&self, begun: u8) -> bool {
+        let suspected = self.suspect_losses >= MAX_SUSPECTED && begun >= MIN_BEGUN;
+        suspected || self.losses >= MAX_LOSSES
+    }
+}
+
+impl Progress {
+    /// Counts a loss against a task; `begun` tells whether its run is known to have begun.
+    pub fn count_loss(&mut self, task: TaskId, loss: Loss, begun: bool) {
+        self.crashes.entry(task).or_default().count(loss);
+        if !begun {
+            let unbegun = self.unbegun_losses.entry(task).or_default();
+            *unbegun = unbegun.saturating_add(1);
+        }
+    }
+
+    /// Clears the losses counted against a task; false if there are none.
+    pub fn clear_losses(&mut self, task: TaskId) -> bool {
+        self.unbegun_losses.remove(&task);
+        self.crashes.remove(&task).is_some()
+    }
+
+    /// The number of losses under runs of a task that are known to have begun.
+    pub fn begun_losses(&self, task: TaskId) -> u8 {
+        let losses = self.crashes.get(&task).map_or(0, |c| c.losses);
+        losses.saturating_sub(self.unbegun_losses.get(&task).copied().unwrap_or(0))
+    }
+
+    /// Whether a task is given up after too many worker losses.
+    pub fn given_up(&self, task: TaskId) -> bool {
+        self.crashes.get(&task).is_some_and(|c| c.exceeded(self.begun_losses(task)))
     }
 }
--- a/crates/job/src/legacy.rs
+++ b/crates/job/src/legacy.rs
@@ -7,23 +7,67 @@
 use serde::Deserialize;
 
 use crate::{
-    IncomingTransfer, JobTransfer, OutgoingTransfer, Progress, Round, State, TaskId, TransferId,
-    decode,
+    Crashes, IncomingTransfer, JobTransfer, OutgoingTransfer, Progress, Round, State, TaskId,
+    TransferId, decode,
 };
 
 /// Reads a record in any earlier layout, trying the newest first.
 pub(crate) fn read(bytes: &[u8]) -> Option<Progress> {
-    let without_crashes = decode::<WithoutCrashes>(bytes).map(Progress::from);
+    let without_unbegun_losses = decode::<WithoutUnbegunLosses>(bytes).map(Progress::from);
+    let without_crashes = || decode::<WithoutCrashes>(bytes).map(Progress::from);
     let without_budgets = || decode::<WithoutBudgets>(bytes).map(Progress::from);
     let without_task_transfers = || decode::<WithoutTaskTransfers>(bytes).map(Progress::from);
     let without_transfers = || decode::<WithoutTransfers>(bytes).map(Progress::from);
-    without_crashes
+    without_unbegun_losses
+        .or_else(|_| without_crashes())
         .or_else(|_| without_budgets())
         .or_else(|_| without_task_transfers())
         .or_else(|_| without_transfers())
         .ok()
 }
 
+/// The layout without the losses of runs that are not known to have begun.
+#[derive(Debug, Deserialize)]
+struct WithoutUnbegunLosses {
+    state: State,
+    rounds: BTreeMap<u32, Round>,
+    next_round: u32,
+    ended_at: u64,
+    job_transfer: Option<JobTransfer>,
+    outgoing: Vec<OutgoingTransfer>,
+    incoming: Vec<IncomingTransfer>,
+    incoming_only: bool,
+    crashes: BTreeMap<TaskId, Crashes>,
+}
+
+impl From<WithoutUnbegunLosses> for Progress {
+    fn from(old: WithoutUnbegunLosses) -> Self {
+        let WithoutUnbegunLosses {
+            state,
+            rounds,
+            next_round,
+            ended_at,
+            job_transfer,
+            outgoing,
+            incoming,
+            incoming_only,
+            crashes,
+        } = old;
+        Self {
+            state,
+            rounds,
+            next_round,
+            ended_at,
+            job_transfer,
+            outgoing,
+            incoming,
+            incoming_only,
+            crashes,
+            ..Self::default()
+        }
+    }
+}
+
 /// The layout without worker crashes.
 #[derive(Debug, Deserialize)]
 struct WithoutCrashes {
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -121,6 +121,8 @@
     pub incoming_only: bool,
     /// The worker losses under each task.
     pub crashes: BTreeMap<TaskId, Crashes>,
+    /// How many of them are of runs that are not known to have begun; none in a record that lacks it.
+    pub unbegun_losses: BTreeMap<TaskId, u8>,
 }
 
 impl Progress {
@@ -157,11 +159,6 @@
         }
     }
 
-    /// Whether a task is given up after too many worker losses.
-    pub fn given_up(&self, id: TaskId) -> bool {
-        self.crashes.get(&id).is_some_and(Crashes::exceeded)
-    }
-
     /// Whether all tasks of the job are in other cells.
     pub fn all_transferred(&self) -> bool {
         (self.incoming_only || self.job_transfer.is_some()) && self.incoming.is_empty()
--- a/crates/job/src/transfer.rs
+++ b/crates/job/src/transfer.rs
@@ -46,6 +46,8 @@
     pub budgets: Vec<StepBudget>,
     /// The worker losses under the tasks.
     pub crashes: Vec<(TaskId, Crashes)>,
+    /// How many of them are of runs that are not known to have begun.
+    pub unbegun_losses: Vec<(TaskId, u8)>,
 }
 
 /// A cell's share of a step's disruption budget.
@@ -57,6 +59,15 @@
     pub limit: u16,
 }
 
+/// The layout without the losses of runs that are not known to have begun.
+#[derive(Debug, Deserialize)]
+struct WithoutUnbegunLosses {
+    submission: Submission,
+    tasks: Vec<TransferredTask>,
+    budgets: Vec<StepBudget>,
+    crashes: Vec<(TaskId, Crashes)>,
+}
+
 /// The layout without worker crashes.
 #[derive(Debug, Deserialize)]
 struct WithoutCrashes {
@@ -80,24 +91,37 @@
     /// The bytes are no transfer in any layout; the error is that of the current one.
     pub fn read(bytes: &[u8]) -> Result<Self, RecordError> {
         decode(bytes).or_else(|e| {
-            let without_crashes = decode::<WithoutCrashes>(bytes).map(Self::from);
+            let without_unbegun_losses = decode::<WithoutUnbegunLosses>(bytes).map(Self::from);
+            let without_crashes = || decode::<WithoutCrashes>(bytes).map(Self::from);
             let without_budgets = || decode::<WithoutBudgets>(bytes).map(Self::from);
-            without_crashes.or_else(|_| without_budgets()).map_err(|_| e)
+            without_unbegun_losses
+                .or_else(|_| without_crashes())
+                .or_else(|_| without_budgets())
+                .map_err(|_| e)
         })
     }
 }
 
+impl From<WithoutUnbegunLosses> for Transfer {
+    fn from(old: WithoutUnbegunLosses) -> Self {
+        let WithoutUnbegunLosses { submission, tasks, budgets, crashes } = old;
+        Self { submission, tasks, budgets, crashes, unbegun_losses: Vec::new() }
+    }
+}
+
 impl From<WithoutCrashes> for Transfer {
     fn from(old: WithoutCrashes) -> Self {
         let WithoutCrashes { submission, tasks, budgets } = old;
-        Self { submission, tasks, budgets, crashes: Vec::new() }
+        let (crashes, unbegun_losses) = (Vec::new(), Vec::new());
+        Self { submission, tasks, budgets, crashes, unbegun_losses }
     }
 }
 
 impl From<WithoutBudgets> for Transfer {
     fn from(old: WithoutBudgets) -> Self {
         let WithoutBudgets { submission, tasks } = old;
-        Self { submission, tasks, budgets: Vec::new(), crashes: Vec::new() }
+        let (crashes, unbegun_losses) = (Vec::new(), Vec::new());
+        Self { submission, tasks, budgets: Vec::new(), crashes, unbegun_losses }
     }
 }
 
--- a/crates/owner/src/jobs/admit.rs
+++ b/crates/owner/src/jobs/admit.rs
@@ -122,8 +122,8 @@
         }
         let job = &self.jobs[&id];
         self.to_deliver.extend(self.undelivered(id, job));
-        let given_up = job.progress.crashes.iter().filter(|(_, c)| c.exceeded());
-        self.given_up_tasks.extend(given_up.map(|(&task, _)| task));
+        let tasks = job.progress.crashes.keys().copied();
+        self.given_up_tasks.extend(tasks.filter(|&task| job.progress.given_up(task)));
         for (task, run) in job.runs(id) {
             let spec = self.jobs[&id].step(task.step);
             let active = ActiveRun::new(run.number, spec, Stage::Inherited, now);
--- a/crates/owner/src/jobs/delivery.rs
+++ b/crates/owner/src/jobs/delivery.rs
@@ -82,10 +82,13 @@
         })
     });
     let counted = outgoing.tasks.iter().filter_map(|task| job.progress.crashes.get_key_value(task));
+    let unbegun = &job.progress.unbegun_losses;
+    let unbegun = outgoing.tasks.iter().filter_map(|task| unbegun.get_key_value(task));
     Transfer {
         submission: job.submission.clone(),
         tasks: tasks.collect(),
         budgets: outgoing.budgets.clone(),
         crashes: counted.map(|(&task, &crashes)| (task, crashes)).collect(),
+        unbegun_losses: unbegun.map(|(&task, &losses)| (task, losses)).collect(),
     }
 }
--- a/crates/owner/src/jobs/transfer.rs
+++ b/crates/owner/src/jobs/transfer.rs
@@ -31,7 +31,7 @@
 impl Cell {
     /// Records an incoming transfer; a repeat changes nothing.
     pub fn receive_transfer(&mut self, id: TransferId, transfer: Transfer, now: u64, wall: u64) {
-        let Transfer { submission, mut tasks, budgets, crashes } = transfer;
+        let Transfer { submission, mut tasks, budgets, crashes, unbegun_losses } = transfer;
         if let Err(e) = submission.spec.check() {
             return warn!("event=part-unusable job={} from={} reason=\"{e}\"", id.job, id.from);
         }
@@ -58,6 +58,10 @@
             }
             job.mark_ready(task.task);
         }
+        for (task, losses) in unbegun_losses {
+            let known = job.progress.unbegun_losses.entry(task).or_default();
+            *known = losses.max(*known);
+        }
         for (task, crashes) in crashes {
             job.progress.crashes.entry(task).or_default().merge(crashes);
             if job.progress.given_up(task) {
--- a/crates/owner/src/workers/crash.rs
+++ b/crates/owner/src/workers/crash.rs
@@ -13,7 +13,7 @@
 
 use crate::orders::active_run::Begun;
 use crate::placing::step::step_of;
-use crate::{ActiveRun, Cell, Presence, Worker};
+use crate::{ActiveRun, Cell, Job, Presence, Worker};
 
 /// How long after its start a task is suspected first, in milliseconds: longer than a busy worker
 /// goes without an answer.
@@ -124,33 +124,33 @@
             if age >= TRUSTED_AFTER {
                 self.clear(*task);
             } else if recent || !repeated {
-                self.count_loss(
-                    incarnation,
-                    *task,
-                    Loss { age_ms: age as u32, early: recent, isolated: alone },
-                );
+                let loss = Loss { age_ms: age as u32, early: recent, isolated: alone };
+                // A start of an earlier owner counts as carried out: its reply went to that owner, and a
+                // task that crashes workers could outlast any number of owners otherwise.
+                let begun = active.begun() == Begun::Yes || active.inherited;
+                self.count_loss(incarnation, *task, loss, begun);
             }
         }
     }
 
     /// Counts one loss against a task.
-    fn count_loss(&mut self, incarnation: &Incarnation, task: TaskId, loss: Loss) {
+    fn count_loss(&mut self, incarnation: &Incarnation, task: TaskId, loss: Loss, begun: bool) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         if job.progress.state.over() || job.progress.task(task).is_none_or(|t| t.done) {
             return;
         }
-        let crashes = job.progress.crashes.entry(task).or_default();
-        let before = crashes.suspect_losses;
-        crashes.count(loss);
-        let Crashes { losses, suspect_losses, .. } = *crashes;
+        let known = |job: &Job| job.progress.crashes.get(&task).copied().unwrap_or_default();
+        let before = known(job).suspect_losses;
+        job.progress.count_loss(task, loss, begun);
+        let Crashes { losses, suspect_losses, .. } = known(job);
         if suspect_losses > before {
             info!(
                 "event=task-doubted task={task} worker={incarnation} doubts={suspect_losses} seen={losses}"
             );
         }
-        if crashes.exceeded() {
+        if job.progress.given_up(task) {
             self.given_up_tasks.insert(task);
         }
         self.dirty.insert(task.job);
@@ -159,7 +159,7 @@
     /// Clears the losses counted against a task.
     fn clear(&mut self, task: TaskId) {
         if let Some(job) = self.jobs.get_mut(&task.job)
-            && job.progress.crashes.remove(&task).is_some()
+            && job.progress.clear_losses(task)
         {
             self.dirty.insert(task.job);
         }
@@ -187,12 +187,13 @@
             }
             let Crashes { losses, suspect_losses, .. } =
                 job.progress.crashes.get(&task).copied().unwrap_or_default();
+            let begun = job.progress.begun_losses(task);
+            let reason = format!("crashes={losses} doubts={suspect_losses} begun={begun}");
             if job.progress.incoming_only || job.progress.job_transfer.is_some() {
-                warn!("event=task-given-back task={task} crashes={losses} doubts={suspect_losses}");
+                warn!("event=task-given-back task={task} {reason}");
                 self.return_task(task);
                 continue;
             }
-            let reason = format!("crashes={losses} doubts={suspect_losses}");
             self.log_failure(task, &reason, now);
             self.counts.given_up += 1;
             self.finish(task.job, State::Failed, now, wall);
--- a/crates/owner/tests/cells/mod.rs
+++ b/crates/owner/tests/cells/mod.rs
@@ -143,6 +143,7 @@
             tasks,
             budgets: vec![],
             crashes: vec![],
+            unbegun_losses: vec![],
         };
         let id = TransferId { job, from: 0, number: 0 };
         self.append(cell, Key::Transfer(id), myrtle_job::encode(&part));
