Losses: a run that an earlier owner saw for a while does not count as just started

Cause: a new owner has not seen the runs in its log begin. If their worker was lost before it met it, it took each for one that had begun at the worker's last answer, so each loss was a suspected one; three changes of owner that met restarts ended a job whose runs had lasted for seconds.

Ruled out: no inherited run counts as just started or by its age. A task that ends its workers within 10 ms must be given up after three of them if a new owner follows each (crashing.rs), and nothing but the log can tell the two apart.

Change: once a run has lasted for 2 s by its worker's reports, its number goes into the record of its job, which is written once more for it; runs of shorter tasks add no write. The next owner counts the loss of such a run among all losses and under no age. Runs without that mark count as before.

--- a/crates/job/src/crashes.rs
+++ b/crates/job/src/crashes.rs
@@ -49,11 +49,15 @@
 }
 
 impl Crashes {
-    /// Counts a loss; one of many simultaneous ones, as in a power failure, doesn't make the task a suspect.
-    pub fn count(&mut self, loss: Loss) {
+    /// Counts a loss; one of many simultaneous ones, as in a power failure, doesn't make the task a suspect, nor does
+    /// one of a run whose age is not known, for which there is no `loss`.
+    pub fn count(&mut self, loss: Option<Loss>) {
+        self.losses = self.losses.saturating_add(1);
+        let Some(loss) = loss else {
+            return;
+        };
         let similar = |last: Loss| last.age_ms.abs_diff(loss.age_ms) <= AGE_TOLERANCE_MS;
         let last = self.last.replace(loss);
-        self.losses = self.losses.saturating_add(1);
         if !loss.isolated {
             return;
         }
@@ -86,8 +90,9 @@
 }
 
 impl Progress {
-    /// Counts a loss against a task; `begun` tells whether its run is known to have begun.
-    pub fn count_loss(&mut self, task: TaskId, loss: Loss, begun: bool) {
+    /// Counts a loss against a task, none if the age of the run is not known; `begun` tells whether the run is known
+    /// to have begun.
+    pub fn count_loss(&mut self, task: TaskId, loss: Option<Loss>, begun: bool) {
         self.crashes.entry(task).or_default().count(loss);
         if !begun {
             let unbegun = self.unbegun_losses.entry(task).or_default();
--- a/crates/job/src/legacy.rs
+++ b/crates/job/src/legacy.rs
@@ -13,12 +13,12 @@
 
 /// Reads a record in any earlier layout, trying the newest first.
 pub(crate) fn read(bytes: &[u8]) -> Option<Progress> {
-    let without_unbegun_losses = decode::<WithoutUnbegunLosses>(bytes).map(Progress::from);
+    let without_settled_runs = decode::<WithoutSettledRuns>(bytes).map(Progress::from);
     let without_crashes = || decode::<WithoutCrashes>(bytes).map(Progress::from);
     let without_budgets = || decode::<WithoutBudgets>(bytes).map(Progress::from);
     let without_task_transfers = || decode::<WithoutTaskTransfers>(bytes).map(Progress::from);
     let without_transfers = || decode::<WithoutTransfers>(bytes).map(Progress::from);
-    without_unbegun_losses
+    without_settled_runs
         .or_else(|_| without_crashes())
         .or_else(|_| without_budgets())
         .or_else(|_| without_task_transfers())
@@ -26,9 +26,10 @@
         .ok()
 }
 
-/// The layout without the losses of runs that are not known to have begun.
+/// The layout without runs that have lasted for a while, and without the losses of runs that are not
+/// known to have begun.
 #[derive(Debug, Deserialize)]
-struct WithoutUnbegunLosses {
+struct WithoutSettledRuns {
     state: State,
     rounds: BTreeMap<u32, Round>,
     next_round: u32,
@@ -40,9 +41,9 @@
     crashes: BTreeMap<TaskId, Crashes>,
 }
 
-impl From<WithoutUnbegunLosses> for Progress {
-    fn from(old: WithoutUnbegunLosses) -> Self {
-        let WithoutUnbegunLosses {
+impl From<WithoutSettledRuns> for Progress {
+    fn from(old: WithoutSettledRuns) -> Self {
+        let WithoutSettledRuns {
             state,
             rounds,
             next_round,
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -123,6 +123,8 @@
     pub crashes: BTreeMap<TaskId, Crashes>,
     /// How many of them are of runs that are not known to have begun; none in a record that lacks it.
     pub unbegun_losses: BTreeMap<TaskId, u8>,
+    /// The numbers of runs that have lasted for a while.
+    pub settled_runs: BTreeMap<TaskId, u32>,
 }
 
 impl Progress {
@@ -149,6 +151,14 @@
             && outgoing.chain(incoming).all(|task| spec.has_task(*task))
     }
 
+    /// Removes the entries of runs that have ended from `settled_runs`.
+    pub fn forget_settled_runs(&mut self) {
+        let mut settled = std::mem::take(&mut self.settled_runs);
+        settled
+            .retain(|&task, &mut run| self.task(task).is_some_and(|t| t.active_run(run).is_some()));
+        self.settled_runs = settled;
+    }
+
     /// Whether a task is transferred to another cell; the newest of its transfers counts.
     pub fn is_transferred(&self, id: TaskId) -> bool {
         let outgoing = self.outgoing.iter().filter(|h| h.tasks.contains(&id)).map(|h| h.seq).max();
--- a/crates/job/tests/model.rs
+++ b/crates/job/tests/model.rs
@@ -194,8 +194,9 @@
     );
     let task = TaskId { job: JobId(7), round: 0, step: 0, index: 3 };
     let mut progress = Progress { state: State::Running, ..Progress::default() };
-    let loss = Loss { age_ms: 10, early: true, isolated: true };
+    let loss = Some(Loss { age_ms: 10, early: true, isolated: true });
     (0..3).for_each(|_| progress.count_loss(task, loss, false));
+    progress.settled_runs.insert(task, 4);
     let (losses, unbegun) = (progress.crashes[&task], progress.unbegun_losses[&task]);
     assert_eq!((losses.suspect_losses, unbegun, progress.begun_losses(task)), (3, 3, 0));
     assert!(!progress.given_up(task), "no run is known to have begun");
@@ -206,6 +207,10 @@
     let read = Progress::read(&encode(&old)).unwrap();
     assert_eq!((read.begun_losses(task), read.given_up(task)), (3, true));
 
+    assert_eq!(read.settled_runs, BTreeMap::new());
+    progress.forget_settled_runs();
+    assert_eq!(progress.settled_runs, BTreeMap::new(), "run 4 has ended");
+
     let transfer = Transfer {
         submission: Submission::default(),
         tasks: Vec::new(),
@@ -234,7 +239,7 @@
 ) {
     let task = TaskId { job: JobId(7), round: 0, step: 0, index: 3 };
     let mut progress = Progress::default();
-    let loss = Loss { age_ms: 0, early: true, isolated: true };
+    let loss = Some(Loss { age_ms: 0, early: true, isolated: true });
     (0..begun).for_each(|_| progress.count_loss(task, loss, true));
     (0..unbegun).for_each(|_| progress.count_loss(task, loss, false));
     assert_eq!(progress.given_up(task), given_up);
--- a/crates/owner/src/jobs/admit.rs
+++ b/crates/owner/src/jobs/admit.rs
@@ -126,7 +126,9 @@
         self.given_up_tasks.extend(tasks.filter(|&task| job.progress.given_up(task)));
         for (task, run) in job.runs(id) {
             let spec = self.jobs[&id].step(task.step);
-            let active = ActiveRun::new(run.number, spec, Stage::Inherited, now);
+            let mut active = ActiveRun::new(run.number, spec, Stage::Inherited, now);
+            let settled = self.jobs[&id].progress.settled_runs.get(&task);
+            active.settled = settled == Some(&run.number);
             let worker = self.workers.entry(run.worker).or_insert_with(|| Worker::new(now));
             worker.active_runs.insert(task, active);
         }
--- a/crates/owner/src/orders/active_run.rs
+++ b/crates/owner/src/orders/active_run.rs
@@ -59,6 +59,8 @@
     pub sent: bool,
     /// Whether an earlier owner wrote its record, so that its age is not known.
     pub inherited: bool,
+    /// Whether it has lasted for a while, by what this owner or an earlier one saw.
+    pub settled: bool,
     /// Whether its task may have crashed a worker before.
     pub suspect: bool,
     /// The room that it claims.
@@ -116,6 +118,7 @@
             unanswered: false,
             sent: false,
             inherited: stage == Stage::Inherited,
+            settled: false,
             suspect: false,
             claim: spec.claim(),
             cpu: spec.room.cpu,
--- a/crates/owner/src/orders/commit.rs
+++ b/crates/owner/src/orders/commit.rs
@@ -48,10 +48,12 @@
         let owners = self.earlier_owners.iter().copied().collect();
         let mut batch = Batch { removals, worker_records, owners, ends, ..Batch::default() };
         for id in std::mem::take(&mut self.dirty) {
-            let Some(job) = self.jobs.get(&id) else {
+            let Some(job) = self.jobs.get_mut(&id) else {
                 batch.records.push((id, self.cancel_record(id)));
                 continue;
             };
+            job.progress.forget_settled_runs();
+            let job = &self.jobs[&id];
             batch.records.push((id, encode_compressed(&job.progress)));
             batch.logged_states.push((id, job.progress.state));
             batch.to_deliver.extend(self.undelivered(id, job));
--- a/crates/owner/src/workers/crash.rs
+++ b/crates/owner/src/workers/crash.rs
@@ -125,6 +125,8 @@
                 self.clear(*task);
             } else if recent || !repeated {
                 let loss = Loss { age_ms: age as u32, early: recent, isolated: alone };
+                // An earlier owner saw it run for long; for how long is not known here.
+                let loss = (!active.inherited || !active.settled).then_some(loss);
                 // A start of an earlier owner counts as carried out: its reply went to that owner, and a
                 // task that crashes workers could outlast any number of owners otherwise.
                 let begun = active.begun() == Begun::Yes || active.inherited;
@@ -134,7 +136,13 @@
     }
 
     /// Counts one loss against a task.
-    fn count_loss(&mut self, incarnation: &Incarnation, task: TaskId, loss: Loss, begun: bool) {
+    fn count_loss(
+        &mut self,
+        incarnation: &Incarnation,
+        task: TaskId,
+        loss: Option<Loss>,
+        begun: bool,
+    ) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -285,5 +293,6 @@
 /// Whether a run may have started shortly before its worker's last answer, or after it.
 fn recent(active: &ActiveRun, answered_at: u64) -> bool {
     active.begun() != Begun::No
+        && !active.settled
         && active.started_at.is_none_or(|started_at| answered_at <= started_at + FRESH_MS)
 }
--- a/crates/owner/src/workers/renewal.rs
+++ b/crates/owner/src/workers/renewal.rs
@@ -5,11 +5,15 @@
 use myrtle_job::{Incarnation, OrderReply, Replacement, Running, State, TaskId, WorkerRuns};
 
 use crate::account::phase::Phase;
-use crate::{Cell, Order, Presence, Stage};
+use crate::{ActiveRun, Cell, Order, Presence, Stage};
 
 /// The most ends that a worker reports in one reply; set by the platform.
 const MAX_ENDS: usize = 500;
 
+/// How long a run has to last for the log to tell the next owner, in milliseconds: the records of
+/// short tasks are written no more often for it.
+const SETTLED_AFTER: u64 = 2_000;
+
 impl Cell {
     /// Handles the reply to a lease renewal that was sent at `sent`.
     ///
@@ -131,6 +135,22 @@
         }
         self.mark_started(*task, *run, now);
         self.trust(incarnation, *task, now);
+        self.settle(incarnation, *task, now);
+    }
+
+    /// Marks a run that has lasted for a while, so that the next owner doesn't take it for one that has
+    /// just started.
+    fn settle(&mut self, incarnation: &Incarnation, task: TaskId, now: u64) {
+        let worker = self.workers.get_mut(incarnation);
+        let active = worker.and_then(|w| w.active_runs.get_mut(&task));
+        let lasting = |f: &&mut ActiveRun| f.started_at.is_some_and(|at| now >= at + SETTLED_AFTER);
+        if let Some(active) = active.filter(|f| !f.settled).filter(lasting)
+            && let Some(job) = self.jobs.get_mut(&task.job)
+        {
+            active.settled = true;
+            job.progress.settled_runs.insert(task, active.run);
+            self.dirty.insert(task.job);
+        }
     }
 
     /// Marks a task of a job as started.
--- a/crates/owner/tests/balance.rs
+++ b/crates/owner/tests/balance.rs
@@ -210,16 +210,19 @@
 #[test]
 fn progress_written_before_transfers_existed_is_read() {
     let new = myrtle_job::encode(&Progress::default());
-    // The last byte says that no losses are of runs that had not begun, the one before it that no workers were
-    // lost, the three before that one that there are no outgoing and no incoming transfers and that the cell is no
-    // guest, and the one before them that the job was not transferred as a whole.
-    let undivided = &new[..new.len() - 1];
+    // The last byte says that no run has lasted for long, the one before it that no losses are of runs that had not
+    // begun, the one before that that no workers were lost, the three before that one that there are no outgoing and
+    // no incoming transfers and that the cell is no guest, and the one before them that the job was not transferred
+    // as a whole.
+    let unsettled = &new[..new.len() - 1];
+    assert_eq!(Progress::read(unsettled).unwrap(), Progress::default());
+    let undivided = &new[..new.len() - 2];
     assert_eq!(Progress::read(undivided).unwrap(), Progress::default());
-    let uncounted = &new[..new.len() - 2];
+    let uncounted = &new[..new.len() - 3];
     assert_eq!(Progress::read(uncounted).unwrap(), Progress::default());
-    let untransferred = &new[..new.len() - 5];
+    let untransferred = &new[..new.len() - 6];
     assert_eq!(Progress::read(untransferred).unwrap(), Progress::default());
-    let old = &new[..new.len() - 6];
+    let old = &new[..new.len() - 7];
     assert_eq!(Progress::read(old).unwrap(), Progress::default());
     assert!(Progress::read(&old[..old.len() - 1]).is_err());
 }
