Starts: one that its worker does not carry out for 2 s is withdrawn and placed elsewhere

Cause: a start without reply, or one that couldn't be sent, went to the same worker every 150 ms without an end, as long as that worker answered lease renewals. The run stayed assigned, so its task was placed nowhere else and its room was claimed.

Ruled out: a bound on the time since the first try alone. An owner that was suspended after one try has not tried for that time, and late_starts.rs failed with it (stops_end_with_a_reply_or_with_the_start); the bound counts from the first try in vain to the newest, and anew once a silent worker answers again.

Change: after that bound the start is withdrawn as others are: stopped first if it may have been sent, its gang started anew, and the worker avoided for the task. `start-withdrawn` tells the reason.

--- a/crates/owner/src/orders/active_run.rs
+++ b/crates/owner/src/orders/active_run.rs
@@ -55,6 +55,8 @@
     pub started_at: Option<u64>,
     /// Whether a start got no reply and may still be carried out.
     pub unanswered: bool,
+    /// Since when starts have been tried in vain at a worker that answers lease renewals.
+    pub(crate) in_vain_since: Option<u64>,
     /// Whether the newest start has left its host and may have been carried out.
     pub sent: bool,
     /// Whether an earlier owner wrote its record, so that its age is not known.
@@ -116,6 +118,7 @@
             since: now,
             started_at: None,
             unanswered: false,
+            in_vain_since: None,
             sent: false,
             inherited: stage == Stage::Inherited,
             settled: false,
--- a/crates/owner/src/orders/replies.rs
+++ b/crates/owner/src/orders/replies.rs
@@ -115,7 +115,10 @@
     }
 
     /// Returns the orders without reply that are due to be sent again.
+    ///
+    /// Starts that were tried in vain for too long are withdrawn first.
     pub fn resend(&mut self, now: u64) -> Vec<Order> {
+        self.withdraw_vain_starts(now);
         let mut orders = Vec::new();
         let mut starts = Vec::new();
         for (incarnation, worker) in
@@ -237,6 +240,7 @@
             && active.stage == Stage::Sent
         {
             active.enter(Stage::Unanswered, now);
+            active.in_vain_since.get_or_insert(now);
             active.unanswered |= sent;
         }
     }
--- a/crates/owner/src/orders/withdraw.rs
+++ b/crates/owner/src/orders/withdraw.rs
@@ -1,16 +1,52 @@
 //! Withdraws starts whose worker's room has shrunk, whose data centre is being evacuated, whose
-//! worker has begun to leave, or whose ticket has expired since they were placed.
+//! worker has begun to leave, or whose ticket has expired since they were placed, and those that their
+//! worker doesn't carry out.
 
 use log::info;
 
 use myrtle_job::{Incarnation, TaskId};
 
-use crate::{Cell, Worker};
+use crate::{Cell, Presence, Stage, Worker};
 
 /// The reason for a start whose ticket has expired.
 const EXPIRED: &str = "its ticket has expired";
 
+/// The reason for a start that its worker didn't carry out.
+const IN_VAIN: &str = "the worker has not carried it out";
+
+/// How long starts are tried at a worker that answers lease renewals, in milliseconds: a few times
+/// the time limit of an order. It counts from the first try in vain to the newest, since an owner
+/// that was suspended has not tried meanwhile.
+const IN_VAIN_LIMIT: u64 = 2_000;
+
 impl Cell {
+    /// Withdraws starts that workers which answer lease renewals have not carried out for long; their
+    /// tasks are placed elsewhere.
+    ///
+    /// One that may have been sent is stopped first, like any other withdrawn start.
+    pub(crate) fn withdraw_vain_starts(&mut self, now: u64) {
+        let answering = self.workers.iter().filter(|(_, w)| w.presence == Presence::Answering);
+        let vain = answering.flat_map(|(incarnation, worker)| {
+            let vain = worker.active_runs.iter().filter(|(_, f)| {
+                f.stage == Stage::Unanswered
+                    && f.in_vain_since.is_some_and(|since| f.since >= since + IN_VAIN_LIMIT)
+            });
+            vain.map(|(&task, f)| (incarnation.clone(), task, f.run))
+        });
+        for (incarnation, task, run) in vain.collect::<Vec<_>>() {
+            let worker = self.workers.get(&incarnation);
+            let active = worker.and_then(|w| w.active_runs.get(&task));
+            if active.is_none_or(|f| f.stage != Stage::Unanswered) {
+                // It was stopped with another one of its gang.
+                continue;
+            }
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                job.avoided.entry(task).or_default().push(incarnation.clone());
+            }
+            self.withdraw(&incarnation, task, run, IN_VAIN, now);
+        }
+    }
+
     /// Withdraws a start that its worker may not or would not carry out any more; returns whether it
     /// did.
     ///
--- a/crates/owner/src/workers/renewal.rs
+++ b/crates/owner/src/workers/renewal.rs
@@ -46,6 +46,8 @@
             );
             worker.presence = Presence::Answering;
             worker.wait.withdraw();
+            // Starts could not succeed while it did not answer.
+            worker.active_runs.values_mut().for_each(|f| f.in_vain_since = None);
             self.clear_silence(incarnation);
             self.stop_late_starts_at(incarnation.id(), now);
         }
