--- /dev/null
+++ b/crates/front/tests/client_soak/faults.rs
@@ -0,0 +1,166 @@
+//! Faults drawn from a seed, in series and overlapping.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until};
+
+use myrtle_standin::StoreMode;
+
+use crate::world::World;
+
+/// The range of pauses between faults, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 150..1_400;
+
+/// The longest time from the faults' end to their effects' end: the longest one of a stop, plus a pause across it.
+const MAX_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Which host a fault is for.
+#[derive(Debug, Clone, Copy)]
+pub enum Target {
+    /// The one with a number.
+    Any(usize),
+    /// The one that owns the first cell at that time.
+    Owner,
+}
+
+/// A fault.
+#[derive(Debug, Clone, Copy)]
+pub enum Fault {
+    /// A host is sent a signal.
+    Signal(Target, Signal),
+    /// A host stands still for a time.
+    Pause(Target, Duration),
+    /// A host is told to stop and stands still for a time from some time after it.
+    StopAndPause(Target, Duration, Duration),
+    /// A worker's process ends; another one starts under the same id after a time, and its entry comes after another.
+    RestartWorker(usize, Duration, Duration),
+    /// The same under a new id.
+    ReplaceWorker(usize, Duration, Duration),
+    /// A worker does not answer for a time.
+    MuteWorker(usize, Duration),
+    /// The store is in a mode for a time.
+    Store(StoreMode, Duration),
+    /// So many threads of this process are busy for a time.
+    Busy(usize, Duration),
+}
+
+/// Draws the faults of a play with their times.
+pub fn draw(rng: &mut ChaCha8Rng, length: Duration) -> Vec<(Duration, Fault)> {
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(PAUSE_MS));
+    while at < length {
+        faults.push((at, draw_one(rng)));
+        at += Duration::from_millis(rng.random_range(PAUSE_MS));
+    }
+    faults
+}
+
+fn draw_one(rng: &mut ChaCha8Rng) -> Fault {
+    let target = match rng.random_range(0..4) {
+        0 => Target::Owner,
+        _ => Target::Any(rng.random_range(0..8)),
+    };
+    let worker = rng.random_range(0..12);
+    let up_to = |rng: &mut ChaCha8Rng, most| Duration::from_millis(rng.random_range(50..most));
+    match rng.random_range(0..100) {
+        0..30 => Fault::Signal(target, Signal::SIGTERM),
+        30..40 => Fault::Signal(target, Signal::SIGHUP),
+        40..46 => Fault::Signal(target, Signal::SIGKILL),
+        46..56 => Fault::Pause(target, Duration::from_millis(rng.random_range(200..1_500))),
+        56..66 => {
+            let length = Duration::from_millis(rng.random_range(200..1_500));
+            Fault::StopAndPause(target, up_to(rng, 3_500), length)
+        }
+        66..73 => Fault::RestartWorker(worker, up_to(rng, 800), up_to(rng, 1_000)),
+        73..78 => Fault::ReplaceWorker(worker, up_to(rng, 1_500), up_to(rng, 1_000)),
+        78..83 => Fault::MuteWorker(worker, up_to(rng, 4_000)),
+        83..93 => {
+            let slow = StoreMode::Slow(up_to(rng, 200));
+            let mode = [StoreMode::Away, StoreMode::Silent, slow][rng.random_range(0..3)];
+            Fault::Store(mode, up_to(rng, 2_000))
+        }
+        _ => Fault::Busy(rng.random_range(1..3), up_to(rng, 1_500)),
+    }
+}
+
+/// Injects faults at their times and waits until they are over.
+pub async fn inject(world: &Arc<World>, faults: Vec<(Duration, Fault)>) {
+    let begin = Instant::now();
+    let mut running = JoinSet::new();
+    for (at, fault) in faults {
+        sleep_until((begin + at).into()).await;
+        println!("  {:6.2} s {fault:?} owner={:?}", at.as_secs_f64(), world.owner());
+        running.spawn(play(world.clone(), fault));
+    }
+    while running.join_next().await.is_some() {}
+    sleep(MAX_PAUSE).await;
+    world.mend();
+}
+
+async fn play(world: Arc<World>, fault: Fault) {
+    let host = |target| match target {
+        Target::Any(number) => world.fleet.0.get(number).cloned(),
+        Target::Owner => world.owner().and_then(|name| world.fleet.named(&name)),
+    };
+    match fault {
+        Fault::Signal(target, signal) => {
+            host(target).iter().for_each(|host| host.signal(signal));
+        }
+        Fault::Pause(target, length) => {
+            if let Some(host) = host(target) {
+                host.signal(Signal::SIGSTOP);
+                sleep(length).await;
+                host.signal(Signal::SIGCONT);
+            }
+        }
+        Fault::StopAndPause(target, after, length) => {
+            if let Some(host) = host(target) {
+                host.signal(Signal::SIGTERM);
+                sleep(after).await;
+                host.signal(Signal::SIGSTOP);
+                sleep(length).await;
+                host.signal(Signal::SIGCONT);
+            }
+        }
+        Fault::RestartWorker(number, away, entry_delay) => {
+            let placed = &world.workers[number];
+            placed.worker.restart(away).await;
+            sleep(entry_delay).await;
+            placed.list(&world.store);
+        }
+        Fault::ReplaceWorker(number, away, entry_delay) => {
+            let placed = &world.workers[number];
+            let before = placed.worker.incarnation();
+            placed.worker.replace(away).await;
+            sleep(entry_delay).await;
+            world.store.put("keyed.servers", &before, b"");
+            placed.list(&world.store);
+        }
+        Fault::MuteWorker(number, length) => {
+            let worker = &world.workers[number].worker;
+            worker.mute(true);
+            sleep(length).await;
+            worker.mute(false);
+        }
+        Fault::Store(mode, length) => {
+            world.store.set(mode);
+            sleep(length).await;
+            world.store.set(StoreMode::Ok);
+        }
+        Fault::Busy(threads, length) => {
+            let over = Arc::new(AtomicBool::new(false));
+            for _ in 0..threads {
+                let over = over.clone();
+                std::thread::spawn(move || while !over.load(Ordering::Relaxed) {});
+            }
+            sleep(length).await;
+            over.store(true, Ordering::Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/tests/client_soak/verdict.rs
@@ -0,0 +1,60 @@
+//! The verdict on requests that ended without a complete answer.
+
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+
+use crate::client::Cut;
+use crate::fleet::Event;
+use crate::ledger::Ledger;
+use crate::world::World;
+
+/// The time after a request's last byte within which a connection may end without an answer.
+const SLACK: Duration = Duration::from_millis(200);
+
+/// Prints the requests that ended without a complete answer; returns how many were lost.
+pub fn judge_cuts(world: &World, ledger: &Ledger, begin: Instant) -> usize {
+    let cuts = ledger.cuts.lock().unwrap();
+    let mut lost = 0;
+    for cut in cuts.iter() {
+        let after = cut.ended - cut.sent;
+        let events = history(world, cut);
+        let killed = |at: &Instant| *at >= cut.sent && *at <= cut.ended;
+        let kill = |event: &Event| *event == Event::Signal(Signal::SIGKILL);
+        let excused = events.iter().any(|(at, event)| kill(event) && killed(at));
+        let verdict = match () {
+            () if after <= SLACK => "within the slack",
+            () if excused => "killed",
+            () if world.stalls.touch(cut.sent, cut.ended) => "this process stood still",
+            () => "LOST",
+        };
+        lost += usize::from(verdict == "LOST");
+        let at = (cut.sent - begin).as_secs_f64();
+        println!(
+            "  cut: {verdict}: {} at {at:.3} s on {}, {after:.1?} after its last byte, used {}, {} bytes received, {}; {}",
+            cut.request,
+            cut.host,
+            cut.used,
+            cut.received,
+            cut.how,
+            describe(&events, cut.ended)
+        );
+    }
+    lost
+}
+
+/// What happened to the host of a request up to its end.
+fn history(world: &World, cut: &Cut) -> Vec<(Instant, Event)> {
+    let mut events = world.fleet.named(&cut.host).unwrap().events();
+    events.retain(|(at, _)| *at <= cut.ended);
+    events
+}
+
+/// The last events before a time.
+fn describe(events: &[(Instant, Event)], to: Instant) -> String {
+    let from = events.len().saturating_sub(6);
+    let line = |(at, event): &(Instant, Event)| {
+        format!("{event:?} {:.3} s before", (to - *at).as_secs_f64())
+    };
+    events[from..].iter().map(line).collect::<Vec<_>>().join(", ")
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,7 +18,7 @@
 pub use log::{Log, LogMode};
 pub use machines::{MachineMode, MachineService};
 pub use record::{Record, Run, RunEnd, Summary, UpstreamSeen};
-pub use runner::{RunLog, RunRecord, WorkerStandin};
+pub use runner::{Plans, RunLog, RunRecord, StepPlan, TaskKind, WorkerStandin};
 pub use site::until;
 pub use store::{Store, StoreMode};
 pub use tickets::{TicketMode, TicketService, TicketSpans};
--- a/crates/standin/src/runner/calls.rs
+++ b/crates/standin/src/runner/calls.rs
@@ -1,7 +1,7 @@
 //! The calls of the platform's worker API that a runner handles.
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use serde::Deserialize;
 use serde_json::json;
@@ -9,7 +9,7 @@
 
 use myrtle_platform::{HttpRequest, Reply, json, reply, text};
 
-use super::{MAX_LEASE_MS, Run, WorkerStandin};
+use super::{MAX_LEASE_MS, Run, WorkerStandin, share};
 
 /// A call that starts a run.
 #[derive(Debug, Deserialize)]
@@ -21,6 +21,8 @@
     fence: u64,
     #[serde(default)]
     ticket: String,
+    #[serde(default)]
+    checkpoint: String,
 }
 
 #[derive(Deserialize)]
@@ -31,6 +33,15 @@
     fence: u64,
 }
 
+#[derive(Deserialize)]
+struct PaceRequest {
+    task: String,
+    run: u32,
+    percent: u8,
+    #[serde(default)]
+    fence: u64,
+}
+
 #[derive(Deserialize)]
 struct RenewalRequest {
     #[serde(default)]
@@ -66,7 +77,7 @@
         match ask.path.as_str() {
             "/api/run-start" => self.run_start(&ask),
             "/api/run-stop" => self.run_stop(&ask),
-            "/api/pace" => json(&json!({ "clock_ms": self.clock() })),
+            "/api/pace" => self.limit_speed(&ask),
             "/api/hold" => self.renew(&ask).await,
             _ => text(404, "unknown path"),
         }
@@ -109,7 +120,28 @@
         if service.is_some_and(|s| !s.holds(&start.task, &self.incarnation(), &start.ticket)) {
             return self.refuse("ticket");
         }
-        self.begin(&mut state, start.task, start.run);
+        let plan = self.plans.get().and_then(|plans| plans.of(&start.task));
+        let mut run = Run::new(start.run, plan);
+        run.resume(&start.checkpoint);
+        if !share::has_room(&state.runs, &run) {
+            return self.refuse("room");
+        }
+        self.begin(&mut state, start.task, run);
+        self.done()
+    }
+
+    fn limit_speed(&self, ask: &HttpRequest) -> Reply {
+        let Ok(limit) = serde_json::from_slice::<PaceRequest>(&ask.body) else {
+            return text(400, "malformed speed limit");
+        };
+        let mut state = self.state.lock().expect("no holder panics");
+        if limit.fence < state.fence {
+            return self.refuse("fence");
+        }
+        state.fence = limit.fence;
+        if let Some(run) = state.runs.get_mut(&limit.task).filter(|r| r.number == limit.run) {
+            run.percent_limit = limit.percent.min(100);
+        }
         self.done()
     }
 
@@ -158,13 +190,14 @@
             std::future::pending::<()>().await;
         }
         let state = self.state.lock().expect("no holder panics");
-        let percent = |r: &Run| {
-            (r.from.elapsed().as_secs_f64() / self.work.as_secs_f64() * 100.0).min(99.0) as u32
+        let clock = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+        let row = |(task, run): (&String, &Run)| {
+            let figure = share::figure(&state.runs, run, clock);
+            json!([task, run.number, run.checkpoint(), run.percent(self.work), figure])
         };
-        let running: Vec<_> =
-            state.runs.iter().map(|(t, r)| json!([t, r.number, "", percent(r), 1000])).collect();
+        let running: Vec<_> = state.runs.iter().map(row).collect();
         let ends: Vec<_> =
-            state.ends.iter().map(|(n, t, r, how)| json!([n, t, r, how, ""])).collect();
+            state.ends.iter().map(|(n, t, r, how, saved)| json!([n, t, r, how, saved])).collect();
         json(&json!({
             "clock_ms": self.clock(), "born": self.started_ms(), "running": running, "ended": ends,
         }))
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -2,7 +2,9 @@
 
 mod book;
 mod calls;
+mod plan;
 mod process;
+mod share;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -20,6 +22,7 @@
 use process::Process;
 
 pub use book::{RunLog, RunRecord};
+pub use plan::{Plans, StepPlan, TaskKind};
 
 /// The longest lease, in milliseconds.
 const MAX_LEASE_MS: u64 = 10_000;
@@ -30,10 +33,29 @@
 /// How long a crashed worker stays down.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
 
+/// The time between two checks for runs that ended.
+const TICK: Duration = Duration::from_millis(5);
+
+/// The processors of a worker, in thousandths of a core.
+const CAPACITY_CPU: u32 = 32_000;
+
+/// The memory of a worker, in megabytes.
+const CAPACITY_MEM_MB: u32 = 128_000;
+
 #[derive(Debug)]
 struct Run {
     number: u32,
     from: Instant,
+    /// What it needs and does, if its job has a plan.
+    plan: Option<StepPlan>,
+    /// The speed limit, in percent.
+    percent_limit: u8,
+    /// The processors in use, in thousandths of a core.
+    used_cpu: f64,
+    /// The work done, as time at full speed.
+    worked: Duration,
+    /// The work that the newest checkpoint holds.
+    saved: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -41,7 +63,7 @@
     fence: u64,
     until: u64,
     runs: BTreeMap<String, Run>,
-    ends: Vec<(u64, String, u32, &'static str)>,
+    ends: Vec<(u64, String, u32, &'static str, String)>,
     /// The newest run of each task that ended or was stopped; starts up to it are refused.
     closed: BTreeMap<String, u32>,
     end_count: u64,
@@ -78,6 +100,8 @@
     crash_task: Mutex<Option<String>>,
     /// The service whose tickets it requires, if there is one.
     tickets: OnceLock<Arc<TicketService>>,
+    /// What tasks need and do, if it differs by job.
+    plans: OnceLock<Arc<Plans>>,
     book: Arc<RunLog>,
 }
 
@@ -106,6 +130,7 @@
             strayed: AtomicU32::new(0),
             crash_task: Mutex::default(),
             tickets: OnceLock::new(),
+            plans: OnceLock::new(),
             book,
         });
         tokio::spawn(process::listen(runner.clone(), listener));
@@ -124,6 +149,18 @@
         let _ = self.tickets.set(service.clone());
     }
 
+    /// Makes the worker run tasks by the plans of their jobs.
+    pub fn follow(&self, plans: &Arc<Plans>) {
+        let _ = self.plans.set(plans.clone());
+    }
+
+    /// The share of its processors or of its memory that is in use, whichever is larger.
+    pub fn in_use(&self) -> f64 {
+        let (cpu, mem) = share::in_use(&self.state.lock().expect("no holder panics").runs);
+        let of = |used: u32, all: u32| f64::from(used) / f64::from(all);
+        of(cpu, CAPACITY_CPU).max(of(mem, CAPACITY_MEM_MB))
+    }
+
     /// The number of calls received.
     pub fn calls(&self) -> u32 {
         self.calls.load(Ordering::Relaxed)
@@ -171,7 +208,7 @@
     pub fn start_late(&self, task: &str) {
         let mut state = self.state.lock().expect("no holder panics");
         state.until = state.until.max(self.clock() + MAX_LEASE_MS);
-        self.begin(&mut state, task.into(), 1);
+        self.begin(&mut state, task.into(), Run::new(1, None));
     }
 
     /// Its listing in the store.
@@ -184,27 +221,32 @@
         json!({
             "service": "s", "address": self.address.to_string(), "zone": data_centre, "version": "v1",
             "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 1, "born": self.started_ms(),
-            "capacity": { "cpu": 32000, "mem_mb": 128_000, "gpu": 0 }, "labels": ["a", "r1"],
+            "capacity": { "cpu": CAPACITY_CPU, "mem_mb": CAPACITY_MEM_MB, "gpu": 0 }, "labels": ["a", "r1"],
         })
         .to_string()
     }
 
     async fn tick(&self) {
+        let mut last = Instant::now();
         loop {
-            sleep(Duration::from_millis(5)).await;
+            sleep(TICK).await;
+            let passed = last.elapsed();
+            last += passed;
             if self.is_crashing() {
                 self.crash().await;
             }
             let mut state = self.state.lock().expect("no holder panics");
             let lapsed = self.clock() > state.until;
+            share::advance(&mut state.runs, passed);
             let over: Vec<String> = state
                 .runs
                 .iter()
-                .filter(|(_, r)| lapsed || r.from.elapsed() >= self.work)
+                .filter(|(_, r)| lapsed || r.is_over(self.work))
                 .map(|(task, _)| task.clone())
                 .collect();
             for task in over {
-                self.end(&mut state, &task, if lapsed { "lapsed" } else { "done" });
+                let how = if lapsed { "lapsed" } else { self.outcome(&state, &task) };
+                self.end(&mut state, &task, how);
             }
         }
     }
@@ -241,16 +283,22 @@
         }
     }
 
-    fn begin(&self, state: &mut State, task: String, run: u32) {
-        let from = Instant::now();
-        state.runs.insert(task.clone(), Run { number: run, from });
+    /// How a run that is over ends.
+    fn outcome(&self, state: &State, task: &str) -> &'static str {
+        let plan = state.runs.get(task).and_then(|run| run.plan.as_ref());
+        let fails = plan.zip(self.plans.get()).is_some_and(|(plan, plans)| plans.fails(task, plan));
+        if fails { "failed" } else { "done" }
+    }
+
+    fn begin(&self, state: &mut State, task: String, run: Run) {
         self.book.open(RunRecord {
-            task,
-            run,
+            task: task.clone(),
+            run: run.number,
             worker: self.name.clone(),
-            started: from,
+            started: run.from,
             ended: None,
         });
+        state.runs.insert(task, run);
     }
 
     fn end(&self, state: &mut State, task: &str, how: &'static str) {
@@ -258,7 +306,7 @@
             return;
         };
         state.end_count += 1;
-        state.ends.push((state.end_count, task.into(), run.number, how));
+        state.ends.push((state.end_count, task.into(), run.number, how, run.checkpoint()));
         let closed = state.closed.entry(task.into()).or_default();
         *closed = (*closed).max(run.number);
         self.book.close(&self.name, task, run.number, how);
