Soak with real processes: what has to come after the faults, late starts, burdened workers

After the faults all jobs have to be over, long-running tasks run, and nothing may wait for 3 s beside workers that are less than half in use. Hosts no longer start again after their site has ended.

--- a/crates/front/tests/client_soak/faults.rs
+++ b/crates/front/tests/client_soak/faults.rs
@@ -44,6 +44,10 @@
     ReplaceWorker(usize, Duration, Duration),
     /// A worker does not answer for a time.
     MuteWorker(usize, Duration),
+    /// A worker keeps the starts that arrive for a time, without replies, and executes them then.
+    DelayStarts(usize, Duration),
+    /// The serving tasks of a worker have more load for a time, whatever runs beside them, in percent.
+    BurdenWorker(usize, u32, Duration),
     /// The store is in a mode for a time.
     Store(StoreMode, Duration),
     /// So many threads of this process are busy for a time.
@@ -77,10 +81,12 @@
             let length = Duration::from_millis(rng.random_range(200..1_500));
             Fault::StopAndPause(target, up_to(rng, 3_500), length)
         }
-        66..73 => Fault::RestartWorker(worker, up_to(rng, 800), up_to(rng, 1_000)),
-        73..78 => Fault::ReplaceWorker(worker, up_to(rng, 1_500), up_to(rng, 1_000)),
-        78..83 => Fault::MuteWorker(worker, up_to(rng, 4_000)),
-        83..93 => {
+        66..71 => Fault::RestartWorker(worker, up_to(rng, 800), up_to(rng, 1_000)),
+        71..75 => Fault::ReplaceWorker(worker, up_to(rng, 1_500), up_to(rng, 1_000)),
+        75..79 => Fault::MuteWorker(worker, up_to(rng, 4_000)),
+        79..82 => Fault::DelayStarts(worker, up_to(rng, 2_500)),
+        82..86 => Fault::BurdenWorker(worker, rng.random_range(10..60), up_to(rng, 4_000)),
+        86..95 => {
             let slow = StoreMode::Slow(up_to(rng, 200));
             let mode = [StoreMode::Away, StoreMode::Silent, slow][rng.random_range(0..3)];
             Fault::Store(mode, up_to(rng, 2_000))
@@ -148,6 +154,19 @@
             sleep(length).await;
             worker.mute(false);
         }
+        Fault::DelayStarts(number, length) => {
+            let worker = &world.workers[number].worker;
+            worker.delay_starts(true);
+            sleep(length).await;
+            worker.delay_starts(false);
+            worker.execute_delayed_starts();
+        }
+        Fault::BurdenWorker(number, percent, length) => {
+            let worker = &world.workers[number].worker;
+            worker.burden(percent);
+            sleep(length).await;
+            worker.burden(0);
+        }
         Fault::Store(mode, length) => {
             world.store.set(mode);
             sleep(length).await;
--- a/crates/front/tests/client_soak/fleet.rs
+++ b/crates/front/tests/client_soak/fleet.rs
@@ -71,6 +71,8 @@
     events: Vec<(Instant, Event)>,
     /// The ends that nothing had caused.
     own_ends: Vec<ExitStatus>,
+    /// Whether the site has ended, so that nothing is started again.
+    closed: bool,
 }
 
 /// The hosts of a site; they end with it.
@@ -142,7 +144,9 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         for host in &self.0 {
-            if let Some(mut process) = host.state.lock().unwrap().process.take() {
+            let mut state = host.state.lock().unwrap();
+            state.closed = true;
+            if let Some(mut process) = state.process.take() {
                 // It may have ended already.
                 let _ = process.kill();
                 let _ = process.wait();
@@ -195,11 +199,14 @@
     }
 
     fn spawn(&self) {
+        let mut state = self.state.lock().unwrap();
+        if state.closed {
+            return;
+        }
         let log = OpenOptions::new().create(true).append(true).open(&self.log).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_myrtle-front"));
         let errors = log.try_clone().unwrap();
         let process = command.arg(&self.settings).stdout(log).stderr(errors).spawn().unwrap();
-        let mut state = self.state.lock().unwrap();
         state.process = Some(process);
         state.events.push((Instant::now(), Event::Started));
     }
--- a/crates/front/tests/client_soak/jobs.rs
+++ b/crates/front/tests/client_soak/jobs.rs
@@ -89,11 +89,6 @@
             })
         })
     }
-
-    /// Whether its last repetition is due.
-    pub fn is_due(&self, now_ms: u64) -> bool {
-        self.due.iter().all(|due| *due <= now_ms)
-    }
 }
 
 /// The time of day, in milliseconds since 1970.
--- a/crates/front/tests/client_soak/main.rs
+++ b/crates/front/tests/client_soak/main.rs
@@ -12,6 +12,7 @@
 mod jobs;
 mod ledger;
 mod settings;
+mod settle;
 mod stall;
 mod traffic;
 mod verdict;
@@ -71,11 +72,15 @@
     }
     faults::inject(&world, faults).await;
     clients.join_all().await;
-    let mut broken = Vec::new();
+    world.fleet.wait_ready().await;
+    let mut broken = settle::settle(&world, &ledger, &mut first).await;
+    let overlapping = world.book.overlapping();
+    broken.extend(overlapping.iter().map(|(a, b)| format!("overlapping runs: {a:?}, {b:?}")));
     let lost = verdict::judge_cuts(&world, &ledger, begin);
     if lost > 0 {
         broken.push(format!("{lost} requests ended without an answer"));
     }
+    println!("seed {seed}: ends of runs {:?}", world.ends());
     println!(
         "seed {seed}: answers by status {:?}, without an answer in time {}, jobs accepted {}, stalls {}",
         ledger.answers.lock().unwrap(),
@@ -87,6 +92,8 @@
     broken.extend(world.fleet.own_ends().iter().map(|end| format!("ended by itself: {end:?}")));
     if broken.is_empty() {
         let _ = std::fs::remove_dir_all(&world.folder);
+    } else {
+        println!("seed {seed}: broken, logs in {}", world.folder.display());
     }
     broken
 }
--- a/crates/front/tests/client_soak/world.rs
+++ b/crates/front/tests/client_soak/world.rs
@@ -1,5 +1,6 @@
 //! A site of three data centres: hosts as processes, workers and the store in this process.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -83,6 +84,15 @@
         sum / self.workers.len() as f64
     }
 
+    /// The number of runs by the manner of their end.
+    pub fn ends(&self) -> BTreeMap<&'static str, usize> {
+        let mut ends = BTreeMap::new();
+        for run in self.book.runs() {
+            *ends.entry(run.ended.map_or("running", |(_, how)| how)).or_default() += 1;
+        }
+        ends
+    }
+
     /// Ends all faults of workers and of the store.
     pub fn mend(&self) {
         self.store.set(StoreMode::Ok);
--- a/crates/standin/src/runner/calls.rs
+++ b/crates/standin/src/runner/calls.rs
@@ -191,8 +191,9 @@
         }
         let state = self.state.lock().expect("no holder panics");
         let clock = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+        let burden = f64::from(self.burden.load(Ordering::Relaxed)) / 100.0;
         let row = |(task, run): (&String, &Run)| {
-            let figure = share::figure(&state.runs, run, clock);
+            let figure = share::figure(&state.runs, run, clock, burden);
             json!([task, run.number, run.checkpoint(), run.percent(self.work), figure])
         };
         let running: Vec<_> = state.runs.iter().map(row).collect();
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod plan;
 mod process;
+mod runs;
 mod share;
 
 use std::collections::BTreeMap;
@@ -100,6 +101,8 @@
     crash_task: Mutex<Option<String>>,
     /// The service whose tickets it requires, if there is one.
     tickets: OnceLock<Arc<TicketService>>,
+    /// What other programs on its machine add to the load of its serving tasks, in percent.
+    burden: AtomicU32,
     /// What tasks need and do, if it differs by job.
     plans: OnceLock<Arc<Plans>>,
     book: Arc<RunLog>,
@@ -130,6 +133,7 @@
             strayed: AtomicU32::new(0),
             crash_task: Mutex::default(),
             tickets: OnceLock::new(),
+            burden: AtomicU32::new(0),
             plans: OnceLock::new(),
             book,
         });
@@ -154,6 +158,11 @@
         let _ = self.plans.set(plans.clone());
     }
 
+    /// Adds to the load of its serving tasks, in percent, as other programs on its machine do.
+    pub fn burden(&self, percent: u32) {
+        self.burden.store(percent, Ordering::Relaxed);
+    }
+
     /// The share of its processors or of its memory that is in use, whichever is larger.
     pub fn in_use(&self) -> f64 {
         let (cpu, mem) = share::in_use(&self.state.lock().expect("no holder panics").runs);
@@ -226,31 +235,6 @@
         .to_string()
     }
 
-    async fn tick(&self) {
-        let mut last = Instant::now();
-        loop {
-            sleep(TICK).await;
-            let passed = last.elapsed();
-            last += passed;
-            if self.is_crashing() {
-                self.crash().await;
-            }
-            let mut state = self.state.lock().expect("no holder panics");
-            let lapsed = self.clock() > state.until;
-            share::advance(&mut state.runs, passed);
-            let over: Vec<String> = state
-                .runs
-                .iter()
-                .filter(|(_, r)| lapsed || r.is_over(self.work))
-                .map(|(task, _)| task.clone())
-                .collect();
-            for task in over {
-                let how = if lapsed { "lapsed" } else { self.outcome(&state, &task) };
-                self.end(&mut state, &task, how);
-            }
-        }
-    }
-
     /// Whether the task that crashes it has run for [`CRASH_DELAY`].
     fn is_crashing(&self) -> bool {
         let crash_task = self.crash_task.lock().expect("no holder panics");
@@ -274,42 +258,4 @@
         self.crashes.fetch_add(1, Ordering::Relaxed);
         self.restart(away).await;
     }
-
-    /// Drops its state; its runs are lost.
-    fn drop_state(&self) {
-        let lost = std::mem::take(&mut *self.state.lock().expect("no holder panics")).runs;
-        for (task, run) in lost {
-            self.book.close(&self.name, &task, run.number, "lost");
-        }
-    }
-
-    /// How a run that is over ends.
-    fn outcome(&self, state: &State, task: &str) -> &'static str {
-        let plan = state.runs.get(task).and_then(|run| run.plan.as_ref());
-        let fails = plan.zip(self.plans.get()).is_some_and(|(plan, plans)| plans.fails(task, plan));
-        if fails { "failed" } else { "done" }
-    }
-
-    fn begin(&self, state: &mut State, task: String, run: Run) {
-        self.book.open(RunRecord {
-            task: task.clone(),
-            run: run.number,
-            worker: self.name.clone(),
-            started: run.from,
-            ended: None,
-        });
-        state.runs.insert(task, run);
-    }
-
-    fn end(&self, state: &mut State, task: &str, how: &'static str) {
-        let Some(run) = state.runs.remove(task) else {
-            return;
-        };
-        state.end_count += 1;
-        state.ends.push((state.end_count, task.into(), run.number, how, run.checkpoint()));
-        let closed = state.closed.entry(task.into()).or_default();
-        *closed = (*closed).max(run.number);
-        self.book.close(&self.name, task, run.number, how);
-        self.ended.notify_waiters();
-    }
 }
--- a/crates/standin/src/runner/share.rs
+++ b/crates/standin/src/runner/share.rs
@@ -48,7 +48,8 @@
 }
 
 /// The rough figure of a run: the tail latency of a serving task in milliseconds, otherwise the processors in use.
-pub(super) fn figure(runs: &BTreeMap<String, Run>, run: &Run, clock: Duration) -> u64 {
+/// `burden` is the load that other programs add.
+pub(super) fn figure(runs: &BTreeMap<String, Run>, run: &Run, clock: Duration, burden: f64) -> u64 {
     let Some(plan) = &run.plan else {
         return 1000;
     };
@@ -58,7 +59,7 @@
     let cycle = (TAU * (clock.as_secs_f64() / CYCLE_S + phase)).sin();
     let load = MEAN_LOAD * (1.0 + LOAD_SWING * cycle);
     let pressure: f64 = runs.values().map(Run::pressure).sum();
-    (IDLE_TAIL_MS / (1.0 - (load + pressure).min(MAX_LOAD))).round() as u64
+    (IDLE_TAIL_MS / (1.0 - (load + pressure + burden).min(MAX_LOAD))).round() as u64
 }
 
 /// The processors and the memory that runs take, a filler with the processors that it uses.
