--- a/crates/front/tests/client_soak/client.rs
+++ b/crates/front/tests/client_soak/client.rs
@@ -57,6 +57,8 @@
     pub sent: Instant,
     /// When the connection ended.
     pub ended: Instant,
+    /// How long the connection had been idle before the request.
+    pub idle: Duration,
     /// The requests that the connection had carried before.
     pub used: u32,
     /// The bytes of the answer that arrived.
@@ -68,6 +70,8 @@
 struct Connection {
     stream: TcpStream,
     host: Arc<FleetHost>,
+    /// When it began or its last answer came.
+    idle_since: Instant,
     used: u32,
 }
 
@@ -108,6 +112,7 @@
              content-length: {}\r\n\r\n",
             body.len()
         );
+        let idle = connection.idle_since.elapsed();
         let split = !body.is_empty() && self.rng.random_bool(SPLIT_SHARE);
         let pause = Duration::from_millis(self.rng.random_range(0..MAX_SPLIT_MS));
         let written = async {
@@ -130,6 +135,7 @@
             request: format!("{method} {path}"),
             sent,
             ended: Instant::now(),
+            idle,
             used: connection.used,
             received: received.len(),
             how,
@@ -137,6 +143,7 @@
         match answer {
             Ok(Ok((status, body, keep))) => {
                 connection.used += 1;
+                connection.idle_since = Instant::now();
                 self.connection = Some(connection).filter(|_| keep);
                 Outcome::Answer(status, body)
             }
@@ -150,7 +157,7 @@
             let host = self.fleet.route(self.centre, self.rng.random_range(0..1_000));
             if let Ok(Ok(stream)) = timeout(CONNECT_LIMIT, TcpStream::connect(host.clients)).await {
                 let _ = stream.set_nodelay(true);
-                return Some(Connection { stream, host, used: 0 });
+                return Some(Connection { stream, host, idle_since: Instant::now(), used: 0 });
             }
             sleep(CONNECT_PAUSE).await;
         }
--- a/crates/front/tests/client_soak/faults.rs
+++ b/crates/front/tests/client_soak/faults.rs
@@ -17,6 +17,12 @@
 /// The range of pauses between faults, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 150..1_400;
 
+/// The share of the faults of workers that strike several at once.
+const MANY_SHARE: f64 = 0.3;
+
+/// The number of workers.
+const WORKERS: usize = 12;
+
 /// The longest time from the faults' end to their effects' end: the longest one of a stop, plus a pause across it.
 const MAX_PAUSE: Duration = Duration::from_millis(1_500);
 
@@ -59,18 +65,44 @@
     let mut faults = Vec::new();
     let mut at = Duration::from_millis(rng.random_range(PAUSE_MS));
     while at < length {
-        faults.push((at, draw_one(rng)));
+        let fault = draw_one(rng);
+        faults.push((at, fault));
+        if rng.random_bool(MANY_SHARE) {
+            let others = (1..=rng.random_range(2..5)).filter_map(|n| fault.at_worker_after(n));
+            faults.extend(others.map(|fault| (at, fault)));
+        }
         at += Duration::from_millis(rng.random_range(PAUSE_MS));
     }
     faults
 }
 
+impl Fault {
+    /// The same fault of the worker that comes `n` later; nothing if it isn't one of a worker.
+    fn at_worker_after(self, n: usize) -> Option<Self> {
+        let next = |number: usize| (number + n) % WORKERS;
+        Some(match self {
+            Self::RestartWorker(number, away, delay) => {
+                Self::RestartWorker(next(number), away, delay)
+            }
+            Self::ReplaceWorker(number, away, delay) => {
+                Self::ReplaceWorker(next(number), away, delay)
+            }
+            Self::MuteWorker(number, length) => Self::MuteWorker(next(number), length),
+            Self::DelayStarts(number, length) => Self::DelayStarts(next(number), length),
+            Self::BurdenWorker(number, load, length) => {
+                Self::BurdenWorker(next(number), load, length)
+            }
+            _ => return None,
+        })
+    }
+}
+
 fn draw_one(rng: &mut ChaCha8Rng) -> Fault {
     let target = match rng.random_range(0..4) {
         0 => Target::Owner,
         _ => Target::Any(rng.random_range(0..8)),
     };
-    let worker = rng.random_range(0..12);
+    let worker = rng.random_range(0..WORKERS);
     let up_to = |rng: &mut ChaCha8Rng, most| Duration::from_millis(rng.random_range(50..most));
     match rng.random_range(0..100) {
         0..30 => Fault::Signal(target, Signal::SIGTERM),
--- a/crates/front/tests/client_soak/fleet.rs
+++ b/crates/front/tests/client_soak/fleet.rs
@@ -36,6 +36,9 @@
 /// The exit code of a host that can't bind its addresses; docs/OPERATIONS.md.
 const BIND_FAILED: i32 = 3;
 
+/// What hosts log; the end of connections is logged at the lowest level.
+const LOG_LEVELS: &str = "info,tarpc=error,myrtle_front::listen=debug";
+
 /// What happened to a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Event {
@@ -206,6 +209,7 @@
         let log = OpenOptions::new().create(true).append(true).open(&self.log).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_myrtle-front"));
         let errors = log.try_clone().unwrap();
+        command.env("RUST_LOG", LOG_LEVELS);
         let process = command.arg(&self.settings).stdout(log).stderr(errors).spawn().unwrap();
         state.process = Some(process);
         state.events.push((Instant::now(), Event::Started));
--- a/crates/front/tests/client_soak/verdict.rs
+++ b/crates/front/tests/client_soak/verdict.rs
@@ -22,18 +22,21 @@
         let killed = |at: &Instant| *at >= cut.sent && *at <= cut.ended;
         let kill = |event: &Event| *event == Event::Signal(Signal::SIGKILL);
         let excused = events.iter().any(|(at, event)| kill(event) && killed(at));
+        let paused = was_paused(&events, cut.sent);
         let verdict = match () {
             () if after <= SLACK => "within the slack",
             () if excused => "killed",
             () if world.stalls.touch(cut.sent, cut.ended) => "this process stood still",
+            () if paused => "LOST across a pause",
             () => "LOST",
         };
-        lost += usize::from(verdict == "LOST");
+        lost += usize::from(verdict.starts_with("LOST"));
         let at = (cut.sent - begin).as_secs_f64();
         println!(
-            "  cut: {verdict}: {} at {at:.3} s on {}, {after:.1?} after its last byte, used {}, {} bytes received, {}; {}",
+            "  cut: {verdict}: {} at {at:.3} s on {}, {after:.1?} after its last byte, idle for {:.3?} before, used {}, {} bytes received, {}; {}",
             cut.request,
             cut.host,
+            cut.idle,
             cut.used,
             cut.received,
             cut.how,
@@ -50,6 +53,12 @@
     events
 }
 
+/// Whether the host stood still at some time from then on.
+fn was_paused(events: &[(Instant, Event)], from: Instant) -> bool {
+    let resumes = events.iter().filter(|(_, event)| *event == Event::Signal(Signal::SIGCONT));
+    resumes.into_iter().any(|(at, _)| *at >= from)
+}
+
 /// The last events before a time.
 fn describe(events: &[(Instant, Event)], to: Instant) -> String {
     let from = events.len().saturating_sub(6);
