--- a/crates/front/tests/client_soak/fleet.rs
+++ b/crates/front/tests/client_soak/fleet.rs
@@ -36,6 +36,9 @@
 /// The exit code of a host that can't bind its addresses; docs/OPERATIONS.md.
 const BIND_FAILED: i32 = 3;
 
+/// The time in which all hosts have to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
 /// What hosts log; the end of connections is logged at the lowest level.
 const LOG_LEVELS: &str = "info,tarpc=error,myrtle_front::listen=debug";
 
@@ -109,11 +112,14 @@
 
     /// Waits until all hosts are ready.
     pub async fn wait_ready(&self) {
-        for host in &self.0 {
-            while status(host.checks, "/api/readiness").await != 200 {
-                sleep(POLL).await;
+        let ready = async {
+            for host in &self.0 {
+                while status(host.checks, "/api/readiness").await != 200 {
+                    sleep(POLL).await;
+                }
             }
-        }
+        };
+        timeout(READY_LIMIT, ready).await.expect("the hosts were not ready in time");
     }
 
     /// The host to which the platform passes a new connection of a client in a data centre; `draw` decides among equals.
--- a/crates/front/tests/client_soak/verdict.rs
+++ b/crates/front/tests/client_soak/verdict.rs
@@ -15,7 +15,7 @@
 /// Prints the requests that ended without a complete answer; returns how many were lost.
 pub fn judge_cuts(world: &World, ledger: &Ledger, begin: Instant) -> usize {
     let cuts = ledger.cuts.lock().unwrap();
-    let mut lost = 0;
+    let (mut lost, mut within) = (0, Vec::new());
     for cut in cuts.iter() {
         let after = cut.ended - cut.sent;
         let events = history(world, cut);
@@ -31,6 +31,9 @@
             () => "LOST",
         };
         lost += usize::from(verdict.starts_with("LOST"));
+        if after <= SLACK {
+            within.push(since_stop(&events, cut.ended));
+        }
         let at = (cut.sent - begin).as_secs_f64();
         println!(
             "  cut: {verdict}: {} at {at:.3} s on {}, {after:.1?} after its last byte, idle for {:.3?} before, used {}, {} bytes received, {}; {}",
@@ -43,9 +46,17 @@
             describe(&events, cut.ended)
         );
     }
+    println!("  {lost} lost; within the slack, by the time since SIGTERM: {within:.2?}");
     lost
 }
 
+/// The seconds since the host of a request was told to stop, if it was.
+fn since_stop(events: &[(Instant, Event)], to: Instant) -> Option<f64> {
+    let life = events.iter().rev().take_while(|(_, event)| *event != Event::Started);
+    let stop = life.into_iter().find(|(_, event)| *event == Event::Signal(Signal::SIGTERM));
+    stop.map(|(at, _)| (to - *at).as_secs_f64())
+}
+
 /// What happened to the host of a request up to its end.
 fn history(world: &World, cut: &Cut) -> Vec<(Instant, Event)> {
     let mut events = world.fleet.named(&cut.host).unwrap().events();
--- a/crates/standin/src/runner/calls.rs
+++ b/crates/standin/src/runner/calls.rs
@@ -1,7 +1,7 @@
 //! The calls of the platform's worker API that a runner handles.
 
 use std::sync::atomic::Ordering;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde_json::json;
@@ -9,7 +9,7 @@
 
 use myrtle_platform::{HttpRequest, Reply, json, reply, text};
 
-use super::{MAX_LEASE_MS, Run, WorkerStandin, share};
+use super::{MAX_LEASE_MS, Run, WorkerStandin, share, since_1970};
 
 /// A call that starts a run.
 #[derive(Debug, Deserialize)]
@@ -190,7 +190,7 @@
             std::future::pending::<()>().await;
         }
         let state = self.state.lock().expect("no holder panics");
-        let clock = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+        let clock = since_1970();
         let burden = f64::from(self.burden.load(Ordering::Relaxed)) / 100.0;
         let row = |(task, run): (&String, &Run)| {
             let figure = share::figure(&state.runs, run, clock, burden);
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -43,6 +43,11 @@
 /// The memory of a worker, in megabytes.
 const CAPACITY_MEM_MB: u32 = 128_000;
 
+/// The time since 1970.
+fn since_1970() -> Duration {
+    SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default()
+}
+
 #[derive(Debug)]
 struct Run {
     number: u32,
--- a/crates/standin/src/runner/runs.rs
+++ b/crates/standin/src/runner/runs.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::sleep;
 
-use super::{Run, RunRecord, State, TICK, WorkerStandin, share};
+use super::{Run, RunRecord, State, TICK, WorkerStandin, share, since_1970};
 
 impl WorkerStandin {
     /// Advances the work of its runs and ends those that are over, for ever.
@@ -19,7 +19,7 @@
             }
             let mut state = self.state.lock().expect("no holder panics");
             let lapsed = self.clock() > state.until;
-            share::advance(&mut state.runs, passed);
+            share::advance(&mut state.runs, passed, since_1970());
             let over: Vec<String> = state
                 .runs
                 .iter()
--- a/crates/standin/src/runner/share.rs
+++ b/crates/standin/src/runner/share.rs
@@ -29,17 +29,17 @@
 /// The time between two checkpoints of a run, in work.
 const SAVE_EVERY: Duration = Duration::from_millis(500);
 
-/// Advances the work of all runs by a time.
-pub(super) fn advance(runs: &mut BTreeMap<String, Run>, by: Duration) {
-    let claimed: u32 = runs.values().map(|run| run.claimed_cpu()).sum();
-    let left = f64::from(CAPACITY_CPU.saturating_sub(claimed));
+/// Advances the work of all runs by a time, up to `clock`, the time since 1970.
+pub(super) fn advance(runs: &mut BTreeMap<String, Run>, by: Duration, clock: Duration) {
+    let others = runs.values().filter(|run| !run.fills()).map(|run| run.own_cpu(clock));
+    let left = (f64::from(CAPACITY_CPU) - others.sum::<f64>()).max(0.0);
     let wanted: f64 = runs.values().filter(|run| run.fills()).map(Run::wanted_cpu).sum();
     let share = if wanted > left { left / wanted } else { 1.0 };
     for run in runs.values_mut() {
         let Some(plan) = &run.plan else {
             continue;
         };
-        run.used_cpu = run.wanted_cpu() * if run.fills() { share } else { 1.0 };
+        run.used_cpu = if run.fills() { run.wanted_cpu() * share } else { run.own_cpu(clock) };
         run.worked += by.mul_f64(run.used_cpu / f64::from(plan.cpu.max(1)));
         if plan.saves && run.worked >= run.saved + SAVE_EVERY {
             run.saved = run.worked;
@@ -56,12 +56,17 @@
     let TaskKind::Serving { phase } = plan.kind else {
         return run.used_cpu as u64;
     };
-    let cycle = (TAU * (clock.as_secs_f64() / CYCLE_S + phase)).sin();
-    let load = MEAN_LOAD * (1.0 + LOAD_SWING * cycle);
+    let load = load_at(phase, clock);
     let pressure: f64 = runs.values().map(Run::pressure).sum();
     (IDLE_TAIL_MS / (1.0 - (load + pressure + burden).min(MAX_LOAD))).round() as u64
 }
 
+/// The load of a serving task, as a share of what it can serve.
+fn load_at(phase: f64, clock: Duration) -> f64 {
+    let cycle = (TAU * (clock.as_secs_f64() / CYCLE_S + phase)).sin();
+    MEAN_LOAD * (1.0 + LOAD_SWING * cycle)
+}
+
 /// The processors and the memory that runs take, a filler with the processors that it uses.
 pub(super) fn in_use(runs: &BTreeMap<String, Run>) -> (u32, u32) {
     let cpu = |run: &Run| run.claimed_cpu() + if run.fills() { run.used_cpu as u32 } else { 0 };
@@ -121,6 +126,14 @@
         if self.fills() { 0 } else { self.plan.as_ref().map_or(0, |plan| plan.cpu) }
     }
 
+    /// The processors that a run other than a filler uses; a serving one leaves those that its load doesn't need.
+    fn own_cpu(&self, clock: Duration) -> f64 {
+        match self.plan.as_ref().map(|plan| plan.kind) {
+            Some(TaskKind::Serving { phase }) => self.wanted_cpu() * load_at(phase, clock),
+            _ => self.wanted_cpu(),
+        }
+    }
+
     fn memory(&self) -> u32 {
         self.plan.as_ref().map_or(0, |plan| plan.mem_mb)
     }
