--- a/crates/front/tests/client_soak/ledger.rs
+++ b/crates/front/tests/client_soak/ledger.rs
@@ -37,6 +37,8 @@
     pub cuts: Mutex<Vec<Cut>>,
     /// The requests without an answer in time.
     pub silent: Mutex<Vec<Cut>>,
+    /// The jobs that were reported as failed although no task failed so often, with the most losses of one task.
+    pub given_up: Mutex<BTreeMap<String, usize>>,
     /// The answers that were wrong.
     pub wrong: Mutex<Vec<String>>,
 }
@@ -51,6 +53,7 @@
             answers: Mutex::default(),
             cuts: Mutex::default(),
             silent: Mutex::default(),
+            given_up: Mutex::default(),
             wrong: Mutex::default(),
         }
     }
@@ -117,10 +120,8 @@
         if state == "cancelled" && entry.cancelled.is_none() {
             self.blame(&format!("{id} is cancelled by {host}, which nobody asked for"));
         }
-        if state == "failed" && !self.may_fail(&entry.job) {
-            let age = entry.accepted.unwrap().elapsed();
-            let runs = self.history(id);
-            self.blame(&format!("{id} failed by {host} without cause, age {age:?}:{runs}"));
+        if state == "failed" {
+            self.check_failed(&entry, host);
         }
         if state == "completed" && !self.is_done(&entry.job) {
             self.blame(&format!("{id} is completed by {host}, but its tasks aren't done"));
@@ -132,19 +133,30 @@
         self.jobs.lock().unwrap().get_mut(id).unwrap().state = state.into();
     }
 
-    /// Whether the runs of a job allow it to fail.
-    fn may_fail(&self, job: &Job) -> bool {
-        let mut ends: BTreeMap<(String, &str), usize> = BTreeMap::new();
-        for run in self.book.runs().into_iter().filter(|run| run.task.starts_with(&job.id)) {
-            if let Some((_, how)) = run.ended {
-                *ends.entry((run.task, how)).or_default() += 1;
+    /// Checks that the runs of a job allow it to fail.
+    fn check_failed(&self, entry: &Entry, host: &str) {
+        let job = &entry.job;
+        if self.most_ends(job, "failed") >= max_failures(job.prefix) {
+            return;
+        }
+        let losses = self.most_ends(job, "lost");
+        self.given_up.lock().unwrap().insert(job.path(), losses);
+        if losses < MAX_LOSSES {
+            let age = entry.accepted.unwrap().elapsed();
+            let runs = self.history(&job.id);
+            self.blame(&format!("{} failed by {host} without cause, age {age:?}:{runs}", job.id));
+        }
+    }
+
+    /// The largest number of runs of one task of a job that ended in a way.
+    fn most_ends(&self, job: &Job, how: &str) -> usize {
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for run in self.book.runs() {
+            if run.task.starts_with(&job.id) && run.ended.is_some_and(|(_, end)| end == how) {
+                *counts.entry(run.task).or_default() += 1;
             }
         }
-        ends.iter().any(|((_, how), &count)| match *how {
-            "failed" => count >= max_failures(job.prefix),
-            "lost" => count >= MAX_LOSSES,
-            _ => false,
-        })
+        counts.into_values().max().unwrap_or_default()
     }
 
     /// Whether all tasks of a job are done.
--- a/crates/front/tests/client_soak/main.rs
+++ b/crates/front/tests/client_soak/main.rs
@@ -84,6 +84,9 @@
         broken.push(format!("{lost} requests ended without an answer"));
     }
     println!("seed {seed}: ends of runs {:?}", world.ends());
+    let given_up = ledger.given_up.lock().unwrap();
+    println!("seed {seed}: given up for lost runs, with the most of one task: {given_up:?}");
+    drop(given_up);
     println!(
         "seed {seed}: answers by status {:?}, without an answer in time {}, jobs accepted {}, stalls {}",
         ledger.answers.lock().unwrap(),
--- a/crates/front/tests/client_soak/settle.rs
+++ b/crates/front/tests/client_soak/settle.rs
@@ -46,19 +46,21 @@
 /// Waits until all jobs are over and long-running tasks run; returns what broke.
 pub async fn settle(world: &World, ledger: &Ledger, client: &mut Client) -> Vec<String> {
     let begin = Instant::now();
-    let (mut waits, mut broken, mut next) = (Waits::default(), Vec::new(), 0);
+    let (mut waits, mut broken, mut next) = (Waits::default(), BTreeSet::new(), 0);
     loop {
         let seen = Seen::now(world);
         let open: Vec<_> =
             ledger.accepted().into_iter().filter(|entry| !is_settled(entry, &seen)).collect();
+        broken.extend(open.iter().filter_map(given_up));
+        let open: Vec<_> = open.into_iter().filter(|entry| given_up(entry).is_none()).collect();
         if open.is_empty() {
             println!("  settled {:.1?} after the faults", begin.elapsed());
-            return broken;
+            return broken.into_iter().collect();
         }
         if begin.elapsed() > LIMIT {
             let of = |entry: &Entry| open_after_limit(entry, ledger);
             broken.extend(open.iter().map(of));
-            return broken;
+            return broken.into_iter().collect();
         }
         if begin.elapsed() > CALM {
             let waiting: BTreeSet<_> = open.iter().flat_map(|e| seen.waiting(e)).collect();
@@ -72,16 +74,14 @@
                         world.in_use() * 100.0
                     );
                     println!("WAITS: {what}{}", ledger.history(&id));
-                    broken.push(what);
+                    broken.insert(what);
                 }
             }
         }
         for _ in 0..ASKED {
             next += 1;
             let entry = &open[next % open.len()];
-            if entry.job.ending != Ending::Never {
-                ask_for(client, ledger, &entry.job).await;
-            }
+            ask_for(client, ledger, &entry.job).await;
         }
         sleep(LOOK_EVERY).await;
     }
@@ -96,6 +96,12 @@
     }
 }
 
+/// Why a long-running job will not run again, if it is known to be over.
+fn given_up(entry: &Entry) -> Option<String> {
+    let over = entry.job.ending == Ending::Never && is_final(&entry.state);
+    over.then(|| format!("{} runs until it is cancelled, and is {}", entry.job.path(), entry.state))
+}
+
 fn open_after_limit(entry: &Entry, ledger: &Ledger) -> String {
     let id = &entry.job.id;
     println!("OPEN: {}, {}:{}", entry.job.path(), entry.state, ledger.history(id));
