--- a/crates/front/tests/client_soak/ledger.rs
+++ b/crates/front/tests/client_soak/ledger.rs
@@ -140,10 +140,12 @@
             return;
         }
         let losses = self.most_ends(job, "lost");
-        self.given_up.lock().unwrap().insert(job.path(), losses);
+        let runs = self.history(&job.id);
+        if self.given_up.lock().unwrap().insert(job.path(), losses).is_none() {
+            println!("GIVEN UP: {} by {host}, {losses} lost runs of one task:{runs}", job.path());
+        }
         if losses < MAX_LOSSES {
             let age = entry.accepted.unwrap().elapsed();
-            let runs = self.history(&job.id);
             self.blame(&format!("{} failed by {host} without cause, age {age:?}:{runs}", job.id));
         }
     }
