--- a/crates/front/tests/client_soak/faults.rs
+++ b/crates/front/tests/client_soak/faults.rs
@@ -29,8 +29,8 @@
 /// The longest time from the faults' end to their effects' end: the longest one of a stop, plus a pause across it.
 const MAX_PAUSE: Duration = Duration::from_millis(1_500);
 
-/// The time between two waves of a theme's faults.
-const WAVE_EVERY: Duration = Duration::from_millis(1_500);
+/// The time between two waves of a theme's faults, over which each is spread, in milliseconds.
+const WAVE_EVERY_MS: u64 = 1_500;
 
 /// Which faults come beside those of all plays.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -107,14 +107,17 @@
 /// Draws the faults of a play with their times.
 pub fn draw(rng: &mut ChaCha8Rng, theme: Theme, length: Duration) -> Vec<(Duration, Fault)> {
     let mut faults = Vec::new();
-    let mut wave = WAVE_EVERY;
+    let wave_every = Duration::from_millis(WAVE_EVERY_MS);
+    let mut wave = wave_every;
     while wave < length {
-        let workers = (0..WORKERS).filter_map(|worker| {
+        for worker in 0..WORKERS {
+            // Equal times between the faults of a worker would make its runs end at equal ages.
+            let at = wave + Duration::from_millis(rng.random_range(0..WAVE_EVERY_MS));
             let struck = rng.random_bool(WAVE_SHARE);
-            theme.draw(rng, worker).filter(|_| struck)
-        });
-        faults.extend(workers.map(|fault| (wave, fault)));
-        wave += WAVE_EVERY;
+            let fault = theme.draw(rng, worker).filter(|_| struck && at < length);
+            faults.extend(fault.map(|fault| (at, fault)));
+        }
+        wave += wave_every;
     }
     let mut at = Duration::from_millis(rng.random_range(PAUSE_MS));
     while at < length {
