--- a/crates/front/tests/client_soak/main.rs
+++ b/crates/front/tests/client_soak/main.rs
@@ -32,10 +32,10 @@
 use world::World;
 
 /// The time in which clients send requests and faults are injected.
-const LENGTH: Duration = Duration::from_secs(20);
+const LENGTH: Duration = Duration::from_secs(25);
 
 /// The number of clients.
-const CLIENTS: usize = 30;
+const CLIENTS: usize = 40;
 
 /// The number of serving jobs that are there from the beginning.
 const SERVING: usize = 5;
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -261,6 +261,8 @@
     /// lost.
     pub async fn replace(&self, away: Duration) {
         self.crashes.fetch_add(1, Ordering::Relaxed);
+        // They name the incarnation that ended, and the next one refuses them.
+        self.delayed.lock().expect("no holder panics").clear();
         self.restart(away).await;
     }
 }
