--- a/crates/front/tests/client_soak/fleet.rs
+++ b/crates/front/tests/client_soak/fleet.rs
@@ -186,9 +186,10 @@
         let Some(process) = state.process.as_ref().filter(|_| !repeated) else {
             return;
         };
+        // What the signal causes comes after this time.
+        let now = Instant::now();
         // It may have ended by now.
         let _ = kill(Pid::from_raw(process.id() as i32), signal);
-        let now = Instant::now();
         state.events.push((now, Event::Signal(signal)));
         if signal == Signal::SIGTERM {
             state.stopped_at = Some(now);
