--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -2,13 +2,16 @@
 
 mod book;
 mod calls;
+mod plan;
 mod process;
+mod runs;
+mod share;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -20,6 +23,7 @@
 use process::Process;
 
 pub use book::{RunLog, RunRecord};
+pub use plan::{Plans, StepPlan, TaskKind};
 
 /// The longest lease, in milliseconds.
 const MAX_LEASE_MS: u64 = 10_000;
@@ -30,10 +34,34 @@
 /// How long a crashed worker stays down.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
 
+/// The time between two checks for runs that ended.
+const TICK: Duration = Duration::from_millis(5);
+
+/// The processors of a worker, in thousandths of a core.
+const CAPACITY_CPU: u32 = 32_000;
+
+/// The memory of a worker, in megabytes.
+const CAPACITY_MEM_MB: u32 = 128_000;
+
+/// The time since 1970.
+fn since_1970() -> Duration {
+    SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default()
+}
+
 #[derive(Debug)]
 struct Run {
     number: u32,
     from: Instant,
+    /// What it needs and does, if its job has a plan.
+    plan: Option<StepPlan>,
+    /// The speed limit, in percent.
+    percent_limit: u8,
+    /// The processors in use, in thousandths of a core.
+    used_cpu: f64,
+    /// The work done, as time at full speed.
+    worked: Duration,
+    /// The work that the newest checkpoint holds.
+    saved: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -41,7 +69,7 @@
     fence: u64,
     until: u64,
     runs: BTreeMap<String, Run>,
-    ends: Vec<(u64, String, u32, &'static str)>,
+    ends: Vec<(u64, String, u32, &'static str, String)>,
     /// The newest run of each task that ended or was stopped; starts up to it are refused.
     closed: BTreeMap<String, u32>,
     end_count: u64,
@@ -78,6 +106,10 @@
     crash_task: Mutex<Option<String>>,
     /// The service whose tickets it requires, if there is one.
     tickets: OnceLock<Arc<TicketService>>,
+    /// What other programs on its machine add to the load of its serving tasks, in percent.
+    burden: AtomicU32,
+    /// What tasks need and do, if it differs by job.
+    plans: OnceLock<Arc<Plans>>,
     book: Arc<RunLog>,
 }
 
@@ -106,6 +138,8 @@
             strayed: AtomicU32::new(0),
             crash_task: Mutex::default(),
             tickets: OnceLock::new(),
+            burden: AtomicU32::new(0),
+            plans: OnceLock::new(),
             book,
         });
         tokio::spawn(process::listen(runner.clone(), listener));
@@ -124,6 +158,23 @@
         let _ = self.tickets.set(service.clone());
     }
 
+    /// Makes the worker run tasks by the plans of their jobs.
+    pub fn follow(&self, plans: &Arc<Plans>) {
+        let _ = self.plans.set(plans.clone());
+    }
+
+    /// Adds to the load of its serving tasks, in percent, as other programs on its machine do.
+    pub fn burden(&self, percent: u32) {
+        self.burden.store(percent, Ordering::Relaxed);
+    }
+
+    /// The share of its processors or of its memory that is in use, whichever is larger.
+    pub fn in_use(&self) -> f64 {
+        let (cpu, mem) = share::in_use(&self.state.lock().expect("no holder panics").runs);
+        let of = |used: u32, all: u32| f64::from(used) / f64::from(all);
+        of(cpu, CAPACITY_CPU).max(of(mem, CAPACITY_MEM_MB))
+    }
+
     /// The number of calls received.
     pub fn calls(&self) -> u32 {
         self.calls.load(Ordering::Relaxed)
@@ -171,7 +222,7 @@
     pub fn start_late(&self, task: &str) {
         let mut state = self.state.lock().expect("no holder panics");
         state.until = state.until.max(self.clock() + MAX_LEASE_MS);
-        self.begin(&mut state, task.into(), 1);
+        self.begin(&mut state, task.into(), Run::new(1, None));
     }
 
     /// Its listing in the store.
@@ -184,31 +235,11 @@
         json!({
             "service": "s", "address": self.address.to_string(), "zone": data_centre, "version": "v1",
             "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 1, "born": self.started_ms(),
-            "capacity": { "cpu": 32000, "mem_mb": 128_000, "gpu": 0 }, "labels": ["a", "r1"],
+            "capacity": { "cpu": CAPACITY_CPU, "mem_mb": CAPACITY_MEM_MB, "gpu": 0 }, "labels": ["a", "r1"],
         })
         .to_string()
     }
 
-    async fn tick(&self) {
-        loop {
-            sleep(Duration::from_millis(5)).await;
-            if self.is_crashing() {
-                self.crash().await;
-            }
-            let mut state = self.state.lock().expect("no holder panics");
-            let lapsed = self.clock() > state.until;
-            let over: Vec<String> = state
-                .runs
-                .iter()
-                .filter(|(_, r)| lapsed || r.from.elapsed() >= self.work)
-                .map(|(task, _)| task.clone())
-                .collect();
-            for task in over {
-                self.end(&mut state, &task, if lapsed { "lapsed" } else { "done" });
-            }
-        }
-    }
-
     /// Whether the task that crashes it has run for [`CRASH_DELAY`].
     fn is_crashing(&self) -> bool {
         let crash_task = self.crash_task.lock().expect("no holder panics");
@@ -230,38 +261,8 @@
     /// lost.
     pub async fn replace(&self, away: Duration) {
         self.crashes.fetch_add(1, Ordering::Relaxed);
+        // They name the incarnation that ended, and the next one refuses them.
+        self.delayed.lock().expect("no holder panics").clear();
         self.restart(away).await;
     }
-
-    /// Drops its state; its runs are lost.
-    fn drop_state(&self) {
-        let lost = std::mem::take(&mut *self.state.lock().expect("no holder panics")).runs;
-        for (task, run) in lost {
-            self.book.close(&self.name, &task, run.number, "lost");
-        }
-    }
-
-    fn begin(&self, state: &mut State, task: String, run: u32) {
-        let from = Instant::now();
-        state.runs.insert(task.clone(), Run { number: run, from });
-        self.book.open(RunRecord {
-            task,
-            run,
-            worker: self.name.clone(),
-            started: from,
-            ended: None,
-        });
-    }
-
-    fn end(&self, state: &mut State, task: &str, how: &'static str) {
-        let Some(run) = state.runs.remove(task) else {
-            return;
-        };
-        state.end_count += 1;
-        state.ends.push((state.end_count, task.into(), run.number, how));
-        let closed = state.closed.entry(task.into()).or_default();
-        *closed = (*closed).max(run.number);
-        self.book.close(&self.name, task, run.number, how);
-        self.ended.notify_waiters();
-    }
 }
