--- a/crates/owner/src/orders/active_run.rs
+++ b/crates/owner/src/orders/active_run.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// Forgets whether it has begun, for the next incarnation of its worker: its loss counts where it began, and a late
+    /// start is a loss at the next one only if it begins there.
+    pub(crate) fn forget_begun(&mut self) {
+        (self.started_at, self.sent, self.unanswered, self.inherited) = (None, false, false, false);
+    }
+
     /// Applies the worker's report of the run; true if its figure has changed.
     pub(crate) fn show(&mut self, running: &Running, now: u64) -> bool {
         if matches!(self.stage, Stage::Sent | Stage::Unanswered | Stage::Inherited) {
--- a/crates/owner/src/workers/restarts.rs
+++ b/crates/owner/src/workers/restarts.rs
@@ -124,7 +124,7 @@
         next_worker.earlier_starts = before;
         // The entry without a start may be its own.
         next_worker.listed |= unnamed && listed;
-        let inherited = self.move_late_starts(incarnation, next, now);
+        let inherited = self.move_late_starts(incarnation, next, !unnamed, now);
         if unnamed {
             info!("event=worker-named worker={next} runs={inherited}");
         } else {
@@ -137,7 +137,8 @@
         self.stop_late_starts_at(next.id(), now);
     }
 
-    /// Moves starts that may still be carried out to the next incarnation; returns how many.
+    /// Moves starts that may still be carried out to the next incarnation; returns how many. `lost` tells that what has
+    /// begun of them is lost with the previous one.
     ///
     /// An order that was under way when the process ended can't reach the next one by its
     /// connection. One that the platform holds back could, and the task would run twice.
@@ -145,6 +146,7 @@
         &mut self,
         incarnation: &Incarnation,
         next: &Incarnation,
+        lost: bool,
         now: u64,
     ) -> usize {
         let Some(old) = self.workers.get(incarnation) else {
@@ -169,6 +171,9 @@
                 }
                 active.enter(Stage::Stopping, now);
             }
+            if lost {
+                active.forget_begun();
+            }
             let run = active.run;
             next_worker.active_runs.insert(task, active);
             let record = self.jobs.get_mut(&task.job).and_then(|j| j.progress.task_mut(task));
