Losses: a record that counts losses of a task that its job has not stops nothing

What callers would see: a host that reads such a record panics while it holds its cell, and answers nothing more of it, as does each next owner. Cause: the job was to be given up for that task, and the account of its time looked for the task's step. Now the entry is passed over, with a line.

--- a/crates/owner/src/workers/crash.rs
+++ b/crates/owner/src/workers/crash.rs
@@ -190,6 +190,12 @@
             let Some(job) = self.jobs.get(&task.job).filter(|j| !j.progress.state.over()) else {
                 continue;
             };
+            if !job.submission.spec.has_task(task) {
+                warn!(
+                    "event=task-unknown task={task} reason=\"losses are recorded of a task that its job has not\""
+                );
+                continue;
+            }
             if job.progress.is_transferred(task) {
                 continue;
             }
--- a/crates/owner/tests/mutated.rs
+++ b/crates/owner/tests/mutated.rs
@@ -81,6 +81,16 @@
     cell.jobs[&intact].runs(intact).len()
 }
 
+#[test]
+fn losses_of_a_task_that_its_job_has_not_stop_neither_the_owner_nor_other_jobs() {
+    let mut progress = Progress::read(&stored_progress()).unwrap();
+    let task = myrtle_job::TaskId { job: JobId(1), round: 0, step: 117, index: 0 };
+    for _ in 0..u8::MAX {
+        progress.count_loss(task, None, true);
+    }
+    assert!(recover(Some(progress), None) > 0);
+}
+
 proptest! {
     #[test]
     fn a_mutated_progress_stops_neither_the_owner_nor_other_jobs(
