Losses: those of a worker that answers again are taken back, and end no job before it could

Cause: a worker that can't be reached until its lease is over counts as crashed once its entry is gone, which is after three heartbeats (4.5 s), sooner than a lease (6 s there, 10 s elsewhere: there it takes a longer silence). That it answers again, as the same incarnation, changed nothing. Class: what is only not heard of is taken for a proof. Now such losses are taken back when the worker answers again as the incarnation it was, and a job that would end by them ends only once that has had the time of a lease to happen. What it does not cover: a change of owner between the loss and the answer (the log has the count only).

--- a/crates/job/src/crashes.rs
+++ b/crates/job/src/crashes.rs
@@ -89,15 +89,48 @@
     }
 }
 
+/// What was counted for one loss, by which it can be taken back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UncountedLoss {
+    suspect_losses: u8,
+    begun: bool,
+    /// The newest loss before this one, and this one.
+    last: (Option<Loss>, Option<Loss>),
+}
+
 impl Progress {
     /// Counts a loss against a task, none if the age of the run is not known; `begun` tells whether the run is known
     /// to have begun.
-    pub fn count_loss(&mut self, task: TaskId, loss: Option<Loss>, begun: bool) {
-        self.crashes.entry(task).or_default().count(loss);
+    pub fn count_loss(&mut self, task: TaskId, loss: Option<Loss>, begun: bool) -> UncountedLoss {
+        let crashes = self.crashes.entry(task).or_default();
+        let before = *crashes;
+        crashes.count(loss);
+        let suspect_losses = crashes.suspect_losses - before.suspect_losses;
+        let last = (before.last, crashes.last);
         if !begun {
             let unbegun = self.unbegun_losses.entry(task).or_default();
             *unbegun = unbegun.saturating_add(1);
         }
+        UncountedLoss { suspect_losses, begun, last }
+    }
+
+    /// Takes back a loss whose worker turned out to live.
+    pub fn uncount_loss(&mut self, task: TaskId, counted: UncountedLoss) {
+        let Some(crashes) = self.crashes.get_mut(&task) else {
+            return;
+        };
+        crashes.losses = crashes.losses.saturating_sub(1);
+        crashes.suspect_losses = crashes.suspect_losses.saturating_sub(counted.suspect_losses);
+        let (before, last) = counted.last;
+        if crashes.last == last {
+            crashes.last = before;
+        }
+        if let Some(unbegun) = self.unbegun_losses.get_mut(&task).filter(|_| !counted.begun) {
+            *unbegun = unbegun.saturating_sub(1);
+        }
+        if crashes.losses == 0 {
+            self.clear_losses(task);
+        }
     }
 
     /// Clears the losses counted against a task; false if there are none.
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -14,7 +14,7 @@
 mod transfer;
 mod worker;
 
-pub use crashes::{Crashes, Loss};
+pub use crashes::{Crashes, Loss, UncountedLoss};
 pub use fault::Fault;
 pub use id::{InvalidId, JobId, TaskId};
 pub use incarnation::{Incarnation, Replacement};
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -16,6 +16,7 @@
 use crate::placing::unplaceable::Unplaceable;
 use crate::workers::crash::Silence;
 use crate::workers::late_starts::LateStarts;
+use crate::workers::unproven::UnprovenLosses;
 use crate::workers::wave::{OrderPace, WaveState};
 use crate::{InterferenceModel, Job, LoadCycles, Order, TimeLimits, Worker};
 
@@ -84,6 +85,8 @@
     pub(crate) silences: Vec<Silence>,
     /// Tasks that have crashed too many workers, until their jobs are ended.
     pub(crate) given_up_tasks: BTreeSet<TaskId>,
+    /// The losses counted for workers that may only be out of reach.
+    pub(crate) unproven_losses: UnprovenLosses,
     /// Kinds of tasks that found no worker in this pass.
     pub(crate) unplaceable: Vec<Unplaceable>,
     /// Progress of the pass over the waiting tasks.
@@ -151,6 +154,7 @@
             late_starts: LateStarts::default(),
             silences: Vec::new(),
             given_up_tasks: BTreeSet::new(),
+            unproven_losses: UnprovenLosses::default(),
             unplaceable: Vec::new(),
             pass: Pass::default(),
             queues: OwnQueues::default(),
--- a/crates/owner/src/jobs/termination.rs
+++ b/crates/owner/src/jobs/termination.rs
@@ -116,7 +116,8 @@
         self.counts.lost += runs.len() as u64;
         let runs: Vec<_> = runs.into_iter().collect();
         if crashed {
-            self.count_loss_of(incarnation, &runs, answered_at);
+            let unproven_at = (cause == Cause::Lapsed).then_some(now);
+            self.count_loss_of(incarnation, &runs, answered_at, unproven_at);
         }
         for (task, active) in runs {
             // The time between its start and the last reply shows which runs had just started.
--- a/crates/owner/src/workers/crash.rs
+++ b/crates/owner/src/workers/crash.rs
@@ -9,7 +9,7 @@
 use derive_more::Display;
 use log::{info, warn};
 
-use myrtle_job::{Crashes, Incarnation, Loss, State, TaskId};
+use myrtle_job::{Crashes, Incarnation, Loss, State, TaskId, UncountedLoss};
 
 use crate::orders::active_run::Begun;
 use crate::placing::step::step_of;
@@ -99,7 +99,7 @@
     }
 
     /// Counts the loss of a worker against the tasks that ran there, before any of them is started
-    /// again.
+    /// again; `unproven_at` is the time of a loss that is taken back if the worker answers again.
     ///
     /// Otherwise a task that crashes its workers would be started again for as long as its job is
     /// known, each time with the loss of the other runs on the worker: 34 times in two minutes,
@@ -109,6 +109,7 @@
         incarnation: &Incarnation,
         runs: &[(TaskId, ActiveRun)],
         answered_at: u64,
+        unproven_at: Option<u64>,
     ) {
         let silent_since = self.lost_alone(incarnation);
         let alone = silent_since.is_some();
@@ -130,28 +131,29 @@
                 // A start of an earlier owner counts as carried out: its reply went to that owner, and a
                 // task that crashes workers could outlast any number of owners otherwise.
                 let begun = active.begun() == Begun::Yes || active.inherited;
-                self.count_loss(incarnation, *task, loss, begun);
+                let counted = self.count_loss(incarnation, *task, loss, begun);
+                if let Some((counted, at)) = counted.zip(unproven_at) {
+                    self.unproven_losses.add(incarnation, *task, counted, at);
+                }
             }
         }
     }
 
-    /// Counts one loss against a task.
+    /// Counts one loss against a task; returns what takes it back, if it counts.
     fn count_loss(
         &mut self,
         incarnation: &Incarnation,
         task: TaskId,
         loss: Option<Loss>,
         begun: bool,
-    ) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
+    ) -> Option<UncountedLoss> {
+        let job = self.jobs.get_mut(&task.job)?;
         if job.progress.state.over() || job.progress.task(task).is_none_or(|t| t.done) {
-            return;
+            return None;
         }
         let known = |job: &Job| job.progress.crashes.get(&task).copied().unwrap_or_default();
         let before = known(job).suspect_losses;
-        job.progress.count_loss(task, loss, begun);
+        let counted = job.progress.count_loss(task, loss, begun);
         let Crashes { losses, suspect_losses, .. } = known(job);
         if suspect_losses > before {
             info!(
@@ -162,6 +164,7 @@
             self.given_up_tasks.insert(task);
         }
         self.dirty.insert(task.job);
+        Some(counted)
     }
 
     /// Clears the losses counted against a task.
@@ -196,7 +199,12 @@
                 );
                 continue;
             }
-            if job.progress.is_transferred(task) {
+            // Losses may have been taken back since.
+            if job.progress.is_transferred(task) || !job.progress.given_up(task) {
+                continue;
+            }
+            if self.may_be_uncounted(task, now) {
+                self.given_up_tasks.insert(task);
                 continue;
             }
             let Crashes { losses, suspect_losses, .. } =
--- a/crates/owner/src/workers/mod.rs
+++ b/crates/owner/src/workers/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod renewal;
 pub(crate) mod restarts;
 pub(crate) mod stalled;
+pub(crate) mod unproven;
 mod wait;
 pub(crate) mod wave;
 pub(crate) mod worker;
--- a/crates/owner/src/workers/renewal.rs
+++ b/crates/owner/src/workers/renewal.rs
@@ -32,6 +32,7 @@
         }
         let silent = self.workers.get(incarnation).map_or(0, |w| now.saturating_sub(w.answered_at));
         self.update_clock(incarnation, held.clock_ms, now);
+        self.uncount_losses(incarnation);
         let Some(worker) = self.workers.get_mut(incarnation) else {
             return;
         };
