--- a/crates/job/tests/model.rs
+++ b/crates/job/tests/model.rs
@@ -195,7 +195,9 @@
     let task = TaskId { job: JobId(7), round: 0, step: 0, index: 3 };
     let mut progress = Progress { state: State::Running, ..Progress::default() };
     let loss = Some(Loss { age_ms: 10, early: true, isolated: true });
-    (0..3).for_each(|_| progress.count_loss(task, loss, false));
+    for _ in 0..3 {
+        progress.count_loss(task, loss, false);
+    }
     progress.settled_runs.insert(task, 4);
     let (losses, unbegun) = (progress.crashes[&task], progress.unbegun_losses[&task]);
     assert_eq!((losses.suspect_losses, unbegun, progress.begun_losses(task)), (3, 3, 0));
@@ -240,13 +242,32 @@
     let task = TaskId { job: JobId(7), round: 0, step: 0, index: 3 };
     let mut progress = Progress::default();
     let loss = Some(Loss { age_ms: 0, early: true, isolated: true });
-    (0..begun).for_each(|_| progress.count_loss(task, loss, true));
-    (0..unbegun).for_each(|_| progress.count_loss(task, loss, false));
+    for _ in 0..begun {
+        progress.count_loss(task, loss, true);
+    }
+    for _ in 0..unbegun {
+        progress.count_loss(task, loss, false);
+    }
     assert_eq!(progress.given_up(task), given_up);
     assert!(progress.clear_losses(task) && !progress.clear_losses(task));
     assert_eq!((progress.begun_losses(task), progress.given_up(task)), (0, false));
 }
 
+#[rstest]
+#[case::of_a_run_that_had_begun(true)]
+#[case::of_one_that_may_not_have(false)]
+fn a_loss_that_is_taken_back_leaves_the_others(#[case] begun: bool) {
+    let task = TaskId { job: JobId(7), round: 0, step: 0, index: 3 };
+    let loss = |age_ms| Some(Loss { age_ms, early: true, isolated: true });
+    let mut progress = Progress::default();
+    progress.count_loss(task, loss(1), true);
+    let before = progress.clone();
+    let counted = progress.count_loss(task, loss(2), begun);
+    progress.uncount_loss(task, counted);
+    assert_eq!(progress.crashes, before.crashes);
+    assert_eq!(progress.begun_losses(task), 1);
+}
+
 /// The progress of a job of two steps of 40 tasks; those of the second run on 40 workers.
 fn wide_job() -> Progress {
     let spec = job(vec![step(40, 10, &[]), step(40, 10, &[0])]);
