Losses: one taken back leaves no more suspicions than losses, and none of a later one

By a review that had not seen the work: (1) of two similar losses the first one taken back left one loss and two suspicions, so a sound job ended after two; (2) a loss that had been cleared meanwhile was taken from a later one. Now suspicions never exceed losses, and clearing forgets what could be taken back. By reading, left: a late copy of a crashing start at the next process of its worker is not counted.

--- a/crates/job/src/crashes.rs
+++ b/crates/job/src/crashes.rs
@@ -120,7 +120,9 @@
             return;
         };
         crashes.losses = crashes.losses.saturating_sub(1);
-        crashes.suspect_losses = crashes.suspect_losses.saturating_sub(counted.suspect_losses);
+        let suspect_losses = crashes.suspect_losses.saturating_sub(counted.suspect_losses);
+        // A similar loss counts together with the one before it, which may be the one that is taken back.
+        crashes.suspect_losses = suspect_losses.min(crashes.losses);
         let (before, last) = counted.last;
         if crashes.last == last {
             crashes.last = before;
--- a/crates/job/tests/model.rs
+++ b/crates/job/tests/model.rs
@@ -268,6 +268,18 @@
     assert_eq!(progress.begun_losses(task), 1);
 }
 
+#[test]
+fn a_similar_loss_counts_for_one_once_the_other_is_taken_back() {
+    let task = TaskId { job: JobId(7), round: 0, step: 0, index: 3 };
+    let loss = Some(Loss { age_ms: 5_000, early: false, isolated: true });
+    let mut progress = Progress::default();
+    let first = progress.count_loss(task, loss, true);
+    progress.count_loss(task, loss, true);
+    progress.uncount_loss(task, first);
+    let crashes = progress.crashes[&task];
+    assert_eq!((crashes.losses, crashes.suspect_losses), (1, 1));
+}
+
 /// The progress of a job of two steps of 40 tasks; those of the second run on 40 workers.
 fn wide_job() -> Progress {
     let spec = job(vec![step(40, 10, &[]), step(40, 10, &[0])]);
--- a/crates/owner/src/workers/crash.rs
+++ b/crates/owner/src/workers/crash.rs
@@ -169,6 +169,7 @@
 
     /// Clears the losses counted against a task.
     fn clear(&mut self, task: TaskId) {
+        self.unproven_losses.forget(task);
         if let Some(job) = self.jobs.get_mut(&task.job)
             && job.progress.clear_losses(task)
         {
--- a/crates/owner/src/workers/unproven.rs
+++ b/crates/owner/src/workers/unproven.rs
@@ -47,6 +47,13 @@
         self.0.remove(incarnation).map_or_else(Vec::new, |unproven| unproven.losses)
     }
 
+    /// Forgets what was counted against a task.
+    pub(crate) fn forget(&mut self, task: TaskId) {
+        self.0
+            .values_mut()
+            .for_each(|unproven| unproven.losses.retain(|(other, _)| *other != task));
+    }
+
     /// Whether a loss was counted against a task less than `wait` milliseconds ago.
     fn is_recent(&self, task: TaskId, wait: u64, now: u64) -> bool {
         let recent = self.0.values().filter(|unproven| now < unproven.at + wait);
