Fillers: only serving tasks that exceed their targets without them excuse them

Now the last report decides; one that is below its target without fillers no longer counts as over it. An assured filler is no long-running one, the count of assured ones is only taken for fillers, and a worker is avoided once. slow_serving.rs and halted_fillers.rs pass as before.

--- a/crates/owner/src/disruption/blame.rs
+++ b/crates/owner/src/disruption/blame.rs
@@ -22,18 +22,23 @@
 }
 
 impl Blame {
-    /// Updates it: whether some filler works, and since when a serving task exceeds its target.
-    pub(crate) fn update(&mut self, fillers_work: bool, over_since: Option<u64>, now: u64) {
+    /// Updates it: whether some filler works, and whether a serving task exceeds its target.
+    pub(crate) fn update(&mut self, fillers_work: bool, slow: bool, now: u64) {
         if fillers_work {
             self.alone_since = None;
             return;
         }
-        let alone_since = *self.alone_since.get_or_insert(now);
-        if over_since.is_some() && now >= alone_since + ALONE_FOR {
+        self.alone_since.get_or_insert(now);
+        if slow && self.seen_alone(now) {
             self.excused_until = now + EXCUSED_FOR;
         }
     }
 
+    /// Whether the reports show the serving tasks without fillers.
+    pub(crate) fn seen_alone(&self, now: u64) -> bool {
+        self.alone_since.is_some_and(|since| now >= since + ALONE_FOR)
+    }
+
     /// Whether its fillers have no part in what its serving tasks report.
     pub(crate) fn excused(&self, now: u64) -> bool {
         now < self.excused_until
--- a/crates/owner/src/disruption/headroom.rs
+++ b/crates/owner/src/disruption/headroom.rs
@@ -6,7 +6,7 @@
 
 use crate::disruption::forecast::light_limit_at;
 use crate::disruption::interference::LIMIT;
-use crate::{Cell, Worker};
+use crate::{ActiveRun, Cell, Worker};
 
 /// How far below its limit a pressure is kept after a report showed it above: the scatter of a
 /// report.
@@ -76,7 +76,7 @@
 /// Whether a task of the image exceeds its target.
 fn exceeds_target(worker: &Worker, image: &Arc<str>) -> bool {
     let mut tasks = worker.active_runs.values().filter(|f| f.image.as_ref() == Some(image));
-    tasks.any(|f| f.over_since.is_some())
+    tasks.any(ActiveRun::exceeds_target)
 }
 
 /// The highest reported pressure of the image's tasks that have exceeded their target for longer
--- a/crates/owner/src/disruption/learn.rs
+++ b/crates/owner/src/disruption/learn.rs
@@ -49,6 +49,12 @@
 }
 
 impl ActiveRun {
+    /// Whether its last report shows a tail latency above its target.
+    pub(crate) fn exceeds_target(&self) -> bool {
+        let target = self.target.filter(|_| self.pressure.is_some());
+        target.is_some_and(|target| self.figure > f64::from(target))
+    }
+
     /// Computes the pressure from the reported tail latency, if the task serves requests and is
     /// ready.
     fn update_pressure(&mut self, now: u64) {
--- a/crates/owner/src/disruption/throttle.rs
+++ b/crates/owner/src/disruption/throttle.rs
@@ -210,8 +210,14 @@
 impl Worker {
     /// Notes whether fillers work here and whether a serving task exceeds its target.
     fn update_blame(&mut self, now: u64) {
-        let fillers_work = self.fillers().any(|(_, f)| f.speed_limit > 0);
-        self.blame.update(fillers_work, self.active_runs.sums().over_since, now);
+        let working = |f: &ActiveRun| f.filler && f.speed_limit > 0;
+        let fillers_work = self.active_runs.values().any(working);
+        let slow = self.active_runs.values().any(ActiveRun::exceeds_target);
+        self.blame.update(fillers_work, slow, now);
+        if !slow && self.blame.seen_alone(now) && self.active_runs.sums().over_since.is_some() {
+            // Without fillers they are below their targets; beside fillers a little below would not do.
+            self.active_runs.values_mut().for_each(|f| f.over_since = None);
+        }
     }
 }
 
--- a/crates/owner/src/orders/withdraw.rs
+++ b/crates/owner/src/orders/withdraw.rs
@@ -41,7 +41,10 @@
                 continue;
             }
             if let Some(job) = self.jobs.get_mut(&task.job) {
-                job.avoided.entry(task).or_default().push(incarnation.clone());
+                let avoided = job.avoided.entry(task).or_default();
+                if !avoided.contains(&incarnation) {
+                    avoided.push(incarnation.clone());
+                }
             }
             self.withdraw(&incarnation, task, run, IN_VAIN, now);
         }
--- a/crates/owner/src/placing/place.rs
+++ b/crates/owner/src/placing/place.rs
@@ -124,12 +124,12 @@
     /// Assigns the next run of a task to a worker; it starts once the log holds it.
     fn assign(&mut self, task: TaskId, incarnation: &Incarnation, number: Option<u32>, now: u64) {
         let suspect = self.is_suspected(task);
-        let may_assure = self.may_assure();
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         let spec = job.step(task.step).clone();
-        let assured = may_assure && spec.filler && job.tolerance(task, now) == Tolerance::Any;
+        let starving =
+            spec.filler && !spec.long_running && job.tolerance(task, now) == Tolerance::Any;
         let Some(record) = job.progress.task_mut(task) else {
             return;
         };
@@ -146,6 +146,7 @@
             self.queues.count_start(spec.filler, spec.work(), now);
         }
         self.dirty.insert(task.job);
+        let assured = starving && self.may_assure();
         if let Some(worker) = self.workers.get_mut(incarnation) {
             let fresh = ActiveRun::new(run, &spec, Stage::Written, now);
             let active = ActiveRun { suspect, assured, ..fresh };
