Front: reads without progress end, the end of a stop waits for no body, a hand-over has the whole time

By the review: a page without records before the end would have been read for ever; a body that is discarded could outlast the process, so that its answer was not written; a cell whose flush is slow was no longer handed over once clients had their last answers, a second before the kill. `stopped .. released=` tells of the latter. Tests of stops and hand-overs pass as before; none of them shows these three.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -52,8 +52,11 @@
         answer = respond(&host, &head, &mut body, started) => answer,
         () = host.ending.cancelled() => last_answer(&host, &head),
     };
-    if !head.headers.contains_key(EXPECT) && !host.ending.is_cancelled() {
-        discard(&mut body).await;
+    if !head.headers.contains_key(EXPECT) {
+        tokio::select! {
+            () = discard(&mut body) => {}
+            () = host.ending.cancelled() => {}
+        }
     }
     if host.stopping() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use tarpc::context::Context;
@@ -195,11 +196,15 @@
 
 /// Reads pages of new accepted jobs until there are no more; false if that failed.
 async fn read_all_new(host: &Host, owned: &Owned) -> bool {
-    loop {
+    while !owned.closed() {
+        let from = owned.next_offset.load(Ordering::Relaxed);
         match read_new(host, owned, Duration::ZERO).await {
             Ok(true) => return true,
+            // A page without records before the end would be read for ever.
+            Ok(false) if owned.next_offset.load(Ordering::Relaxed) == from => return false,
             Ok(false) => {}
             Err(_) => return false,
         }
     }
+    false
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -118,16 +118,18 @@
         host.successor_calls.close();
         host.successor_calls.wait().await;
     };
-    let finish = async {
-        tokio::join!(release, close_connections(closing, tracker, &times));
+    let serve = async {
+        let connections = close_connections(closing, tracker, &times);
+        let finished = timeout_at(times.answer_all, connections).await.is_ok();
+        closing.cancel();
+        host.ending.cancel();
+        // All of them have an answer now, which only has to be written; after a stall what has arrived is read first.
+        let end = times.end.max(Instant::now() + WRITE_TIME);
+        (finished, timeout_at(end, tracker.wait()).await.is_ok())
     };
-    let finished = timeout_at(times.answer_all, finish).await.is_ok();
-    closing.cancel();
-    host.ending.cancel();
-    // All of them have an answer now, which only has to be written; after a stall what has arrived is read first.
-    let end = times.end.max(Instant::now() + WRITE_TIME);
-    let answered = timeout_at(end, tracker.wait()).await.is_ok();
-    info!("event=stopped finished={finished} answered={answered}");
+    let (released, (finished, answered)) = tokio::join!(timeout_at(times.end, release), serve);
+    let released = released.is_ok();
+    info!("event=stopped released={released} finished={finished} answered={answered}");
     // A separate thread writes the last log lines.
     sleep(Duration::from_millis(50)).await;
 }
