--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -32,8 +32,8 @@
 /// The longest time limit that a client may set.
 const MAX_LIMIT: Duration = Duration::from_secs(300);
 
-/// How long after the end of a client's time a request that has no answer by then is answered: one that has found an
-/// answer of its own meanwhile is preferred.
+/// How long after the end of a client's time a request without an answer gets its last one. Calls that end with the
+/// client's time know better what became of the request, so they come first.
 const LAST_CHANCE: Duration = Duration::from_millis(20);
 
 /// The queue and path of a client's request, and when it has to be answered.
