--- a/review/lab-2/src/lib.rs
+++ b/review/lab-2/src/lib.rs
@@ -1,5 +1,7 @@
 //! A small deployment on loopback: front hosts as separate processes, a store, clients, and a record of what they see.
 
+pub mod worker;
+
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::Write;
