--- a/review/lab-2/src/bin/case-5.rs
+++ b/review/lab-2/src/bin/case-5.rs
@@ -1,238 +1,133 @@
-//! A machine of a maintenance wave crashes while it is drained, and its next life is a worker with a new id.
+//! All workers of a kind in one data centre are lost for good; others of that kind are sound and idle elsewhere.
 //!
-//! Exits with 1 if an upkeep began while `upper_limit` machines of the wave were down for their own.
+//! Exits with 1 if, `finish_s` after the end of the traffic, a job has nothing running for 3 s though a task's turn has
+//! come and there is room for it twice over.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-use myrtle_platform::{HttpRequest, Reply, json as json_reply, reply, serve, text};
-use myrtle_standin::{RunLog, Store, WorkerStandin};
-use review_lab_2::{Bounds, Lab, Record, no_hook, not_run, trouble};
+use myrtle_standin::{RunLog, WorkerStandin};
+use review_lab_2::{Bounds, Lab, no_hook, not_run, trouble};
 
-/// The number of the wave.
-const WAVE: u64 = 5;
+/// The data centres, with the workers of each; the first rack of each is of the kind that the jobs require.
+const CENTRES: [&str; 3] = ["d", "e", "f"];
+const WORKERS: usize = 80;
+const RACK: usize = 12;
 
-/// The most machines of the wave that may be down at once.
-const LIMIT: usize = 1;
+/// The front hosts, two in each data centre.
+const FRONTS: usize = 6;
 
-/// `heartbeat_ms` of the site.
-const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// The jobs, and the time between two.
+const JOBS: u64 = 24;
+const EVERY: Duration = Duration::from_millis(200);
 
-/// `upkeep_s` of the site.
-const UPKEEP: Duration = Duration::from_secs(2);
+/// `finish_s` of the site, and the time in the rule.
+const FINISH: Duration = Duration::from_secs(14);
+const IDLE: Duration = Duration::from_secs(3);
 
-/// How long the crashed worker is away; `srv_crash` in the site has 4.5 s.
-const CRASH_AWAY: Duration = Duration::from_millis(3_000);
-
-/// How long the only task takes.
-const WORK: Duration = Duration::from_secs(25);
-
-/// A life of a machine.
+/// A worker and where it is.
 #[derive(Clone)]
-struct Life {
-    id: String,
+struct Placed {
     worker: Arc<WorkerStandin>,
-    silent_since: Option<Instant>,
-}
-
-#[derive(Default)]
-struct State {
-    /// The lives by machine; the last one is the present one.
-    lives: BTreeMap<String, Vec<Life>>,
-    fences: BTreeMap<String, u64>,
-    begun: BTreeSet<String>,
-    down: BTreeSet<String>,
-    broken: Vec<String>,
-}
-
-/// The machines with their workers, and the service that takes them down for upkeep.
-struct Machines {
-    state: Mutex<State>,
-    store: Arc<Store>,
-    record: Arc<Record>,
-    book: Arc<RunLog>,
+    centre: &'static str,
+    rack: usize,
 }
 
-impl Machines {
-    /// Starts a life of a machine, with an address and an id of its own.
-    async fn live(&self, machine: &str) {
-        let count = self.state.lock().unwrap().lives.get(machine).map_or(0, Vec::len);
-        let id = format!("i-{machine}-{count}");
-        let worker = WorkerStandin::start(&id, WORK, self.book.clone()).await.unwrap();
-        self.record.note(format!("worker: {id} begins on machine {machine}"));
-        let life = Life { id, worker, silent_since: None };
-        self.list(machine, &life);
-        let mut state = self.state.lock().unwrap();
-        state.lives.entry(machine.into()).or_default().push(life);
-    }
-
-    /// Writes a worker's entry.
-    fn list(&self, machine: &str, life: &Life) {
-        let mut entry: Value = serde_json::from_str(&life.worker.listing()).unwrap();
-        entry["machine"] = json!(machine);
-        entry["labels"] = json!([if machine == "m-0" { "big" } else { "a" }, "r1"]);
-        self.store.put("keyed.servers", &life.id, entry.to_string().as_bytes());
-    }
-
-    /// Ends the present life of a machine, which says nothing.
-    fn die(&self, machine: &str, why: &str) {
-        let mut state = self.state.lock().unwrap();
-        let life = state.lives.get_mut(machine).and_then(|lives| lives.last_mut()).unwrap();
-        life.silent_since = Some(Instant::now());
-        life.worker.mute(true);
-        // A worker that is gone breaks no connection: its machine is without power.
-        self.record.note(format!("worker: {} dies, {why}", life.id));
-    }
-
-    /// Workers that live write their entries; those of others go after three reports of silence.
-    async fn heartbeats(self: Arc<Self>) {
-        loop {
-            let lives: Vec<(String, Life)> = {
-                let state = self.state.lock().unwrap();
-                let all = state.lives.iter();
-                all.flat_map(|(m, lives)| lives.iter().map(move |l| (m.clone(), l.clone())))
-                    .collect()
-            };
-            for (machine, life) in lives {
-                match life.silent_since {
-                    None => self.list(&machine, &life),
-                    Some(at) if at.elapsed() >= 3 * HEARTBEAT && at.elapsed() < 4 * HEARTBEAT => {
-                        self.store.put("keyed.servers", &life.id, b"");
-                    }
-                    Some(_) => {}
-                }
-            }
-            sleep(HEARTBEAT).await;
-        }
-    }
-
-    async fn handle(self: Arc<Self>, ask: HttpRequest) -> Reply {
-        let order: Value = serde_json::from_slice(&ask.body).unwrap_or_default();
-        let (Some(machine), "/api/machine-upkeep") = (order["machine"].as_str(), ask.path.as_str())
-        else {
-            return text(400, "unknown call");
-        };
-        let header = |name: &str| {
-            ask.headers.get(name).and_then(|h| h.to_str().ok()).unwrap_or("").to_string()
-        };
-        let (holder, fence) = (header("duty-holder"), header("fencing-token").parse().unwrap_or(0));
-        let mut state = self.state.lock().unwrap();
-        let asked =
-            format!("cloud: upkeep of {machine} wave {} by {holder} fence {fence}", order["wave"]);
-        let refuse = |reason: &str| {
-            self.record.note(format!("{asked} -> 409 {reason}"));
-            reply(409, "application/json", json!({ "reason": reason }).to_string().into_bytes())
-        };
-        if !state.lives.contains_key(machine) {
-            self.record.note(format!("{asked} -> 400"));
-            return text(400, "no such machine");
-        }
-        let seen = state.fences.entry(machine.into()).or_default();
-        if fence < *seen {
-            return refuse("fence");
-        }
-        *seen = fence;
-        if order["wave"] != json!(WAVE) {
-            return refuse("wave");
-        }
-        if state.begun.contains(machine) {
-            self.record.note(format!("{asked} -> 200, it was done before"));
-            return json_reply(&json!({}));
-        }
-        if state.lives[machine].last().is_some_and(|life| life.silent_since.is_some()) {
-            return refuse("busy");
-        }
-        if state.down.len() >= LIMIT {
-            let broken =
-                format!("upkeep of {machine} begins while {:?} are down for theirs", state.down);
-            self.record.note(format!("BROKEN: {broken}"));
-            state.broken.push(broken);
-        }
-        state.begun.insert(machine.into());
-        state.down.insert(machine.into());
-        drop(state);
-        self.record.note(format!("{asked} -> 200, it begins"));
-        self.die(machine, "its machine is down for upkeep");
-        let (this, machine) = (self.clone(), machine.to_string());
-        tokio::spawn(async move {
-            sleep(UPKEEP).await;
-            this.state.lock().unwrap().down.remove(&machine);
-            this.record.note(format!("cloud: upkeep of {machine} is over"));
-            this.live(&machine).await;
-        });
-        json_reply(&json!({}))
+impl Placed {
+    fn entry(&self) -> Vec<u8> {
+        let mut entry: Value =
+            serde_json::from_str(&self.worker.listing_as(self.centre, "ready")).unwrap();
+        let kind = if self.rack == 0 { "big" } else { "a" };
+        entry["labels"] = json!([kind, format!("r-{}-{}", self.centre, self.rack)]);
+        entry.to_string().into_bytes()
     }
 }
 
 #[tokio::main]
 async fn main() {
-    let mut lab = Lab::start(Bounds::default(), no_hook()).await;
+    let centres = CENTRES.map(String::from).to_vec();
+    let bounds = Bounds {
+        centres,
+        hold: 6_000,
+        stop_harm_contact: [400, 4_500, 4_000],
+        capacity: (0.12, 10.0),
+        ..Bounds::default()
+    };
+    let mut lab = Lab::start(bounds, no_hook()).await;
     let book = Arc::new(RunLog::default());
-    let machines = Arc::new(Machines {
-        state: Mutex::default(),
-        store: lab.store.clone(),
-        record: lab.record.clone(),
-        book: book.clone(),
-    });
-    for n in 0..4 {
-        machines.live(&format!("m-{n}")).await;
+    let mut workers = Vec::new();
+    for centre in CENTRES {
+        for n in 0..WORKERS {
+            let id = format!("i-{centre}-{n}");
+            let worker = WorkerStandin::start(&id, Duration::from_millis(1_000), book.clone())
+                .await
+                .unwrap();
+            workers.push(Placed { worker, centre, rack: n / RACK });
+        }
     }
-    tokio::spawn(machines.clone().heartbeats());
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    lab.bounds.more = format!("machines: \"{}\"\n", listener.local_addr().unwrap());
-    let service = machines.clone();
-    tokio::spawn(serve(listener, move |ask| service.clone().handle(ask)));
-    lab.configure(1, |_| {});
-    lab.front("front-1").await;
-    lab.front("front-2").await;
-    lab.wait_owner().await;
-    sleep(Duration::from_secs(2)).await;
-
-    // One task that only the worker of m-0 may run, so that its machine is drained for a while.
-    let job = "5c0e7a21d94b36f8";
-    let step =
-        json!({ "count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": 25000, "requires": "big" });
-    let body = json!({ "spec": "t", "steps": [step] }).to_string();
-    if lab.consumer("front-1", "POST", &format!("/p/{job}"), &body).await.0 != 200 {
-        not_run(&lab.record, "the job was not accepted");
+    let lost = |placed: &Placed| placed.centre == CENTRES[0] && placed.rack == 0;
+    let gone = Arc::new(std::sync::Mutex::new(false));
+    let (listed, store, flag) = (workers.clone(), lab.store.clone(), gone.clone());
+    for placed in &workers {
+        lab.store.put("keyed.servers", &placed.worker.name, &placed.entry());
     }
-    let end = Instant::now() + Duration::from_secs(10);
-    while book.runs().is_empty() {
-        if Instant::now() > end {
-            not_run(&lab.record, "the task did not start");
+    tokio::spawn(async move {
+        loop {
+            sleep(Duration::from_millis(1_500)).await;
+            let gone = *flag.lock().unwrap();
+            let alive = listed.iter().filter(|p| !(gone && p.centre == CENTRES[0] && p.rack == 0));
+            alive.for_each(|p| store.put("keyed.servers", &p.worker.name, &p.entry()));
         }
-        sleep(Duration::from_millis(20)).await;
+    });
+    lab.configure(1, |_| {});
+    for n in 1..=FRONTS {
+        lab.begin_front(&format!("front-{n}"));
+    }
+    for n in 1..=FRONTS {
+        lab.wait_ready(&format!("front-{n}")).await;
     }
-    lab.record.note(format!("worker: the task runs on {}", book.runs()[0].worker));
+    lab.wait_owner().await;
+    sleep(Duration::from_secs(5)).await;
 
-    let order =
-        json!({ "wave": WAVE, "machines": ["m-0", "m-1"], "duration_s": 60, "upper_limit": LIMIT });
-    lab.store.put("keyed.op", &format!("wave/{WAVE}"), order.to_string().as_bytes());
-    lab.record.note(format!("operator: wave {order}"));
-    sleep(Duration::from_millis(1_500)).await;
     if trouble() {
-        machines.die("m-0", "a crash");
-        sleep(CRASH_AWAY).await;
-        machines.live("m-0").await;
-    }
-    let key = format!("wave/{WAVE}");
-    let end = Instant::now() + Duration::from_secs(70);
-    let completed = loop {
-        let status = lab.store.value("keyed.status", &key).unwrap_or_default();
-        if String::from_utf8_lossy(&status).contains("completed") {
-            break true;
+        for placed in workers.iter().filter(|p| lost(p)) {
+            placed.worker.mute(true);
+            lab.record.note(format!("worker: {} crashes and is lost for good", placed.worker.name));
         }
-        if Instant::now() > end {
-            break false;
+        *gone.lock().unwrap() = true;
+        // Their entries go after three liveness reports of silence.
+        sleep(Duration::from_millis(4_500)).await;
+        for placed in workers.iter().filter(|p| lost(p)) {
+            lab.store.put("keyed.servers", &placed.worker.name, b"");
         }
-        sleep(Duration::from_millis(100)).await;
-    };
-    lab.record.note(format!("operator: status/wave/{WAVE} shows completed: {completed}"));
+        sleep(Duration::from_secs(8)).await;
+    }
+    let mut jobs = Vec::new();
+    for n in 0..JOBS {
+        let job = format!("{:016x}", (n + 1).wrapping_mul(0x5c0e_7a21_d94b_36f9));
+        let step = json!({ "count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": 1000, "requires": "big" });
+        let body = json!({ "spec": "t", "steps": [step] }).to_string();
+        let front = format!("front-{}", n as usize % FRONTS + 1);
+        if lab.consumer(&front, "POST", &format!("/p/{job}"), &body).await.0 != 200 {
+            not_run(&lab.record, "a job was not accepted");
+        }
+        jobs.push(job);
+        sleep(EVERY).await;
+    }
+    lab.record.note("consumers: the traffic has ended");
+    let traffic_ended = Instant::now();
+    sleep(FINISH).await;
+    let ran = |job: &String| book.runs().iter().any(|run| run.task.starts_with(job.as_str()));
+    let before: Vec<String> = jobs.iter().filter(|job| !ran(job)).cloned().collect();
+    sleep(IDLE + Duration::from_millis(200)).await;
+    let idle: Vec<String> = before.into_iter().filter(|job| !ran(job)).collect();
+    lab.record.note(format!("checked {:?} after the traffic", traffic_ended.elapsed()));
+    for job in &jobs {
+        lab.consumer("front-2", "GET", &format!("/p/{job}"), "").await;
+    }
     for run in book.runs() {
         lab.record.note(format!(
             "run: {} {} on {} ended {:?}",
@@ -242,9 +137,14 @@
             run.ended.map(|e| e.1)
         ));
     }
-    let broken = machines.state.lock().unwrap().broken.clone();
-    let verdict = if broken.is_empty() { 0 } else { 1 };
-    lab.record.note(format!("verdict: {verdict}"));
+    for job in &idle {
+        let sound = workers.iter().filter(|p| p.rack == 0 && !(trouble() && lost(p))).count();
+        lab.record.note(format!(
+            "BROKEN: job {job} never ran; {sound} sound workers of its kind are idle"
+        ));
+    }
+    let verdict = i32::from(!idle.is_empty());
+    lab.record.note(format!("verdict: {verdict}, {} of {JOBS} jobs never ran", idle.len()));
     lab.end();
     std::process::exit(verdict);
 }
--- a/review/lab-2/src/bin/case-7.rs
+++ b/review/lab-2/src/bin/case-7.rs
@@ -1,161 +1,110 @@
-//! The two workers that may run a step fail what they start for some seconds; later both are sound and idle.
+//! The owner's host is stopped as planned while a copy of a finished task is being stopped; work waits for room.
 //!
-//! Exits with 1 if, `finish_s` after the end of the traffic, a job has nothing running for 3 s though a task's turn has
-//! come and there is room for it twice over.
+//! Exits with 1 if a start takes a worker that doesn't guard its capacity over it.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
-use tokio::time::sleep;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use tokio::time::{sleep, timeout};
 
-use myrtle_standin::{Plans, RunLog, StepPlan, TaskKind, WorkerStandin};
+use review_lab_2::worker::Worker;
 use review_lab_2::{Bounds, Lab, no_hook, not_run, trouble};
 
-/// The workers of the service, and those of the kind that the step requires.
-const WORKERS: usize = 24;
-const BIG: usize = 2;
+/// The workers, of which the first one is slow.
+const WORKERS: usize = 6;
 
-/// How long the runs take: those that start in the grey time end after it, the later pair a moment after the first.
-const WORKS: [Duration; 4] = [
-    Duration::from_millis(7_000),
-    Duration::from_millis(7_000),
-    Duration::from_millis(7_400),
-    Duration::from_millis(7_400),
-];
+/// The front hosts.
+const FRONTS: usize = 4;
 
-/// How long the workers fail what they start; `srv_grey` in the site has 6.5 s.
-const GREY: Duration = Duration::from_millis(6_500);
+/// How often the owner is stopped.
+const STOPS: usize = 3;
 
-/// `finish_s` of the site, and the time in the rule.
-const FINISH: Duration = Duration::from_secs(14);
-const IDLE: Duration = Duration::from_secs(3);
+/// What a task needs, in thousandths of a core: two don't fit on a worker.
+const CPU: u64 = 20_000;
 
 #[tokio::main]
 async fn main() {
     let mut lab = Lab::start(Bounds::default(), no_hook()).await;
-    let book = Arc::new(RunLog::default());
-    let plans = Arc::new(Plans::default());
+    let over = Arc::new(Mutex::new(Vec::new()));
     let mut workers = Vec::new();
     for n in 0..WORKERS {
-        let worker = WorkerStandin::start(&format!("i-{n}"), WORKS[0], book.clone()).await.unwrap();
-        worker.follow(&plans);
-        workers.push(worker);
+        workers.push(Worker::start(&format!("i-{n}"), lab.record.clone(), over.clone()).await);
     }
-    let list = {
-        let (workers, store) = (workers.clone(), lab.store.clone());
-        move || {
-            for (n, worker) in workers.iter().enumerate() {
-                let mut entry: Value = serde_json::from_str(&worker.listing()).unwrap();
-                let kind = if n < BIG { "big" } else { "a" };
-                entry["labels"] = json!([kind, format!("r{}", n / 8)]);
-                store.put("keyed.servers", &worker.name, entry.to_string().as_bytes());
-            }
-        }
-    };
-    list();
+    workers[0].slow_down();
+    lab.record.note("worker: i-0 is slow from now on");
+    let (listed, store) = (workers.clone(), lab.store.clone());
     tokio::spawn(async move {
         loop {
+            listed.iter().for_each(|w| store.put("keyed.servers", &w.id, w.entry().as_bytes()));
             sleep(Duration::from_millis(1_500)).await;
-            list();
         }
     });
-    lab.configure(1, |config| config["routes"][0]["max_attempts"] = json!(2));
-    lab.front("front-1").await;
-    lab.front("front-2").await;
+    lab.configure(1, |config| config["services"][0]["rejects_overload"] = json!(false));
+    for n in 1..=FRONTS {
+        lab.begin_front(&format!("front-{n}"));
+    }
+    for n in 1..=FRONTS {
+        lab.wait_ready(&format!("front-{n}")).await;
+    }
     lab.wait_owner().await;
     sleep(Duration::from_secs(2)).await;
 
-    let jobs = ["5c0e7a21d94b36f8", "91b36f85c0e7a24d", "0d94b36f8b36f85c", "7a21d94be7a24d91"];
-    if trouble() {
-        lab.record.note(format!(
-            "workers: i-0 and i-1, {BIG} of {WORKERS}, fail what they start for {GREY:?}"
-        ));
-    }
-    let grey_from = Instant::now();
-    for (job, work) in jobs.into_iter().zip(WORKS) {
-        // Both workers fail the first run of each task; no later one starts in the grey time.
-        let failures = u32::from(trouble());
-        let plan = StepPlan { cpu: 12_000, mem_mb: 1_000, kind: TaskKind::Short, work, saves: false, failures };
-        plans.set(job, vec![plan]);
-        let step = json!({ "count": 1, "cpu": 12000, "mem_mb": 1000, "estimate_ms": 60000, "requires": "big" });
-        let body = json!({ "spec": "t", "steps": [step] }).to_string();
-        if lab.consumer("front-1", "POST", &format!("/p/{job}"), &body).await.0 != 200 {
-            not_run(&lab.record, "a job was not accepted");
+    // Jobs of one task each, whose tasks may have copies, always a few more than there is room for.
+    let mut number: u64 = 0x5c0e_7a21_d94b_0000;
+    let mut stops = 0;
+    let end = Instant::now() + Duration::from_secs(70);
+    let mut due = Instant::now();
+    let mut stopped: Option<(String, Instant)> = None;
+    while Instant::now() < end && stops <= STOPS {
+        if !over.lock().unwrap().is_empty() {
+            // What comes next is for the record only.
+            sleep(Duration::from_secs(2)).await;
+            break;
         }
-        // Each task starts before the next one comes, so that the two workers get two each.
-        let end = Instant::now() + Duration::from_secs(2);
-        while !book.runs().iter().any(|run| run.task.starts_with(job)) {
-            if Instant::now() > end {
-                not_run(&lab.record, "a task did not start");
-            }
-            sleep(Duration::from_millis(10)).await;
+        if Instant::now() >= due {
+            due += Duration::from_millis(220);
+            number += 1;
+            let step = json!({ "count": 1, "cpu": CPU, "mem_mb": 1000, "estimate_ms": 1000, "speculative": true });
+            let body = json!({ "spec": format!("{CPU} 1000"), "steps": [step] }).to_string();
+            let front = lab.fronts.keys().nth(number as usize % lab.fronts.len()).unwrap().clone();
+            lab.consumer(&front, "POST", &format!("/p/{number:016x}"), &body).await;
         }
-        sleep(Duration::from_millis(30)).await;
-    }
-    let traffic_ended = Instant::now();
-    lab.record.note("consumers: the traffic has ended");
-
-    // How long each job has had nothing running, looked at every 20 ms.
-    let mut idle_since: Vec<Option<Instant>> = vec![None; jobs.len()];
-    let mut longest = vec![Duration::ZERO; jobs.len()];
-    let mut over = vec![false; jobs.len()];
-    while traffic_ended.elapsed() < FINISH + IDLE + Duration::from_millis(300) {
-        sleep(Duration::from_millis(20)).await;
-        if traffic_ended.elapsed() < FINISH {
+        // A host that was stopped starts again after its end.
+        if stopped.as_ref().is_some_and(|(_, at)| at.elapsed() > Duration::from_secs(7)) {
+            let (name, _) = stopped.take().unwrap();
+            lab.fronts.remove(&name);
+            lab.begin_front(&name);
+            lab.wait_ready(&name).await;
+            sleep(Duration::from_secs(3)).await;
+            due = Instant::now();
+        }
+        if timeout(Duration::from_millis(20), workers[0].stopped.notified()).await.is_err()
+            || stopped.is_some()
+        {
             continue;
         }
-        let runs = book.runs();
-        for (n, job) in jobs.iter().enumerate() {
-            let mut of_job = runs.iter().filter(|run| run.task.starts_with(job));
-            over[n] |= of_job.clone().any(|run| run.ended.is_some_and(|(_, how)| how == "done"));
-            let running = of_job.any(|run| run.ended.is_none());
-            if over[n] || running {
-                idle_since[n] = None;
-            } else {
-                let since = *idle_since[n].get_or_insert(Instant::now());
-                longest[n] = longest[n].max(since.elapsed());
-            }
+        stops += 1;
+        if stops > STOPS {
+            break;
         }
-    }
-    let mut broken = false;
-    for (n, job) in jobs.iter().enumerate() {
-        let (_, state) = lab.consumer("front-2", "GET", &format!("/p/{job}"), "").await;
-        let failed = state.contains("failed");
-        lab.record.note(format!(
-            "job {job}: longest time with nothing running from {FINISH:?} on: {:?}",
-            longest[n]
-        ));
-        if longest[n] >= IDLE && !failed {
-            broken = true;
-            lab.record.note(format!(
-                "BROKEN: job {job} has nothing running for {IDLE:?}, both big workers are idle"
-            ));
+        let Some(owner) = lab.owner() else { not_run(&lab.record, "no front host owns the cell") };
+        if trouble() {
+            lab.record.note(format!("platform: SIGTERM to {owner}"));
+            lab.fronts[&owner].signal(Signal::SIGTERM);
+            stopped = Some((owner, Instant::now()));
         }
     }
-    // For the record only: when the jobs went on.
-    let end = Instant::now() + Duration::from_secs(40);
-    while Instant::now() < end
-        && book.runs().iter().filter(|run| run.ended.is_some_and(|e| e.1 == "done")).count()
-            < jobs.len()
-    {
-        sleep(Duration::from_millis(100)).await;
-    }
-    for run in book.runs() {
-        let at = run.started.duration_since(grey_from);
-        if run.run > 1 && at < GREY {
-            not_run(&lab.record, "a second run started while the workers fail all");
-        }
-        lab.record.note(format!(
-            "run: {} {} on {} started {at:?} after the jobs, ended {:?}",
-            run.task,
-            run.run,
-            run.worker,
-            run.ended.map(|e| (e.1, e.0.duration_since(grey_from)))
-        ));
+    if stops == 0 {
+        not_run(&lab.record, "no copy was made on another worker");
     }
-    let verdict = i32::from(broken);
-    lab.record.note(format!("verdict: {verdict}"));
+    let broken = over.lock().unwrap().clone();
+    let verdict = i32::from(!broken.is_empty());
+    lab.record.note(format!(
+        "verdict: {verdict}, {} starts over the capacity, {stops} stops of copies looked at",
+        broken.len()
+    ));
     lab.end();
     std::process::exit(verdict);
 }
--- a/review/lab-2/src/lib.rs
+++ b/review/lab-2/src/lib.rs
@@ -111,15 +111,31 @@
 pub struct Bounds {
     /// The longest lease of a worker, in milliseconds.
     pub hold: u64,
+    /// The longest stop of a run, the longest time over a latency target and the time without the store after which a
+    /// host is out of contact, in milliseconds.
+    pub stop_harm_contact: [u64; 3],
     /// How long the state of a job is kept, in seconds.
     pub status: u64,
     /// Further lines of the settings.
     pub more: String,
+    /// Every data centre; the hosts are in them in turn.
+    pub centres: Vec<String>,
+    /// The host's share of a core and its link, in megabits a second.
+    pub capacity: (f64, f64),
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self { hold: 10_000, status: 120, more: String::new() }
+        let (more, centres) = (String::new(), vec!["d".into()]);
+        let stop_harm_contact = [900, 4_000, 3_000];
+        Self {
+            hold: 10_000,
+            stop_harm_contact,
+            status: 120,
+            more,
+            centres,
+            capacity: (0.25, 1000.0),
+        }
     }
 }
 
@@ -200,12 +216,15 @@
         let pid = std::process::id().to_be_bytes();
         let ip = Ipv4Addr::new(127, 128 + pid[2] % 64, pid[3], self.next_ip);
         self.next_ip += 1;
-        let Bounds { hold, status, more } = &self.bounds;
+        let Bounds { hold, status, more, centres, capacity: (share, link), .. } = &self.bounds;
+        let [stop, harm, contact] = self.bounds.stop_harm_contact;
+        let centre = &centres[self.fronts.len() % centres.len()];
+        let all: String = centres.iter().map(|centre| format!("  - {centre}\n")).collect();
         let text = format!(
-            "name: {name}\ndata_centre: d\ndata_centres:\n  - d\nclients: \"{ip}:8161\"\nchecks: \"{ip}:8167\"\n\
+            "name: {name}\ndata_centre: {centre}\ndata_centres:\n{all}clients: \"{ip}:8161\"\nchecks: \"{ip}:8167\"\n\
              ip: {ip}\npeer_port: 7720\nmetrics: \"{ip}:9464\"\nstore: \"{}\"\ncells: auto\nparts: 24\n\
-             capacity:\n  share: 0.25\n  cores: 1\n  link: 1000\nmember_ttl: 1000\n{more}bounds:\n  hold: {hold}\n  \
-             stop: 900\n  harm: 4000\n  status: {status}\n  grace: 6\n  contact: 3000\n",
+             capacity:\n  share: {share}\n  cores: 1\n  link: {link}\nmember_ttl: 1000\n{more}bounds:\n  hold: {hold}\n  \
+             stop: {stop}\n  harm: {harm}\n  status: {status}\n  grace: 6\n  contact: {contact}\n",
             self.store_at
         );
         let path = self.dir.join(format!("{name}-{}.yaml", self.next_ip));
--- a/review/lab-2/src/worker.rs
+++ b/review/lab-2/src/worker.rs
@@ -139,7 +139,8 @@
                 state.ends.push((number, task.clone(), run.number, how));
                 let closed = state.closed.entry(task.clone()).or_default();
                 *closed = (*closed).max(run.number);
-                self.record.note(format!("worker: {} {task} run {} ends {how}", self.id, run.number));
+                self.record
+                    .note(format!("worker: {} {task} run {} ends {how}", self.id, run.number));
                 self.ended.notify_waiters();
             }
         }
@@ -171,7 +172,8 @@
 
     fn run_start(&self, body: &Value) -> Reply {
         let mut state = self.state();
-        let (task, number) = (body["task"].as_str().unwrap_or("").to_string(), body["run"].as_u64().unwrap_or(0));
+        let (task, number) =
+            (body["task"].as_str().unwrap_or("").to_string(), body["run"].as_u64().unwrap_or(0));
         let until = body["until_ms"].as_u64().unwrap_or(0);
         if until <= self.clock() {
             return self.refuse("late");
@@ -185,14 +187,22 @@
             return self.refuse("old");
         }
         // The spec is "CPU WORK_MS".
-        let mut words = body["spec"].as_str().unwrap_or("").split(' ').map(|w| w.parse().unwrap_or(0));
+        let mut words =
+            body["spec"].as_str().unwrap_or("").split(' ').map(|w| w.parse().unwrap_or(0));
         let (cpu, work): (u64, u64) = (words.next().unwrap_or(0), words.next().unwrap_or(0));
         let factor = if self.slow.load(Ordering::Relaxed) { SLOW } else { 1 };
         let used: u64 = state.runs.values().map(|run| run.cpu).sum();
-        self.record.note(format!("worker: {} starts {task} run {number}, {used} + {cpu} of {CAPACITY} in use", self.id));
+        self.record.note(format!(
+            "worker: {} starts {task} run {number}, {used} + {cpu} of {CAPACITY} in use",
+            self.id
+        ));
         if used + cpu > CAPACITY {
-            let stopping: Vec<_> = state.runs.iter().map(|(t, r)| (t, r.number, r.stopping.is_some())).collect();
-            let broken = format!("{} takes {task} run {number} over its capacity, {used} + {cpu} of {CAPACITY}, beside (task, run, being stopped) {stopping:?}", self.id);
+            let stopping: Vec<_> =
+                state.runs.iter().map(|(t, r)| (t, r.number, r.stopping.is_some())).collect();
+            let broken = format!(
+                "{} takes {task} run {number} over its capacity, {used} + {cpu} of {CAPACITY}, beside (task, run, being stopped) {stopping:?}",
+                self.id
+            );
             self.record.note(format!("BROKEN: {broken}"));
             self.over.lock().unwrap().push(broken);
         }
@@ -203,11 +213,13 @@
 
     fn run_stop(&self, body: &Value) -> Reply {
         let mut state = self.state();
-        let (task, number) = (body["task"].as_str().unwrap_or("").to_string(), body["run"].as_u64().unwrap_or(0));
+        let (task, number) =
+            (body["task"].as_str().unwrap_or("").to_string(), body["run"].as_u64().unwrap_or(0));
         if let Some(run) = state.runs.get_mut(&task).filter(|run| run.number == number) {
             if run.stopping.is_none() {
                 run.stopping = Some(Instant::now());
-                self.record.note(format!("worker: {} is told to stop {task} run {number}", self.id));
+                self.record
+                    .note(format!("worker: {} is told to stop {task} run {number}", self.id));
                 self.stopped.notify_one();
             }
         } else {
@@ -241,7 +253,8 @@
                 json!([task, run.number, "", (100.0 * share.min(1.0)) as u64, run.cpu])
             })
             .collect();
-        let ends: Vec<_> = state.ends.iter().map(|(n, task, run, how)| json!([n, task, run, how, ""])).collect();
+        let ends: Vec<_> =
+            state.ends.iter().map(|(n, task, run, how)| json!([n, task, run, how, ""])).collect();
         json_reply(&json!({ "clock_ms": self.clock(), "running": running, "ended": ends }))
     }
 
