--- a/crates/front/src/discover.rs
+++ b/crates/front/src/discover.rs
@@ -147,8 +147,8 @@
     let mut body = BytesMut::new();
     frame_keyed(&mut body, &host.settings.name, &encode(&announcement));
     let class = announcement.class(class_count(host));
-    let end = host.store.append(HOSTS, class, None, body.freeze(), CALL_LIMIT).await?;
-    Ok(end.saturating_sub(1) as usize)
+    let appended = host.store.append(HOSTS, class, None, body.freeze(), CALL_LIMIT).await?;
+    Ok(appended.end.saturating_sub(1) as usize)
 }
 
 /// The number of announcements in classes of more capacity.
@@ -156,7 +156,7 @@
     let mut sum = 0;
     for class in announcement(host).class(class_count(host)) + 1..class_count(host) {
         // An empty append returns the end of the partition.
-        sum += host.store.append(HOSTS, class, None, Bytes::new(), CALL_LIMIT).await?;
+        sum += host.store.append(HOSTS, class, None, Bytes::new(), CALL_LIMIT).await?.end;
     }
     Ok(sum as usize)
 }
--- a/crates/front/src/flush.rs
+++ b/crates/front/src/flush.rs
@@ -8,7 +8,6 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use myrtle_adapter::{StoreError, Writer, frame_keyed};
-use myrtle_job::Key;
 use myrtle_owner::{Batch, EndedJob, Order};
 
 use crate::answer_time::AnswerTime;
@@ -16,7 +15,7 @@
 use crate::clock::now;
 use crate::hedge::{Outcome, hedged};
 use crate::host::Host;
-use crate::names::{JOBS, OWNER_WRITER, PROGRESS, owner_key, worker_key};
+use crate::names::{OWNER_WRITER, PROGRESS, owner_key, worker_key};
 use crate::owned::Owned;
 use crate::{delivery, handoff, takeover};
 
@@ -33,9 +32,6 @@
 /// The largest append, in bytes; below the platform's limit of 2 MB a call.
 pub const MAX_APPEND: usize = 1 << 20;
 
-/// The time limit for the removal of forgotten jobs; a failure is harmless.
-const DROP_LIMIT: Duration = Duration::from_millis(1_000);
-
 /// The time limit for one series of append attempts: longer than the platform's store keeps a call waiting.
 const APPEND_LIMIT: Duration = Duration::from_millis(2_500);
 
@@ -77,7 +73,6 @@
             }
             number += 1;
         }
-        drop_jobs(host, owned, &batch.removals).await;
         let took = now() - started;
         host.meter.took("myrtle_commit_micros", "", Duration::from_millis(took));
         let (starts, deliveries) = {
@@ -186,15 +181,3 @@
     }
     false
 }
-
-/// Removes the records of forgotten jobs; a failure only leaves them in the log.
-async fn drop_jobs(host: &Host, owned: &Owned, drops: &[Key]) {
-    let mut body = BytesMut::new();
-    drops.iter().for_each(|key| frame_keyed(&mut body, &key.to_string(), &[]));
-    if body.is_empty() {
-        return;
-    }
-    if let Err(e) = host.store.append(JOBS, owned.cell, None, body.freeze(), DROP_LIMIT).await {
-        warn!("event=drop-failed cell={} reason=\"{e}\"", owned.cell);
-    }
-}
--- a/crates/front/src/owned.rs
+++ b/crates/front/src/owned.rs
@@ -38,10 +38,9 @@
     pub wake: Notify,
     /// The number of batches in the log.
     pub committed: watch::Sender<u64>,
-    /// The next offset of accepted jobs to read.
-    pub next_offset: AtomicU64,
     /// The measured time of this owner's work.
     pub busy: Busy,
+    next_offset: Mutex<u64>,
     state: Mutex<Cell>,
     outbox: Mutex<Outbox>,
     renewing: Mutex<BTreeSet<Incarnation>>,
@@ -63,8 +62,8 @@
             fence,
             wake: Notify::new(),
             committed: watch::Sender::new(0),
-            next_offset: AtomicU64::new(0),
             busy: Busy::default(),
+            next_offset: Mutex::new(0),
             state: Mutex::new(state),
             outbox: Mutex::default(),
             renewing: Mutex::default(),
@@ -82,6 +81,11 @@
         self.state.lock().expect("no holder panics")
     }
 
+    /// Locks the offset from which the log of jobs is to be read; whoever locks the state as well does so afterwards.
+    pub fn next_offset(&self) -> MutexGuard<'_, u64> {
+        self.next_offset.lock().expect("no holder panics")
+    }
+
     /// Locks the records that wait to be appended to other cells' logs.
     pub fn outbox(&self) -> MutexGuard<'_, Outbox> {
         self.outbox.lock().expect("no holder panics")
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use tarpc::context::Context;
@@ -14,8 +13,8 @@
 
 use crate::clock::{now, wall};
 use crate::host::Host;
+use crate::job_log::read_new;
 use crate::owned::Owned;
-use crate::takeover::read_new;
 use crate::{handoff, intake};
 
 /// The longest time in which a job from another host is written.
@@ -197,11 +196,11 @@
 /// Reads pages of new accepted jobs until there are no more; false if that failed.
 async fn read_all_new(host: &Host, owned: &Owned) -> bool {
     while !owned.closed() {
-        let from = owned.next_offset.load(Ordering::Relaxed);
+        let from = *owned.next_offset();
         match read_new(host, owned, Duration::ZERO).await {
             Ok(true) => return true,
             // A page without records before the end would be read for ever.
-            Ok(false) if owned.next_offset.load(Ordering::Relaxed) == from => return false,
+            Ok(false) if *owned.next_offset() == from => return false,
             Ok(false) => {}
             Err(_) => return false,
         }
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -1,23 +1,27 @@
 //! Takes over a cell: fences earlier owners, reads the log, then starts the owner's tasks.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use log::{info, warn};
 use tokio::time::sleep;
 
-use myrtle_adapter::{Item, StoreError, Writer, frame_keyed, unframe_keyed};
-use myrtle_job::{Incarnation, JobId, Key, Progress, Submission, Transfer, decode, encode};
+use myrtle_adapter::{Item, StoreError, Writer, frame_keyed};
+use myrtle_job::{Incarnation, JobId, Key, Progress, Submission, decode};
 use myrtle_owner::Cell;
 
 use crate::clock::{now, wall};
 use crate::host::Host;
-use crate::names::{JOBS, OWNER_WRITER, PROGRESS, owner_key, parse_owner, parse_worker};
+use crate::job_log::{self, Record};
+use crate::left_behind::{history, owner_record, removes_records_first};
+use crate::names::{OWNER_WRITER, PROGRESS, owner_key, parse_owner, parse_worker};
 use crate::newest::newest;
 use crate::owned::Owned;
-use crate::{balance, delivery, flush, learned, maintenance, operator, renewal, roster, tick};
+use crate::{
+    balance, delivery, flush, learned, maintenance, operator, removal, renewal, roster, tick,
+};
 
 /// The time limit for an append or a page during a takeover.
 const CALL_LIMIT: Duration = Duration::from_millis(2_000);
@@ -29,12 +33,6 @@
 /// membership lapses after 1.6 s without a renewal.
 const YIELD_EVERY: usize = 32;
 
-/// How long a read waits for accepted jobs.
-const READ_WAIT: Duration = Duration::from_millis(2_000);
-
-/// The time allowed for the reply to a waiting read beyond its wait.
-const REPLY_MARGIN: Duration = Duration::from_millis(700);
-
 /// The call numbers of an owner's first appends.
 const FENCE_APPEND: u64 = 0;
 const LEASE_APPEND: u64 = 1;
@@ -93,7 +91,8 @@
     delivery::deliver_all(&host, &owned, inherited);
     tokio::spawn(learned::run(host.clone(), owned.clone()));
     tokio::spawn(maintenance::run(host.clone(), owned.clone()));
-    follow_jobs(host, owned).await;
+    tokio::spawn(removal::run(host.clone(), owned.clone()));
+    job_log::follow(host, owned).await;
 }
 
 /// Waits until the operator's records have been read, so that nothing starts in an evacuated data centre; ends when a
@@ -113,7 +112,7 @@
 
 /// Records for successors that this owner may have granted leases; false if there is a later owner.
 async fn mark_leasing(host: &Host, owned: &Owned) -> bool {
-    write_owner(host, owned, LEASE_APPEND, &encode(&owned.fence)).await
+    write_owner(host, owned, LEASE_APPEND, &owner_record(owned.fence)).await
 }
 
 /// Writes this owner's record until the log holds it; false if there is a later owner.
@@ -145,31 +144,92 @@
     workers: Vec<(Incarnation, Vec<u8>)>,
     /// Jobs whose progress can't be decoded, with the reason.
     unreadable: Vec<(JobId, String)>,
+    /// The number of earlier owners, and that of those which remove the records of a job first.
+    owners: usize,
+    ordered: usize,
+}
+
+impl ReadProgress {
+    /// Whether earlier owners may have removed the progress of jobs before their submissions.
+    fn unproven(&self) -> bool {
+        self.owners == 0 || self.ordered < self.owners
+    }
+
+    /// The jobs without progress among those of some records.
+    fn without(&self, records: &[Record]) -> BTreeSet<JobId> {
+        let readable = self.progress.iter().map(|(id, _)| *id);
+        let known: BTreeSet<_> =
+            readable.chain(self.unreadable.iter().map(|(id, _)| *id)).collect();
+        let jobs = records.iter().filter_map(|record| match record.key {
+            Key::Job(id) => Some(id),
+            Key::Transfer(_) | Key::Recall(_) => None,
+        });
+        jobs.filter(|id| !known.contains(id)).collect()
+    }
 }
 
 /// Reads the cell's jobs and their progress into the owner's state.
 async fn load(host: &Host, owned: &Owned) -> Result<(), StoreError> {
     let read = read_progress(host, owned).await?;
-    let (jobs, end) = read_jobs(host, owned.cell).await?;
-    for (count, (key, value)) in jobs.iter().enumerate() {
-        yield_turn(count).await;
-        admit(host, owned, *key, value);
-    }
+    let (records, end) = job_log::read_all(host, owned.cell).await?;
+    admit_all(host, owned, &read, &records).await?;
     // Some of these jobs may have been cancelled before they were accepted.
     for (id, why) in read.unreadable {
         owned.state().withhold(id, &why);
     }
+    let unusable = unusable(owned, &records);
     for (count, (id, progress)) in read.progress.into_iter().enumerate() {
         yield_turn(count).await;
+        if unusable.contains(&id) {
+            owned.state().withhold(id, "its submission can't be read");
+            continue;
+        }
         owned.state().restore_progress(id, progress, now());
     }
     // The progress may already contain some of the transfers in the log, so they come after it.
-    let transfers = jobs.iter().filter(|(key, _)| !matches!(key, Key::Job(_)));
-    transfers.for_each(|(key, value)| admit(host, owned, *key, value));
-    owned.next_offset.store(end, Ordering::Relaxed);
+    let transfers = records.iter().filter(|record| !matches!(record.key, Key::Job(_)));
+    transfers.for_each(|record| job_log::apply(host, owned, record));
+    *owned.next_offset() = end;
     Ok(())
 }
 
+/// Admits the jobs of the log's records; those without progress are proved first where that is necessary.
+async fn admit_all(
+    host: &Host,
+    owned: &Owned,
+    read: &ReadProgress,
+    records: &[Record],
+) -> Result<(), StoreError> {
+    let unproven = if read.unproven() { read.without(records) } else { BTreeSet::new() };
+    let history = history(host, owned, &unproven).await?;
+    for (count, record) in records.iter().enumerate() {
+        yield_turn(count).await;
+        match record.key {
+            Key::Job(id) if unproven.contains(&id) => match decode::<Submission>(&record.value) {
+                Ok(submission) => {
+                    let mut cell = owned.state();
+                    cell.admit_unproven(id, submission, &history, now(), wall());
+                    job_log::set_home(host, &mut cell, id);
+                }
+                Err(e) => warn!("event=job-unread key={id} reason=\"{e}\""),
+            },
+            _ => job_log::apply(host, owned, record),
+        }
+    }
+    Ok(())
+}
+
+/// The jobs whose records are in the log but can't be used; their progress must stay.
+fn unusable(owned: &Owned, records: &[Record]) -> BTreeSet<JobId> {
+    let cell = owned.state();
+    let jobs = records.iter().filter_map(|record| match record.key {
+        Key::Job(id) => Some(id),
+        Key::Transfer(transfer) => Some(transfer.job),
+        Key::Recall(_) => None,
+    });
+    jobs.filter(|id| !cell.jobs.contains_key(id)).collect()
+}
+
 /// Yields to other tasks at every `YIELD_EVERY`th record.
 async fn yield_turn(count: usize) {
     if count.is_multiple_of(YIELD_EVERY) {
@@ -185,6 +245,8 @@
             return read.workers.push((incarnation, value));
         }
         if let Some(fence) = parse_owner(&key) {
+            read.owners += 1;
+            read.ordered += usize::from(removes_records_first(&value));
             return owned.state().add_owner(fence);
         }
         let Ok(id) = key.parse::<JobId>() else {
@@ -207,88 +269,3 @@
         warn!("event=trace-unread worker={incarnation} reason=\"{e}\"");
     }
 }
-
-/// Reads all records of a cell's jobs, and the offset at which to continue.
-async fn read_jobs(host: &Host, cell: u32) -> Result<(Vec<(Key, Vec<u8>)>, u64), StoreError> {
-    let mut found = Vec::new();
-    let end = newest(host, JOBS, cell, CALL_LIMIT, |item| match item.key.parse() {
-        Ok(key) => found.push((key, item.value)),
-        Err(e) => warn!("event=record-unread topic={JOBS} reason=\"{e}\""),
-    });
-    let end = end.await?;
-    Ok((found, end))
-}
-
-/// Follows accepted jobs until the owner is closed.
-async fn follow_jobs(host: Arc<Host>, owned: Arc<Owned>) {
-    while !owned.closed() {
-        match read_new(&host, &owned, READ_WAIT).await {
-            Ok(_) => host.store_reached(),
-            Err(StoreError::Gone { first }) => {
-                warn!("event=job-log-cut cell={} first={first}", owned.cell);
-                match read_jobs(&host, owned.cell).await {
-                    Ok((jobs, end)) => {
-                        jobs.iter().for_each(|(key, value)| admit(&host, &owned, *key, value));
-                        owned.next_offset.store(end, Ordering::Relaxed);
-                    }
-                    Err(e) => host.store_failed(&e),
-                }
-            }
-            Err(e) => {
-                host.store_failed(&e);
-                sleep(RETRY_PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Reads a page of new accepted jobs, and waits up to `wait` if there are none; true if there are no more.
-///
-/// # Errors
-///
-/// Fails if the store does not return the page.
-pub async fn read_new(host: &Host, owned: &Owned, wait: Duration) -> Result<bool, StoreError> {
-    let from = owned.next_offset.load(Ordering::Relaxed);
-    let page = host.store.read(JOBS, owned.cell, from, wait, wait + REPLY_MARGIN).await?;
-    let next = from + page.records.len() as u64;
-    let any = !page.records.is_empty();
-    for record in page.records {
-        match unframe_keyed(record) {
-            Ok(framed) => match framed.key.parse() {
-                Ok(key) => admit(host, owned, key, &framed.value),
-                Err(e) => warn!("event=job-unread reason=\"{e}\""),
-            },
-            Err(e) => warn!("event=job-unread reason=\"{e}\""),
-        }
-    }
-    owned.next_offset.fetch_max(next, Ordering::Relaxed);
-    if any {
-        owned.wake.notify_one();
-    }
-    Ok(next >= page.end)
-}
-
-/// Applies an accepted job, an incoming transfer, or its recall.
-fn admit(host: &Host, owned: &Owned, key: Key, value: &[u8]) {
-    if value.is_empty() {
-        return;
-    }
-    let taken = match key {
-        Key::Job(id) => decode::<Submission>(value).map(|submission| {
-            let mut cell = owned.state();
-            cell.admit(id, submission, now(), wall());
-            if let Some(layout) = host.layout() {
-                cell.set_home(id, layout.job_cell(id));
-            }
-        }),
-        Key::Transfer(id) => Transfer::read(value)
-            .map(|part| owned.state().receive_transfer(id, part, now(), wall())),
-        Key::Recall(id) => {
-            owned.state().cancel_transferred(id.job, now(), wall());
-            Ok(())
-        }
-    };
-    if let Err(e) = taken {
-        warn!("event=job-unread key={key} reason=\"{e}\"");
-    }
-}
--- a/crates/front/tests/common/host.rs
+++ b/crates/front/tests/common/host.rs
@@ -81,6 +81,11 @@
         self.host(name).await;
     }
 
+    /// Starts a host that keeps the state of finished jobs for a few seconds, and waits until it is ready.
+    pub async fn forgetful_host(&mut self, name: &str) {
+        self.host_with(name, |text| text.replace("status: 120", "status: 2")).await;
+    }
+
     /// Starts a host without the capacity for a cell of more than one worker.
     pub async fn small_host(&mut self, name: &str) {
         let capacity = "capacity: {share: 0.001, cores: 1, link: 1000}\n";
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -9,6 +9,7 @@
 use crate::health::book::HealthBook;
 use crate::jobs::balance::CellLoad;
 use crate::jobs::early_cancel::EarlyCancel;
+use crate::jobs::removal::Removals;
 use crate::jobs::spread::OwnQueues;
 use crate::placing::mean_work::MeanWork;
 use crate::placing::pass::Pass;
@@ -105,8 +106,8 @@
     pub(crate) to_deliver: Vec<Key>,
     /// Records being sent there.
     pub(crate) sending: BTreeSet<Key>,
-    /// Records of removed jobs to be dropped from the log.
-    pub(crate) removals: Vec<Key>,
+    /// The removal of jobs from the log.
+    pub(crate) removals: Removals,
     /// When loads were last forecast.
     pub(crate) forecast_at: u64,
     /// Jobs with tasks that may have to be placed.
@@ -164,7 +165,7 @@
             cell_loads: BTreeMap::new(),
             to_deliver: Vec::new(),
             sending: BTreeSet::new(),
-            removals: Vec::new(),
+            removals: Removals::default(),
             forecast_at: 0,
             counts: Counts::default(),
             open: BTreeSet::new(),
--- a/crates/owner/src/jobs/admit.rs
+++ b/crates/owner/src/jobs/admit.rs
@@ -1,12 +1,13 @@
-//! Admits jobs from the log or from an earlier owner, and removes them from memory.
+//! Admits jobs from the log or from an earlier owner.
 
 use log::{Level, info, log, warn};
 
-use myrtle_job::{JobId, Key, Progress, Round, State, Submission};
+use myrtle_job::{JobId, Progress, Round, State, Submission};
 
 use crate::account::job::JobAccount;
 use crate::account::phase::Phase;
 use crate::jobs::offer::Offer;
+use crate::jobs::removal::is_of_job;
 use crate::{ActiveRun, Cell, Job, Stage, Worker};
 
 /// The longest age of a job by the stamp in its record, in milliseconds; clocks of hosts may jump.
@@ -15,9 +16,13 @@
 impl Cell {
     /// Admits a job from the log; a repeat of a known job changes nothing.
     pub fn admit(&mut self, id: JobId, submission: Submission, now: u64, wall: u64) {
-        if self.jobs.contains_key(&id) {
+        let again = self.supersede(id);
+        if self.jobs.contains_key(&id) || self.removing(id) {
             return;
         }
+        if again {
+            info!("event=job-again job={id} reason=\"the one before is forgotten\"");
+        }
         if let Err(e) = submission.spec.check() {
             return warn!("event=job-unusable job={id} reason=\"{e}\"");
         }
@@ -56,34 +61,6 @@
         }
     }
 
-    /// Removes jobs that have been over for as long as their state has to be kept.
-    pub fn remove_expired(&mut self, now: u64, wall: u64) {
-        let keep = self.limits.status_ttl + self.limits.status_ttl / 2;
-        self.expire_cancels(keep, now);
-        let is_expired = |j: &Job| {
-            let ended = j.progress.ended_at;
-            let notified = j.progress.outgoing.iter().all(|h| h.recalled);
-            j.progress.state.over() && wall > ended + keep && !j.progress.has_active() && notified
-        };
-        let expired: Vec<_> =
-            self.jobs.iter().filter(|(_, j)| is_expired(j)).map(|(&id, _)| id).collect();
-        expired.into_iter().for_each(|id| self.discard(id));
-    }
-
-    /// Removes a job and drops all its records from the log.
-    pub(crate) fn discard(&mut self, id: JobId) {
-        let Some(Job { progress, .. }) = self.jobs.remove(&id) else {
-            return;
-        };
-        let incoming = progress
-            .incoming
-            .iter()
-            .flat_map(|t| [Key::Transfer(t.transfer), Key::Recall(t.transfer)]);
-        let own = (!progress.incoming_only).then_some(Key::Job(id));
-        self.removals.extend(incoming.chain(own));
-        self.dirty.insert(id);
-    }
-
     /// Stops placing a job of which the progress is not known: started again, its tasks could run
     /// twice.
     pub fn withhold(&mut self, id: JobId, why: &str) {
@@ -92,14 +69,13 @@
         self.repeating.remove(&id);
     }
 
-    /// Restores the progress that an earlier owner wrote for a job.
+    /// Restores the progress that an earlier owner wrote for a job; one that is not known has no records in the log.
     pub fn restore_progress(&mut self, id: JobId, progress: Progress, now: u64) {
         let Some(job) = self.jobs.get_mut(&id) else {
-            if progress.state == State::Cancelled {
-                return self.restore_cancel(id, &progress, now);
+            if is_of_job(&progress) {
+                return self.continue_removal(id, &progress);
             }
-            warn!("event=orphan job={id} reason=\"the log holds its progress but not the job\"");
-            return;
+            return self.restore_cancel(id, &progress, now);
         };
         if !progress.fits(&job.submission.spec) {
             return self.withhold(id, "its progress names tasks that the job doesn't have");
--- a/crates/owner/src/jobs/balance.rs
+++ b/crates/owner/src/jobs/balance.rs
@@ -198,7 +198,7 @@
     /// Removes a transferred job that the other cell no longer has: it is over.
     pub fn remove_transferred(&mut self, id: JobId) {
         if self.transferred_to(id).is_some() {
-            self.discard(id);
+            self.order_removal(id);
         }
     }
 }
--- a/crates/owner/src/jobs/early_cancel.rs
+++ b/crates/owner/src/jobs/early_cancel.rs
@@ -69,6 +69,7 @@
             .filter(|(_, cancel)| now.saturating_sub(cancel.since) >= keep);
         let expired: BTreeSet<_> = expired.map(|(&id, _)| id).collect();
         self.early_cancels.retain(|id, _| !expired.contains(id));
+        expired.iter().for_each(|&id| self.remove_recalls(id));
         self.dirty.extend(expired);
     }
 }
--- a/crates/owner/src/jobs/transfer.rs
+++ b/crates/owner/src/jobs/transfer.rs
@@ -85,7 +85,9 @@
 
     /// Cancels the transferred tasks of a job that is over; a transfer that arrives later is not
     /// started.
-    pub fn cancel_transferred(&mut self, id: JobId, now: u64, wall: u64) {
+    pub fn cancel_transferred(&mut self, transfer: TransferId, now: u64, wall: u64) {
+        let TransferId { job: id, .. } = transfer;
+        self.note_recall(transfer);
         if !self.cancel(id, now, wall) {
             self.cancel_early(id, now, wall);
         }
--- a/crates/owner/src/orders/commit.rs
+++ b/crates/owner/src/orders/commit.rs
@@ -22,8 +22,8 @@
     logged_states: Vec<(JobId, State)>,
     /// Records that other cells may be given after the append.
     to_deliver: Vec<Key>,
-    /// Records of removed jobs.
-    pub removals: Vec<Key>,
+    /// Jobs of which the log holds nothing after the append.
+    removed: Vec<JobId>,
     /// The number of ends in the records that were not in the log before.
     ends: usize,
 }
@@ -43,11 +43,17 @@
 
     /// Collects everything that has changed since the last batch.
     pub fn batch(&mut self) -> Batch {
-        let removals = std::mem::take(&mut self.removals);
         let (worker_records, ends) = (self.worker_records(), self.unlogged.len());
-        let owners = self.earlier_owners.iter().copied().collect();
-        let mut batch = Batch { removals, worker_records, owners, ends, ..Batch::default() };
+        let mut batch = Batch { worker_records, ends, ..Batch::default() };
+        if !self.earlier_owners.is_empty() && !self.unsettled() {
+            batch.owners.extend(&self.earlier_owners);
+        }
         for id in std::mem::take(&mut self.dirty) {
+            if self.removes_progress(id) {
+                batch.records.push((id, Vec::new()));
+                batch.removed.push(id);
+                continue;
+            }
             let Some(job) = self.jobs.get_mut(&id) else {
                 batch.records.push((id, self.cancel_record(id)));
                 continue;
@@ -79,6 +85,7 @@
                 worker.logged_ends = worker.logged_ends.max(number);
             }
         }
+        batch.removed.into_iter().for_each(|id| self.progress_removed(id));
         for (id, state) in batch.logged_states {
             self.state_logged(id, state, now);
         }
--- a/crates/owner/tests/balance.rs
+++ b/crates/owner/tests/balance.rs
@@ -204,6 +204,10 @@
     assert_eq!(cell.maybe_removed(100), vec![]);
     assert_eq!(cell.maybe_removed(later), vec![(JOB, OTHER)]);
     cell.remove_transferred(JOB);
+    let groups = cell.take_removals();
+    assert_eq!(groups, vec![vec![Key::Job(JOB)]]);
+    cell.removals_appended(&groups, 1);
+    cell.records_read(2);
     assert!(cell.batch().records.contains(&(JOB, vec![])));
 });
 
--- a/crates/owner/tests/cells/act.rs
+++ b/crates/owner/tests/cells/act.rs
@@ -176,7 +176,7 @@
                 owner.set_home(id, self.home);
             }
             Key::Transfer(id) => owner.receive_transfer(id, decode(record).unwrap(), now, now),
-            Key::Recall(id) => owner.cancel_transferred(id.job, now, now),
+            Key::Recall(id) => owner.cancel_transferred(id, now, now),
         }
     }
 }
--- a/crates/owner/tests/parts.rs
+++ b/crates/owner/tests/parts.rs
@@ -151,7 +151,7 @@
     cells.run(TRANSFER_LIMIT);
     let transfer: Transfer = decode(&cells.records(OTHER)[0].1).unwrap();
     let mut late = owner(OTHER as u32, 9, 0);
-    late.cancel_transferred(JOB, 10, 10);
+    late.cancel_transferred(FIRST, 10, 10);
     late.receive_transfer(FIRST, transfer, 20, 20);
     late.plan(30);
     let batch = late.batch();
@@ -193,9 +193,12 @@
     let later = cells.now + 3 * myrtle_owner::TimeLimits::default().status_ttl;
     let cell = cells.owner(OTHER);
     cell.remove_expired(later, later);
-    let batch = cell.batch();
-    assert_eq!(batch.removals, vec![Key::Transfer(FIRST), Key::Recall(FIRST)]);
-    assert_eq!(batch.records, vec![(JOB, vec![])]);
+    let groups = cell.take_removals();
+    assert_eq!(groups, vec![vec![Key::Transfer(FIRST), Key::Recall(FIRST)]]);
+    assert!(cell.batch().is_empty(), "the progress stays as long as the records may");
+    cell.removals_appended(&groups, 9);
+    cell.records_read(10);
+    assert_eq!(cell.batch().records, vec![(JOB, vec![])]);
 });
 
 #[test]
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -70,6 +70,8 @@
     delays: Mutex<BTreeMap<String, Duration>>,
     /// The highest epoch whose writers are rejected, by topic.
     rejected: Mutex<BTreeMap<String, u64>>,
+    /// Topics that refuse all appends.
+    refusing: Mutex<BTreeSet<String>>,
 }
 
 #[derive(Deserialize)]
@@ -104,6 +106,15 @@
         self.rejected.lock().expect("no holder panics").insert(topic.into(), epoch);
     }
 
+    /// Sets whether a topic refuses all appends without executing them, as while its partitions are down.
+    pub fn refuse_appends(&self, topic: &str, refuses: bool) {
+        let mut refusing = self.refusing.lock().expect("no holder panics");
+        match refuses {
+            true => refusing.insert(topic.into()),
+            false => refusing.remove(topic),
+        };
+    }
+
     /// The number of calls by path.
     pub fn calls(&self) -> BTreeMap<String, u64> {
         self.calls.lock().expect("no holder panics").clone()
@@ -270,6 +281,10 @@
             epoch: number(ask, "epoch"),
             call: number(ask, "call_seq"),
         });
+        let topic = ask.param("topic").unwrap_or_default();
+        if self.refusing.lock().expect("no holder panics").contains(topic) {
+            return text(503, "partition unavailable");
+        }
         let rejected = self.rejected_epoch(ask);
         if writer.as_ref().is_some_and(|w| rejected.is_some_and(|epoch| w.epoch <= epoch)) {
             return text(503, "writer rejected");
