Removals: a metric of open ones, no call where nothing is unproven, and a test of their cost

The level counted what was taken in a quarter of a second, mostly none; it counts the jobs that are being removed. A takeover that has nothing to compare logged an empty comparison. The test: one append to each log a round of removals, as before the change.

--- a/crates/front/src/left_behind.rs
+++ b/crates/front/src/left_behind.rs
@@ -43,8 +43,11 @@
     jobs: &BTreeSet<JobId>,
 ) -> Result<History, StoreError> {
     let mut history = History { complete: true, ..History::default() };
+    if jobs.is_empty() {
+        return Ok(history);
+    }
     let mut from = 0;
-    while !jobs.is_empty() && !owned.closed() {
+    while !owned.closed() {
         let page = host.store.read(PROGRESS, owned.cell, from, Duration::ZERO, PAGE_LIMIT).await;
         let page = match page {
             Err(StoreError::Gone { first }) if first > from => {
--- a/crates/front/src/removal.rs
+++ b/crates/front/src/removal.rs
@@ -38,8 +38,11 @@
 pub async fn run(host: Arc<Host>, owned: Arc<Owned>) {
     let mut number = 0;
     while !owned.closed() {
-        let groups = owned.state().take_removals();
-        host.meter.level("myrtle_removals", &format!("cell {}", owned.cell), groups.len() as i64);
+        let (groups, open) = {
+            let mut cell = owned.state();
+            (cell.take_removals(), cell.open_removals())
+        };
+        host.meter.level("myrtle_removals", &format!("cell {}", owned.cell), open as i64);
         for groups in appends(groups) {
             if !remove(&host, &owned, number, &groups).await {
                 return;
--- a/crates/owner/src/jobs/removal.rs
+++ b/crates/owner/src/jobs/removal.rs
@@ -90,6 +90,11 @@
         std::mem::take(&mut self.removals.queue)
     }
 
+    /// The number of jobs that are being removed.
+    pub fn open_removals(&self) -> usize {
+        self.removals.jobs.len()
+    }
+
     /// Notes that the log holds these removals, the last one at offset `last`.
     pub fn removals_appended(&mut self, groups: &[RemovalGroup], last: u64) {
         for group in groups {
--- a/crates/owner/tests/removal/log.rs
+++ b/crates/owner/tests/removal/log.rs
@@ -61,7 +61,7 @@
     pub owners: BTreeMap<u64, bool>,
     job_writer: WriterState,
     progress_writer: WriterState,
-    /// The appends carried out to each topic, and their records.
+    /// The number of removals and of writes of progress that were carried out.
     pub appends: [usize; 2],
 }
 
--- a/crates/owner/tests/removals.rs
+++ b/crates/owner/tests/removals.rs
@@ -89,6 +89,16 @@
     }
 }
 
+// Guards against removals that cost more than one append to each log.
+#[test]
+fn a_removal_takes_one_append_to_each_log() {
+    let mut world = about_to_remove(Faults::default());
+    let [removals, writes] = world.logs.appends;
+    world.run(3_000);
+    assert_eq!(world.state(JOB), None);
+    assert_eq!(world.logs.appends, [removals + 1, writes + 1]);
+}
+
 // Guards against jobs whose records are removed before the log says that they are over.
 #[test]
 fn a_job_whose_end_is_not_logged_keeps_its_records() {
