--- a/crates/front/tests/waves.rs
+++ b/crates/front/tests/waves.rs
@@ -16,6 +16,9 @@
 /// The number of the wave.
 const WAVE: u64 = 5;
 
+/// The number of a wave that shares its first machine with the other one.
+const NEXT_WAVE: u64 = 6;
+
 /// The number of machines in the wave.
 const MACHINES: usize = 3;
 
@@ -64,14 +67,19 @@
         self.site.maintained_host(&format!("h{}", self.hosts), &self.service).await;
     }
 
-    /// Waits until the wave is complete, and checks that never too many machines were down.
-    async fn check(&self) {
+    /// Waits until a wave is shown as complete.
+    async fn wait_complete(&self, wave: u64) {
         until(|| async {
-            let key = format!("wave/{WAVE}");
+            let key = format!("wave/{wave}");
             let status = self.site.store.value("keyed.status", &key).unwrap_or_default();
             String::from_utf8_lossy(&status).contains("completed")
         })
         .await;
+    }
+
+    /// Waits until the wave is complete, and checks that never too many machines were down.
+    async fn check(&self) {
+        self.wait_complete(WAVE).await;
         assert_eq!(self.service.beyond(), vec![]);
         assert_eq!(self.service.holders().len(), MACHINES);
     }
@@ -118,6 +126,24 @@
     }
 );
 
+// Guards against a wave that takes the worker after another wave's maintenance for that after its own, and goes on to
+// the next machine beside the one that is down; needs no disruption.
+#[tokio::test]
+async fn waves_that_share_a_machine_keep_to_their_limits() {
+    let site = Maintained::start(1).await;
+    site.service.add_wave(NEXT_WAVE, 1);
+    site.service.cut_power();
+    let names = site.service.names();
+    let shared = [&names[0], &names[MACHINES]];
+    let next = json!({ "wave": NEXT_WAVE, "machines": shared, "duration_s": 60, "upper_limit": 1 });
+    site.order(1);
+    site.site.store.put("keyed.op", &format!("wave/{NEXT_WAVE}"), next.to_string().as_bytes());
+    site.wait_complete(WAVE).await;
+    site.wait_complete(NEXT_WAVE).await;
+    assert_eq!(site.service.beyond(), vec![]);
+    assert_eq!(site.service.holders().len(), MACHINES + shared.len());
+}
+
 case!(
     /// Guards against an order that was carried out without an answer before its owner ended.
     a_wave_keeps_to_its_limit_when_answers_are_lost, 1, site, {
--- a/crates/owner/src/workers/list.rs
+++ b/crates/owner/src/workers/list.rs
@@ -40,6 +40,7 @@
         worker.update_evacuated(&self.evacuated);
         worker.listed = true;
         worker.entry_read = true;
+        self.join_turn(&incarnation);
         self.stop_late_starts_at(id, now);
     }
 
--- a/crates/owner/src/workers/renewal.rs
+++ b/crates/owner/src/workers/renewal.rs
@@ -36,6 +36,7 @@
         let Some(worker) = self.workers.get_mut(incarnation) else {
             return;
         };
+        worker.alive_at = worker.alive_at.max(sent);
         if worker.presence != Presence::Answering {
             // After a takeover all workers answer for the first time; one line covers them all.
             let level =
--- a/crates/owner/src/workers/restarts.rs
+++ b/crates/owner/src/workers/restarts.rs
@@ -130,7 +130,7 @@
         } else {
             self.remove_runs(incarnation, Cause::Restarted, now);
         }
-        self.rebind_turns(incarnation, next);
+        self.join_turn(next);
         if self.workers.remove(incarnation).is_some_and(|w| w.logged) {
             self.obsolete_records.push(incarnation.clone());
         }
--- a/crates/owner/src/workers/wave/mod.rs
+++ b/crates/owner/src/workers/wave/mod.rs
@@ -12,10 +12,8 @@
 
 use log::{info, warn};
 
-use myrtle_base::growing_pause;
-use myrtle_job::Incarnation;
-
 use crate::Cell;
+use myrtle_base::growing_pause;
 
 pub(crate) use pace::OrderPace;
 pub use record::{TurnRecord, WaveChange, WaveRecord};
@@ -88,7 +86,7 @@
             turns.len()
         );
         let turns = turns.into_iter().filter(|(machine, _)| !done.contains(machine));
-        let turns = turns.map(|(machine, record)| (machine, Turn::inherit(record, now)));
+        let turns = turns.map(|(machine, record)| (machine, Turn::inherit(&record, now)));
         let (number, turns) = (wave.number, turns.collect());
         let state = WaveState { since: now, turns, done, recorded: false, told: None, wave };
         self.waves.insert(number, state);
@@ -138,44 +136,26 @@
         let Some(state) = self.waves.get_mut(&number) else {
             return;
         };
-        let Some(Turn::Ordered { incarnation, failures, .. }) = state.turns.get(machine).cloned()
-        else {
+        let Some(&Turn::Ordered { since, failures, .. }) = state.turns.get(machine) else {
             return;
         };
         match outcome {
             Maintenance::Begun => {
                 // Its worker may live on, as maintenance may have been done before.
-                state.turns.insert(machine.into(), Turn::Down { incarnation, since: now });
+                state.turns.insert(machine.into(), Turn::Down { since: now });
                 state.recorded = false;
             }
             Maintenance::Dropped => {
                 state.finish(machine);
-                if let Some(incarnation) = incarnation {
-                    self.set_maintenance(&incarnation, false);
-                }
+                self.release(machine);
             }
             Maintenance::Again => {
                 let failures = failures.saturating_add(1);
                 let retry_at = now + growing_pause(RETRY_AFTER, MAX_RETRY_AFTER, failures);
-                let turn = Turn::Ordered { incarnation, retry_at, failures };
-                state.turns.insert(machine.into(), turn);
+                state.turns.insert(machine.into(), Turn::Ordered { since, retry_at, failures });
             }
         }
     }
-
-    /// Moves the turn of a worker that has restarted to its next incarnation: its machine still
-    /// needs maintenance.
-    pub(crate) fn rebind_turns(&mut self, incarnation: &Incarnation, next: &Incarnation) {
-        let turns = self.waves.values_mut().flat_map(|state| state.turns.values_mut());
-        let mut moved = false;
-        for current in turns.filter_map(Turn::incarnation_mut).filter(|c| *c == incarnation) {
-            current.clone_from(next);
-            moved = true;
-        }
-        if moved {
-            self.set_maintenance(next, true);
-        }
-    }
 }
 
 impl WaveState {
--- a/crates/owner/src/workers/wave/record.rs
+++ b/crates/owner/src/workers/wave/record.rs
@@ -20,7 +20,7 @@
 pub enum TurnRecord {
     /// Maintenance is being ordered.
     Ordered,
-    /// It has begun, while this incarnation was on the machine, as far as known.
+    /// It has begun; earlier builds named a worker that was on the machine before, which tells nothing.
     Down(Option<Incarnation>),
 }
 
--- a/crates/owner/src/workers/wave/turn.rs
+++ b/crates/owner/src/workers/wave/turn.rs
@@ -1,4 +1,13 @@
 //! The turns of machines in a wave: drained, ordered, down, and up again.
+//!
+//! A turn is that of a machine, not of the worker that was there when it began: the worker may crash, and another one
+//! may be on the machine before maintenance begins, also because of another wave. So every worker on a machine whose
+//! turn is under way is drained.
+//!
+//! A machine is up again once a worker on it has answered a call that was sent after the machine service had confirmed
+//! that maintenance has begun. Nothing else tells the worker before from the one after: the former may have joined at
+//! any time up to the order, its entry and its answers arrive late, and where maintenance was done before, it is the
+//! same one.
 
 use log::info;
 
@@ -6,15 +15,7 @@
 
 use crate::workers::wave::WaveState;
 use crate::workers::wave::record::TurnRecord;
-use crate::{Cell, Presence};
-
-/// How long after the order the same incarnation must still be present for its machine to count as
-/// skipped, in milliseconds: maintenance and the listing of the next incarnation take less.
-const SKIPPED_AFTER: u64 = 6_000;
-
-/// How long after the order the same incarnation must have replied for that, in milliseconds: a
-/// machine goes down at once, so a reply that was sent before has arrived by then.
-const ALIVE_AFTER: u64 = 1_500;
+use crate::{Cell, Presence, Worker};
 
 /// How long a successor waits for a worker on a machine that an earlier owner may have ordered
 /// maintenance for, in milliseconds; without one there is nothing to drain.
@@ -24,47 +25,42 @@
 /// started again are stopped.
 const DRAIN_SHARE: f64 = 0.5;
 
-/// The progress of a machine; its incarnation is the one of its worker when the turn began, if there
-/// was one.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// The progress of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Turn {
-    /// An earlier owner may have ordered maintenance; its worker is awaited.
+    /// An earlier owner may have ordered maintenance; a worker is awaited.
     Inherited { since: u64 },
-    /// Its worker is being drained; an earlier owner may have ordered maintenance.
-    Draining { incarnation: Incarnation, since: u64, inherited: bool },
+    /// Its workers are being drained; an earlier owner may have ordered maintenance.
+    Draining { since: u64, inherited: bool },
     /// Maintenance is ordered once that is in the log, and again at `retry_at` unless it has begun.
-    Ordered { incarnation: Option<Incarnation>, retry_at: u64, failures: u32 },
-    /// It has gone down; another incarnation is expected.
-    Down { incarnation: Option<Incarnation>, since: u64 },
+    Ordered { since: u64, retry_at: u64, failures: u32 },
+    /// The machine service has confirmed that it has begun.
+    Down { since: u64 },
 }
 
 impl Turn {
     /// The turn that follows from an earlier owner's record.
-    pub(super) fn inherit(record: TurnRecord, now: u64) -> Self {
+    pub(super) fn inherit(record: &TurnRecord, now: u64) -> Self {
         match record {
             TurnRecord::Ordered => Self::Inherited { since: now },
-            TurnRecord::Down(incarnation) => Self::Down { incarnation, since: now },
+            TurnRecord::Down(_) => Self::Down { since: now },
         }
     }
 
     /// What successors have to know; nothing if they can begin the turn anew.
-    pub(super) fn record(&self) -> Option<TurnRecord> {
+    pub(super) fn record(self) -> Option<TurnRecord> {
         match self {
             Self::Draining { inherited: false, .. } => None,
             Self::Inherited { .. } | Self::Draining { .. } | Self::Ordered { .. } => {
                 Some(TurnRecord::Ordered)
             }
-            Self::Down { incarnation, .. } => Some(TurnRecord::Down(incarnation.clone())),
+            Self::Down { .. } => Some(TurnRecord::Down(None)),
         }
     }
 
-    /// The incarnation that maintenance is to end, which another one may replace.
-    pub(super) fn incarnation_mut(&mut self) -> Option<&mut Incarnation> {
-        match self {
-            Self::Draining { incarnation, .. } => Some(incarnation),
-            Self::Ordered { incarnation, .. } => incarnation.as_mut(),
-            Self::Inherited { .. } | Self::Down { .. } => None,
-        }
+    /// Whether maintenance of the machine is still to begin.
+    fn is_pending(self) -> bool {
+        !matches!(self, Self::Down { .. })
     }
 }
 
@@ -76,31 +72,33 @@
         now: u64,
         orders: &mut Vec<(String, u64)>,
     ) {
-        let turns: Vec<_> = state.turns.iter().map(|(m, t)| (m.clone(), t.clone())).collect();
+        let turns: Vec<_> = state.turns.iter().map(|(m, t)| (m.clone(), *t)).collect();
         for (machine, turn) in turns {
             let due = match turn {
                 Turn::Inherited { since } => {
                     self.take_on(state, &machine, since, now);
                     None
                 }
-                Turn::Draining { incarnation, since, .. } => {
-                    let urgent =
-                        now.saturating_sub(since) as f64 > DRAIN_SHARE * state.wave.machine_time();
-                    self.drain(&incarnation, urgent, now).then_some((Some(incarnation), 0))
+                Turn::Draining { since, .. } => Some((since, 0)),
+                Turn::Ordered { since, retry_at, failures } => {
+                    (now >= retry_at).then_some((since, failures))
                 }
-                Turn::Ordered { incarnation, retry_at, failures } => {
-                    (now >= retry_at).then_some((incarnation, failures))
-                }
-                Turn::Down { incarnation, since } => {
-                    self.end_turn(state, &machine, incarnation.as_ref(), since, now);
+                Turn::Down { since } => {
+                    self.end_turn(state, &machine, since, now);
                     None
                 }
             };
-            let Some((incarnation, failures)) = due.filter(|_| self.wave_pace.take(now)) else {
+            let share = DRAIN_SHARE * state.wave.machine_time();
+            let drained = |since: u64, cell: &mut Self| {
+                let urgent = now.saturating_sub(since) as f64 > share;
+                cell.drain_machine(&machine, urgent, now)
+            };
+            let due = due.filter(|(since, _)| drained(*since, self) && self.wave_pace.take(now));
+            let Some((since, failures)) = due else {
                 continue;
             };
             // The next attempt waits for the reply to this one.
-            let turn = Turn::Ordered { incarnation, retry_at: u64::MAX, failures };
+            let turn = Turn::Ordered { since, retry_at: u64::MAX, failures };
             if !matches!(state.turns.insert(machine.clone(), turn), Some(Turn::Ordered { .. })) {
                 state.recorded = false;
             }
@@ -109,54 +107,66 @@
         self.begin_turns(state, now);
     }
 
-    /// Marks a worker as in maintenance, so that nothing is started there, or as out of it.
-    pub(super) fn set_maintenance(&mut self, incarnation: &Incarnation, in_maintenance: bool) {
-        if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.in_maintenance = in_maintenance;
-        }
+    /// Marks a worker that is new on its machine as in maintenance if the machine's turn is under way.
+    pub(crate) fn join_turn(&mut self, incarnation: &Incarnation) {
+        let Some(worker) = self.workers.get_mut(incarnation) else {
+            return;
+        };
+        let machine = worker.listing.as_ref().and_then(|l| l.machine.as_deref());
+        let pending = |machine: &str| self.waves.values().any(|wave| wave.is_pending(machine));
+        worker.in_maintenance |= machine.is_some_and(pending);
+    }
+
+    /// Lets the workers on a machine get work again, unless another wave is about to maintain it.
+    pub(super) fn release(&mut self, machine: &str) {
+        let pending = self.waves.values().any(|wave| wave.is_pending(machine));
+        self.workers_on(machine).for_each(|(_, worker)| worker.in_maintenance = pending);
+    }
+
+    /// Drains all workers on a machine; true once nothing runs there.
+    fn drain_machine(&mut self, machine: &str, urgent: bool, now: u64) -> bool {
+        let workers = self.workers_on(machine).map(|(incarnation, worker)| {
+            worker.in_maintenance = true;
+            incarnation.clone()
+        });
+        let workers: Vec<_> = workers.collect();
+        let busy = workers.iter().filter(|worker| !self.drain(worker, urgent, now));
+        busy.count() == 0
     }
 
     /// Takes on the turn of an earlier owner, which may have ordered maintenance that was never
     /// begun, is under way or is over. The worker there now is drained first in case it is the first;
     /// ordering it again does no harm in the other cases.
     fn take_on(&mut self, state: &mut WaveState, machine: &str, since: u64, now: u64) {
-        let turn = match self.incarnation_on(machine) {
-            Some(incarnation) => {
-                self.set_maintenance(&incarnation, true);
-                Turn::Draining { incarnation, since: now, inherited: true }
-            }
-            None if now < since + WORKER_WAIT => return,
-            None => Turn::Ordered { incarnation: None, retry_at: now, failures: 0 },
+        let turn = match self.answers_on(machine) {
+            true => Turn::Draining { since: now, inherited: true },
+            false if now < since + WORKER_WAIT => return,
+            false => Turn::Ordered { since: now, retry_at: now, failures: 0 },
         };
         info!("event=wave-turn-inherited wave={} machine={machine}", state.wave.number);
         state.turns.insert(machine.into(), turn);
     }
 
-    /// Ends the turn of a machine once it is up again; `incarnation` is the one that was there before.
-    fn end_turn(
-        &mut self,
-        state: &mut WaveState,
-        machine: &str,
-        incarnation: Option<&Incarnation>,
-        since: u64,
-        now: u64,
-    ) {
-        let Some(current) = self.incarnation_on(machine) else {
+    /// Ends the turn of a machine once it is up again; maintenance had begun at `since`.
+    fn end_turn(&mut self, state: &mut WaveState, machine: &str, since: u64, now: u64) {
+        let up = |worker: &Worker| worker.alive_at > since;
+        let Some(current) = self
+            .workers_on(machine)
+            .find(|(_, w)| up(w))
+            .map(|(incarnation, _)| incarnation.clone())
+        else {
             return;
         };
-        let replaced = incarnation.filter(|before| **before != current);
-        // The same incarnation is there if maintenance was done before.
-        let replied_at = self.workers.get(&current).map_or(0, |w| w.answered_at);
-        let alive = replied_at >= since + ALIVE_AFTER;
-        if replaced.is_none() && !alive && now.saturating_sub(since) <= SKIPPED_AFTER {
-            return;
-        }
-        if let Some(before) = replaced {
-            self.mark_replaced(before, now);
-            self.set_maintenance(before, false);
-        }
-        self.set_maintenance(&current, false);
+        let before = self.workers_on(machine).filter(|(_, w)| w.in_maintenance && !up(w));
+        let before: Vec<_> = before.map(|(incarnation, _)| incarnation.clone()).collect();
+        before.iter().for_each(|incarnation| self.mark_replaced(incarnation, now));
+        info!(
+            "event=wave-machine-up wave={} machine={machine} worker={current} took_ms={}",
+            state.wave.number,
+            now.saturating_sub(since)
+        );
         state.finish(machine);
+        self.release(machine);
     }
 
     /// Begins the turns of further machines, up to the number that may be down at once.
@@ -164,21 +174,31 @@
         while state.turns.len() < state.wave.limit {
             let due = |m: &&String| !state.done.contains(*m) && !state.turns.contains_key(*m);
             let mut due = state.wave.machines.iter().filter(due);
-            let next = due.find_map(|m| Some((m.clone(), self.incarnation_on(m)?)));
-            let Some((machine, incarnation)) = next else {
+            let Some(machine) = due.find(|machine| self.answers_on(machine)).cloned() else {
                 break;
             };
-            self.set_maintenance(&incarnation, true);
-            let turn = Turn::Draining { incarnation, since: now, inherited: false };
-            state.turns.insert(machine, turn);
+            self.workers_on(&machine).for_each(|(_, worker)| worker.in_maintenance = true);
+            state.turns.insert(machine, Turn::Draining { since: now, inherited: false });
         }
     }
 
-    /// The incarnation of an answering worker on a machine.
-    fn incarnation_on(&self, machine: &str) -> Option<Incarnation> {
-        let on_machine = |l: &myrtle_job::Listing| l.machine.as_deref() == Some(machine);
-        let mut listed =
-            self.workers.iter().filter(|(_, w)| w.listed && w.presence == Presence::Answering);
-        listed.find(|(_, w)| w.listing.as_ref().is_some_and(on_machine)).map(|(id, _)| id.clone())
+    /// Whether a worker on a machine answers.
+    fn answers_on(&mut self, machine: &str) -> bool {
+        self.workers_on(machine).any(|(_, w)| w.listed && w.presence == Presence::Answering)
+    }
+
+    /// The known workers on a machine, also those that have ended.
+    fn workers_on(&mut self, machine: &str) -> impl Iterator<Item = (&Incarnation, &mut Worker)> {
+        let on_machine = move |w: &Worker| {
+            w.listing.as_ref().is_some_and(|l| l.machine.as_deref() == Some(machine))
+        };
+        self.workers.iter_mut().filter(move |(_, worker)| on_machine(worker))
+    }
+}
+
+impl WaveState {
+    /// Whether maintenance of a machine is still to begin for the wave.
+    fn is_pending(&self, machine: &str) -> bool {
+        self.turns.get(machine).is_some_and(|turn| turn.is_pending())
     }
 }
--- a/crates/owner/src/workers/worker.rs
+++ b/crates/owner/src/workers/worker.rs
@@ -52,6 +52,8 @@
     pub presence: Presence,
     /// When it last answered.
     pub answered_at: u64,
+    /// The latest time at which a call was sent that it has answered: it was up then or later.
+    pub(crate) alive_at: u64,
     /// Its clock at its last answer, and the host's steady clock then.
     pub clock: Option<(u64, u64)>,
     /// The end of the last of its leases, on its clock.
@@ -108,6 +110,7 @@
             unlisted_at: now,
             presence: Presence::Unreached,
             answered_at: now,
+            alive_at: 0,
             clock: None,
             until: 0,
             wait: Wait::new(now),
--- a/crates/owner/tests/common/act.rs
+++ b/crates/owner/tests/common/act.rs
@@ -127,9 +127,13 @@
                 continue;
             };
             if !self.reaches(at, &incarnation) {
-                self.owners[at].cell.renewal_failed(&incarnation, now);
+                let since = *self.unanswered.entry((at, incarnation.clone())).or_insert(now);
+                if now >= since + self.patience {
+                    self.owners[at].cell.renewal_failed(&incarnation, now);
+                }
                 continue;
             }
+            self.unanswered.remove(&(at, incarnation.clone()));
             if let Some(by) = self.successor(&incarnation) {
                 self.replace(at, &incarnation, by);
                 continue;
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -127,6 +127,10 @@
     /// For how long an owner renews leases after its successor began, in milliseconds: a host does so only while the
     /// store has recently confirmed the ownership.
     pub renews: u64,
+    /// How long an owner waits for the reply to a lease renewal before it takes it for lost, in milliseconds.
+    pub patience: u64,
+    /// Since when lease renewals of an owner to a worker have no reply.
+    unanswered: BTreeMap<(usize, Incarnation), u64>,
     /// By how much the clocks of workers that start from now on are set back, in milliseconds.
     pub set_back: u64,
     /// Data centres that are being evacuated.
@@ -175,6 +179,8 @@
             untold: false,
             shuffled: false,
             renews: u64::MAX,
+            patience: 0,
+            unanswered: BTreeMap::new(),
             set_back: 0,
             evacuated: BTreeSet::new(),
             seen: false,
--- a/crates/owner/tests/waves.rs
+++ b/crates/owner/tests/waves.rs
@@ -1,167 +1,17 @@
 //! Maintenance waves, also across owners that end at any moment of a turn.
 
 mod common;
-
-use std::collections::{BTreeMap, BTreeSet};
+mod machines;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 use myrtle_job::StepSpec;
-use myrtle_owner::{Maintenance, Wave, WaveRecord};
+use myrtle_owner::{Maintenance, WaveRecord};
 
 use common::{World, job, step};
-
-/// How long maintenance takes, in milliseconds.
-const DOWN: u64 = 2_000;
-
-/// The simulated machine service.
-struct Machines {
-    wave: Wave,
-    /// When each machine that is down is up again.
-    down: BTreeMap<String, u64>,
-    begun: BTreeSet<String>,
-    /// Orders under way: when they arrive, the owner, and the machine.
-    sent: Vec<(u64, usize, String)>,
-    /// Replies under way: when they arrive, the owner, the machine and the outcome.
-    replies: Vec<(u64, usize, String, Maintenance)>,
-    /// The record in the log.
-    record: WaveRecord,
-    /// The owner that last fenced the others off the log.
-    writer: usize,
-    complete: bool,
-    /// The longest times of orders and replies on their way.
-    travel: u64,
-    /// The share of replies that are lost, which the host takes for a failure after a second.
-    lost: f64,
-    /// Whether workers come back under their ids.
-    same_id: bool,
-    orders: u32,
-    rng: ChaCha8Rng,
-}
-
-impl Machines {
-    fn new(machines: usize, limit: usize, seed: u64) -> Self {
-        let machines = (0..machines).map(|n| format!("m{n}")).collect();
-        Self {
-            wave: Wave { number: 1, machines, duration: 60_000, limit },
-            down: BTreeMap::new(),
-            begun: BTreeSet::new(),
-            sent: Vec::new(),
-            replies: Vec::new(),
-            record: WaveRecord::default(),
-            writer: 0,
-            complete: false,
-            travel: 20,
-            lost: 0.0,
-            same_id: false,
-            orders: 0,
-            rng: ChaCha8Rng::seed_from_u64(seed),
-        }
-    }
-
-    /// Acts for the owner of a world as its host does: what is about to be ordered is written first.
-    fn act(&mut self, world: &mut World) {
-        let (now, at) = (world.now, world.owners.len() - 1);
-        let (wave, record) = (self.wave.clone(), self.record.clone());
-        let cell = &mut world.owner().cell;
-        cell.add_wave(wave, record, now);
-        let orders = cell.advance_waves(now);
-        for change in cell.changed_waves() {
-            assert_eq!(self.writer, at, "only the newest owner writes");
-            self.record = change.record;
-            self.complete |= change.news && change.complete;
-        }
-        for (machine, _) in orders {
-            self.orders += 1;
-            let due = now + self.rng.random_range(0..=self.travel);
-            self.sent.push((due, at, machine));
-        }
-    }
-
-    /// Carries out orders and passes on replies.
-    fn work(&mut self, world: &mut World) {
-        let now = world.now;
-        for machine in self.down.extract_if(.., |_, until| *until <= now).map(|(m, _)| m) {
-            let address: u16 = machine[1..].parse().unwrap();
-            let id = match self.same_id {
-                true => format!("w{address}"),
-                false => format!("again{address}"),
-            };
-            world.add_worker(&id, address);
-        }
-        for (_, at, machine) in
-            self.sent.extract_if(.., |(due, ..)| *due <= now).collect::<Vec<_>>()
-        {
-            let outcome = self.carry_out(world, &machine);
-            let lost = self.rng.random_bool(self.lost);
-            let due = now + if lost { 1_000 } else { self.rng.random_range(0..=self.travel) };
-            let outcome = if lost { Maintenance::Again } else { outcome };
-            self.replies.push((due, at, machine, outcome));
-        }
-        for (_, at, machine, outcome) in
-            self.replies.extract_if(.., |(due, ..)| *due <= now).collect::<Vec<_>>()
-        {
-            let owner = &mut world.owners[at];
-            if owner.awake {
-                owner.cell.maintenance_replied(1, &machine, outcome, now);
-            }
-        }
-    }
-
-    fn carry_out(&mut self, world: &mut World, machine: &str) -> Maintenance {
-        if self.begun.contains(machine) {
-            return Maintenance::Begun;
-        }
-        let on_machine = |w: &common::FakeWorker| w.listing.machine.as_deref() == Some(machine);
-        let worker = world.workers.iter().find(|(_, w)| !w.gone && on_machine(w));
-        let Some(id) = worker.map(|(id, _)| id.clone()) else {
-            return Maintenance::Again;
-        };
-        if self.down.len() >= self.wave.limit {
-            let down: Vec<_> = self.down.keys().collect();
-            world.judge.broken.push(format!("{}: {machine} goes down beside {down:?}", world.now));
-        }
-        if world.workers[&id].count() > 0 {
-            world.judge.broken.push(format!("{}: {machine} isn't empty", world.now));
-        }
-        self.begun.insert(machine.into());
-        self.down.insert(machine.into(), world.now + DOWN);
-        let mut judge = std::mem::take(&mut world.judge);
-        world.workers.get_mut(&id).unwrap().crash(&mut judge);
-        world.judge = judge;
-        Maintenance::Begun
-    }
-
-    /// Runs for some milliseconds.
-    fn run(&mut self, world: &mut World, millis: u64) {
-        let end = world.now + millis;
-        while world.now < end {
-            world.run(10);
-            self.work(world);
-            if world.now.is_multiple_of(50) {
-                self.act(world);
-            }
-        }
-    }
-
-    /// Ends the owner and starts the next one, which reads the record once it has fenced the others off.
-    fn succeed(&mut self, world: &mut World) {
-        self.writer = world.succeed();
-    }
-
-    /// Runs until the wave is complete, for some milliseconds at most.
-    fn finish(&mut self, world: &mut World, millis: u64) {
-        let end = world.now + millis;
-        while !self.complete && world.now < end {
-            self.run(world, 50);
-        }
-        assert!(self.complete, "{:?} {:?}", self.record, self.down);
-        assert_eq!(self.begun.len(), self.wave.machines.len());
-        assert_eq!(world.judge.broken, Vec::<String>::new());
-    }
-}
+use machines::Machines;
 
 // Guards against a successor that doesn't count the machines which its predecessor has had taken down.
 #[rstest]
@@ -232,7 +82,7 @@
 #[test]
 fn a_worker_whose_machine_is_not_in_the_wave_gets_work_again() {
     let mut world = World::new(5, 1);
-    let wave = Machines::new(1, 1, 1).wave;
+    let wave = Machines::new(1, 1, 1).wave();
     let now = world.now;
     world.owner().cell.add_wave(wave, WaveRecord::default(), now);
     world.run(200);
--- a/crates/standin/src/machines.rs
+++ b/crates/standin/src/machines.rs
@@ -43,13 +43,18 @@
 struct State {
     /// The highest fencing token for each machine.
     fences: BTreeMap<String, u64>,
-    begun: BTreeSet<String>,
-    down: BTreeSet<String>,
+    /// How many machines of each wave may be down at once.
+    limits: BTreeMap<u64, usize>,
+    begun: BTreeSet<(u64, String)>,
+    /// The machines that are down, and for which wave.
+    down: BTreeMap<String, u64>,
     /// The holders that had a machine taken down, in order.
     holders: Vec<String>,
     /// Machines that went down beyond the limit, with those that were down.
     beyond: Vec<(String, Vec<String>)>,
     orders: u32,
+    /// Whether machines that go down say nothing and keep their entries, as without power.
+    silent: bool,
 }
 
 /// The stand-in for the machine service; each worker is on the machine of its number.
@@ -57,8 +62,6 @@
 pub struct MachineService {
     /// The address of its interface.
     pub address: SocketAddr,
-    wave: u64,
-    limit: usize,
     /// How long maintenance takes.
     span: Duration,
     workers: Vec<Arc<WorkerStandin>>,
@@ -80,7 +83,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (mode, state) = (watch::Sender::new(MachineMode::Ok), Mutex::default());
-        let service = Arc::new(Self { address, wave, limit, span, workers, store, mode, state });
+        let service = Arc::new(Self { address, span, workers, store, mode, state });
+        service.add_wave(wave, limit);
         tokio::spawn(service.clone().list_all());
         let handler = service.clone();
         tokio::spawn(serve(listener, move |ask| {
@@ -90,6 +94,16 @@
         Ok(service)
     }
 
+    /// Adds a wave of which `limit` machines may be down at once.
+    pub fn add_wave(&self, wave: u64, limit: usize) {
+        self.state.lock().expect("no holder panics").limits.insert(wave, limit);
+    }
+
+    /// Lets machines that go down from now on say nothing and keep their entries, as without power.
+    pub fn cut_power(&self) {
+        self.state.lock().expect("no holder panics").silent = true;
+    }
+
     /// Sets what the service does with orders.
     pub fn set(&self, mode: MachineMode) {
         self.mode.send_replace(mode);
@@ -119,7 +133,7 @@
     async fn list_all(self: Arc<Self>) {
         loop {
             let down = self.state.lock().expect("no holder panics").down.clone();
-            let up = self.workers.iter().filter(|worker| !down.contains(&machine(worker)));
+            let up = self.workers.iter().filter(|worker| !down.contains_key(&machine(worker)));
             up.for_each(|worker| self.list(worker));
             sleep(HEARTBEAT).await;
         }
@@ -166,24 +180,36 @@
             return refuse("fence");
         }
         *highest = fence;
-        if order.wave != self.wave {
+        let Some(&limit) = state.limits.get(&order.wave) else {
             return refuse("wave");
-        }
-        if state.begun.contains(&order.machine) {
+        };
+        if state.begun.contains(&(order.wave, order.machine.clone())) {
             return json(&json!({}));
         }
-        if state.down.len() >= self.limit {
-            let down = state.down.iter().cloned().collect();
+        if state.down.contains_key(&order.machine) {
+            return refuse("busy");
+        }
+        let down: Vec<_> = state.down.iter().filter(|(_, wave)| **wave == order.wave).collect();
+        if down.len() >= limit {
+            let down = down.into_iter().map(|(machine, _)| machine.clone()).collect();
             state.beyond.push((order.machine.clone(), down));
         }
         state.holders.push(holder.into());
-        state.begun.insert(order.machine.clone());
-        state.down.insert(order.machine.clone());
+        state.begun.insert((order.wave, order.machine.clone()));
+        state.down.insert(order.machine.clone(), order.wave);
+        let silent = state.silent;
         drop(state);
         tokio::spawn(async move {
             let before = worker.incarnation();
+            let mut span = self.span;
+            if silent {
+                worker.mute(true);
+                sleep(span).await;
+                span = Duration::ZERO;
+            }
             self.store.put("keyed.servers", &before, b"");
-            worker.replace(self.span).await;
+            worker.replace(span).await;
+            worker.mute(false);
             self.state.lock().expect("no holder panics").down.remove(&machine(&worker));
             self.list(&worker);
         });
