Owners' repeated appends stand once; a machine's workers are marked in one place

Change: `owner_append.rs` serves removals, takeovers and waves; each keeps its limit and pauses. The first attempt is made in any case, as the log of waves needs it at a stop; the others ask before. `removal-again` becomes `append-again topic=keyed.jobs`, like the owner's other appends. The owner's batches keep their own loop, which hedges. `set_maintenance` is the one place that marks workers.

Ruled out: a shared loop that asks before the first attempt (a stopping owner would not write that a machine is down).

--- a/crates/front/src/job_log.rs
+++ b/crates/front/src/job_log.rs
@@ -19,8 +19,8 @@
 use crate::newest::newest;
 use crate::owned::Owned;
 
-/// The time limit for a page of the newest records.
-const PAGE_LIMIT: Duration = Duration::from_millis(2_000);
+/// The time limit for a page of records without a wait.
+pub const PAGE_LIMIT: Duration = Duration::from_millis(2_000);
 
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
--- a/crates/front/src/left_behind.rs
+++ b/crates/front/src/left_behind.rs
@@ -13,12 +13,10 @@
 use myrtle_owner::History;
 
 use crate::host::Host;
+use crate::job_log::PAGE_LIMIT;
 use crate::names::PROGRESS;
 use crate::owned::Owned;
 
-/// The time limit for a page of the history.
-const PAGE_LIMIT: Duration = Duration::from_millis(2_000);
-
 /// Says in an owner's record that it removes the records of a job before the job's progress.
 const RECORDS_FIRST: u8 = 1;
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -33,6 +33,7 @@
 mod operator;
 mod orders;
 mod owned;
+mod owner_append;
 mod ownership;
 mod peers;
 mod probe;
--- a/crates/front/src/maintenance.rs
+++ b/crates/front/src/maintenance.rs
@@ -7,19 +7,19 @@
 use bytes::{Bytes, BytesMut};
 use log::{info, warn};
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
-use myrtle_adapter::{
-    MaintenanceReply, StoreError, WaveOrder, Writer, frame_keyed, topics, wave_status,
-};
+use myrtle_adapter::{MaintenanceReply, StoreError, WaveOrder, frame_keyed, topics, wave_status};
 use myrtle_job::{decode, encode};
 use myrtle_owner::{Maintenance, Wave, WaveChange, WaveRecord};
 
+use crate::backoff::Backoff;
 use crate::clock::now;
 use crate::host::Host;
-use crate::names::{OWNER_WRITER, TURNS, WAVES};
+use crate::names::{TURNS, WAVES};
 use crate::newest::newest;
 use crate::owned::Owned;
+use crate::owner_append::{self, OwnerAppend};
 
 /// The cell whose owner carries out waves; a single host has to count the machines that are down.
 const WAVE_CELL: u32 = 0;
@@ -187,16 +187,6 @@
 
 /// Appends until the store has it; false if the owner has ended.
 async fn append(host: &Host, owned: &Owned, topic: &str, number: u64, body: Bytes) -> bool {
-    let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, seq: number };
-    while let Err(e) = host.store.append(topic, 0, Some(writer), body.clone(), CALL_LIMIT).await {
-        if matches!(e, StoreError::Fenced) {
-            owned.depose("the log of waves");
-        }
-        host.store_failed(&e);
-        if owned.closed() {
-            return false;
-        }
-        sleep(EVERY).await;
-    }
-    true
+    let append = OwnerAppend { topic, partition: 0, number, body, limit: CALL_LIMIT };
+    owner_append::append(host, owned, append, Backoff::new(EVERY, EVERY)).await.is_some()
 }
--- a/crates/front/src/removal.rs
+++ b/crates/front/src/removal.rs
@@ -7,17 +7,18 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use log::{info, warn};
+use log::info;
 use tokio::time::{Instant, sleep};
 
-use myrtle_adapter::{StoreError, Writer, frame_keyed};
+use myrtle_adapter::{Appended, frame_keyed};
 use myrtle_owner::RemovalGroup;
 
 use crate::backoff::Backoff;
 use crate::flush::MAX_APPEND;
 use crate::host::Host;
-use crate::names::{JOBS, OWNER_WRITER};
+use crate::names::JOBS;
 use crate::owned::Owned;
+use crate::owner_append::{self, OwnerAppend};
 
 /// The time between two checks for records to remove.
 const EVERY: Duration = Duration::from_millis(250);
@@ -75,31 +76,17 @@
 async fn remove(host: &Host, owned: &Owned, number: u64, groups: &[RemovalGroup]) -> bool {
     let (body, records) = frame(groups);
     let started = Instant::now();
-    let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
-    while !owned.closed() {
-        let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, seq: number };
-        match host.store.append(JOBS, owned.cell, Some(writer), body.clone(), APPEND_LIMIT).await {
-            Ok(appended) => {
-                let took = started.elapsed().as_millis();
-                info!(
-                    "event=jobs-removed cell={} groups={} offset={} took_ms={took}",
-                    owned.cell,
-                    groups.len(),
-                    appended.offset
-                );
-                confirm(owned, groups, appended.offset + records.saturating_sub(1));
-                return true;
-            }
-            Err(StoreError::Fenced) => owned.depose("the log of jobs"),
-            Err(StoreError::Sequence { .. }) => owned.depose("the numbering of the log of jobs"),
-            Err(e) => {
-                warn!("event=removal-again cell={} number={number} reason=\"{e}\"", owned.cell);
-                host.store_failed(&e);
-                sleep(backoff.pause()).await;
-            }
-        }
-    }
-    false
+    let append =
+        OwnerAppend { topic: JOBS, partition: owned.cell, number, body, limit: APPEND_LIMIT };
+    let backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
+    let Some(Appended { offset, .. }) = owner_append::append(host, owned, append, backoff).await
+    else {
+        return false;
+    };
+    let (cell, count, took) = (owned.cell, groups.len(), started.elapsed().as_millis());
+    info!("event=jobs-removed cell={cell} groups={count} offset={offset} took_ms={took}");
+    confirm(owned, groups, offset + records.saturating_sub(1));
+    true
 }
 
 /// Frames removals, a record without a value for each key; returns their number too.
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -8,17 +8,19 @@
 use log::{info, warn};
 use tokio::time::sleep;
 
-use myrtle_adapter::{Item, StoreError, Writer, frame_keyed};
+use myrtle_adapter::{Item, StoreError, frame_keyed};
 use myrtle_job::{Incarnation, JobId, Key, Progress, Submission, decode};
 use myrtle_owner::Cell;
 
+use crate::backoff::Backoff;
 use crate::clock::{now, wall};
 use crate::host::Host;
 use crate::job_log::{self, Record};
 use crate::left_behind::{history, owner_record, removes_records_first};
-use crate::names::{OWNER_WRITER, PROGRESS, owner_key, parse_owner, parse_worker};
+use crate::names::{PROGRESS, owner_key, parse_owner, parse_worker};
 use crate::newest::newest;
 use crate::owned::Owned;
+use crate::owner_append::{self, OwnerAppend};
 use crate::{
     balance, delivery, flush, learned, maintenance, operator, removal, renewal, roster, tick,
 };
@@ -119,21 +121,18 @@
 async fn write_owner(host: &Host, owned: &Owned, number: u64, record: &[u8]) -> bool {
     let mut body = BytesMut::new();
     frame_keyed(&mut body, &owner_key(owned.fence), record);
-    let body = body.freeze();
-    while !owned.closed() {
-        let writer = Writer { name: OWNER_WRITER, epoch: owned.fence, seq: number };
-        let done =
-            host.store.append(PROGRESS, owned.cell, Some(writer), body.clone(), CALL_LIMIT).await;
-        match done {
-            Ok(_) => return true,
-            Err(StoreError::Fenced) => owned.depose("the log"),
-            Err(e) => {
-                host.store_failed(&e);
-                sleep(RETRY_PAUSE).await;
-            }
-        }
+    if owned.closed() {
+        return false;
     }
-    false
+    let append = OwnerAppend {
+        topic: PROGRESS,
+        partition: owned.cell,
+        number,
+        body: body.freeze(),
+        limit: CALL_LIMIT,
+    };
+    let backoff = Backoff::new(RETRY_PAUSE, RETRY_PAUSE);
+    owner_append::append(host, owned, append, backoff).await.is_some()
 }
 
 /// The log's records of progress, workers and owners.
@@ -144,15 +143,14 @@
     workers: Vec<(Incarnation, Vec<u8>)>,
     /// Jobs whose progress can't be decoded, with the reason.
     unreadable: Vec<(JobId, String)>,
-    /// The number of earlier owners, and that of those which remove the records of a job first.
-    owners: usize,
-    ordered: usize,
+    /// Whether all earlier owners remove the records of a job before its progress; nothing if the log names none.
+    ordered: Option<bool>,
 }
 
 impl ReadProgress {
     /// Whether earlier owners may have removed the progress of jobs before their submissions.
     fn unproven(&self) -> bool {
-        self.owners == 0 || self.ordered < self.owners
+        self.ordered != Some(true)
     }
 
     /// The jobs without progress among those of some records.
@@ -245,8 +243,8 @@
             return read.workers.push((incarnation, value));
         }
         if let Some(fence) = parse_owner(&key) {
-            read.owners += 1;
-            read.ordered += usize::from(removes_records_first(&value));
+            let ordered = read.ordered.unwrap_or(true) && removes_records_first(&value);
+            read.ordered = Some(ordered);
             return owned.state().add_owner(fence);
         }
         let Ok(id) = key.parse::<JobId>() else {
--- a/crates/owner/src/jobs/removal.rs
+++ b/crates/owner/src/jobs/removal.rs
@@ -40,7 +40,7 @@
 
 /// How far the removal of a job's records has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
+enum RemovalPhase {
     /// They are to be removed, or may be removed already.
     Ordered,
     /// They are removed; the last of these removals has this offset.
@@ -53,7 +53,7 @@
 #[derive(Debug)]
 struct Removal {
     keys: RemovalGroup,
-    phase: Phase,
+    phase: RemovalPhase,
 }
 
 /// The removals of a cell.
@@ -101,14 +101,14 @@
             let id = group.first().map(|key| key.job());
             let removal = id.and_then(|id| self.removals.jobs.get_mut(&id));
             if let Some(removal) = removal.filter(|r| r.keys == *group) {
-                removal.phase = Phase::Appended(last);
+                removal.phase = RemovalPhase::Appended(last);
             }
         }
     }
 
     /// Notes that all records of the log of jobs before offset `next` have been read.
     pub fn records_read(&mut self, next: u64) {
-        let read = |r: &Removal| matches!(r.phase, Phase::Appended(last) if last < next);
+        let read = |r: &Removal| matches!(r.phase, RemovalPhase::Appended(last) if last < next);
         let removals = self.removals.jobs.iter().filter(|(_, r)| read(r));
         let read: Vec<JobId> = removals.map(|(&id, _)| id).collect();
         read.into_iter().for_each(|id| self.removal_read(id));
@@ -117,7 +117,7 @@
     /// Notes the offset of a submission before it is admitted.
     pub fn submission_read(&mut self, id: JobId, offset: u64) {
         let phase = self.removals.jobs.get(&id).map(|r| r.phase);
-        if matches!(phase, Some(Phase::Appended(last)) if last < offset) {
+        if matches!(phase, Some(RemovalPhase::Appended(last)) if last < offset) {
             self.removal_read(id);
         }
     }
@@ -173,7 +173,7 @@
 
     /// Forgets a job whose records are gone, since it was submitted anew; true if so.
     pub(crate) fn supersede(&mut self, id: JobId) -> bool {
-        let superseded = self.removals.jobs.get(&id).is_some_and(|r| r.phase == Phase::Read);
+        let superseded = self.removals.jobs.get(&id).is_some_and(|r| r.phase == RemovalPhase::Read);
         if superseded {
             self.forget(id);
             // The next record replaces the progress of the one before.
@@ -191,7 +191,8 @@
     ///
     /// A record that arrived meanwhile has to be removed as well.
     pub(crate) fn removes_progress(&mut self, id: JobId) -> bool {
-        let Some(removal) = self.removals.jobs.get(&id).filter(|r| r.phase == Phase::Read) else {
+        let Some(removal) = self.removals.jobs.get(&id).filter(|r| r.phase == RemovalPhase::Read)
+        else {
             return false;
         };
         let keys = self.record_keys(id);
@@ -248,7 +249,7 @@
 
     fn remove_records(&mut self, id: JobId, keys: RemovalGroup) {
         self.removals.queue.push(keys.clone());
-        self.removals.jobs.insert(id, Removal { keys, phase: Phase::Ordered });
+        self.removals.jobs.insert(id, Removal { keys, phase: RemovalPhase::Ordered });
     }
 
     /// Notes that no record of a job before its removal will be read any more.
@@ -259,7 +260,7 @@
             return;
         }
         if let Some(removal) = self.removals.jobs.get_mut(&id) {
-            removal.phase = Phase::Read;
+            removal.phase = RemovalPhase::Read;
             self.dirty.insert(id);
         }
     }
--- a/crates/owner/src/workers/wave/turn.rs
+++ b/crates/owner/src/workers/wave/turn.rs
@@ -120,16 +120,13 @@
     /// Lets the workers on a machine get work again, unless another wave is about to maintain it.
     pub(super) fn release(&mut self, machine: &str) {
         let pending = self.waves.values().any(|wave| wave.is_pending(machine));
-        self.workers_on(machine).for_each(|(_, worker)| worker.in_maintenance = pending);
+        self.set_maintenance(machine, pending);
     }
 
     /// Drains all workers on a machine; true once nothing runs there.
     fn drain_machine(&mut self, machine: &str, urgent: bool, now: u64) -> bool {
-        let workers = self.workers_on(machine).map(|(incarnation, worker)| {
-            worker.in_maintenance = true;
-            incarnation.clone()
-        });
-        let workers: Vec<_> = workers.collect();
+        self.set_maintenance(machine, true);
+        let workers: Vec<_> = self.workers_on(machine).map(|(worker, _)| worker.clone()).collect();
         let busy = workers.iter().filter(|worker| !self.drain(worker, urgent, now));
         busy.count() == 0
     }
@@ -150,11 +147,8 @@
     /// Ends the turn of a machine once it is up again; maintenance had begun at `since`.
     fn end_turn(&mut self, state: &mut WaveState, machine: &str, since: u64, now: u64) {
         let up = |worker: &Worker| worker.alive_at > since;
-        let Some(current) = self
-            .workers_on(machine)
-            .find(|(_, w)| up(w))
-            .map(|(incarnation, _)| incarnation.clone())
-        else {
+        let current = self.workers_on(machine).find(|(_, w)| up(w));
+        let Some(current) = current.map(|(incarnation, _)| incarnation.clone()) else {
             return;
         };
         let before = self.workers_on(machine).filter(|(_, w)| w.in_maintenance && !up(w));
@@ -177,25 +171,32 @@
             let Some(machine) = due.find(|machine| self.answers_on(machine)).cloned() else {
                 break;
             };
-            self.workers_on(&machine).for_each(|(_, worker)| worker.in_maintenance = true);
+            self.set_maintenance(&machine, true);
             state.turns.insert(machine, Turn::Draining { since: now, inherited: false });
         }
     }
 
+    /// Sets whether the workers on a machine are in maintenance and get no work.
+    fn set_maintenance(&mut self, machine: &str, in_maintenance: bool) {
+        let workers = self.workers.values_mut().filter(|worker| is_on(worker, machine));
+        workers.for_each(|worker| worker.in_maintenance = in_maintenance);
+    }
+
     /// Whether a worker on a machine answers.
-    fn answers_on(&mut self, machine: &str) -> bool {
+    fn answers_on(&self, machine: &str) -> bool {
         self.workers_on(machine).any(|(_, w)| w.listed && w.presence == Presence::Answering)
     }
 
     /// The known workers on a machine, also those that have ended.
-    fn workers_on(&mut self, machine: &str) -> impl Iterator<Item = (&Incarnation, &mut Worker)> {
-        let on_machine = move |w: &Worker| {
-            w.listing.as_ref().is_some_and(|l| l.machine.as_deref() == Some(machine))
-        };
-        self.workers.iter_mut().filter(move |(_, worker)| on_machine(worker))
+    fn workers_on(&self, machine: &str) -> impl Iterator<Item = (&Incarnation, &Worker)> {
+        self.workers.iter().filter(move |(_, worker)| is_on(worker, machine))
     }
 }
 
+fn is_on(worker: &Worker, machine: &str) -> bool {
+    worker.listing.as_ref().is_some_and(|l| l.machine.as_deref() == Some(machine))
+}
+
 impl WaveState {
     /// Whether maintenance of a machine is still to begin for the wave.
     fn is_pending(&self, machine: &str) -> bool {
