--- a/crates/owner/src/workers/mod.rs
+++ b/crates/owner/src/workers/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod late_starts;
 pub(crate) mod lease;
 pub(crate) mod list;
+pub(crate) mod quarantine;
 pub(crate) mod record;
 pub(crate) mod renewal;
 pub(crate) mod restarts;
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -7,9 +7,11 @@
 mod act;
 mod crash;
 pub mod find;
+mod fixtures;
 pub mod jobs;
 mod judge;
 pub mod lease;
+mod renew;
 pub mod service;
 mod succession;
 mod worker;
@@ -20,7 +22,6 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use myrtle_base::Room;
 use myrtle_job::{Incarnation, JobId, JobSpec, Listing, Policy, Submission, TaskId};
 use myrtle_owner::{Batch, Cell, Order};
 
@@ -28,6 +29,7 @@
 use crash::Back;
 use service::{Calls, Service};
 
+pub use fixtures::{Faults, listing};
 pub use jobs::{job, policy, step};
 pub use judge::Judge;
 pub use worker::FakeWorker;
@@ -56,19 +58,6 @@
 /// The length of one step of the world, in milliseconds.
 pub const STEP: u64 = 10;
 
-/// The faults of orders, each as the share of orders that it affects.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Faults {
-    /// Executed, but the reply is lost.
-    pub unanswered: f64,
-    /// Executed 2 to 12 s later, without a reply.
-    pub late: f64,
-    /// Delayed by 0 to 6 s at the owner's host before they are sent.
-    pub queued: f64,
-    /// Whether a late order may reach the next incarnation of its worker.
-    pub outlive: bool,
-}
-
 /// An owner and its state in the simulation.
 pub struct Owner {
     pub cell: Cell,
@@ -82,24 +71,6 @@
     batch: Option<Batch>,
 }
 
-/// The listing of a worker of 32 cores.
-pub fn listing(address: u16) -> Listing {
-    Listing {
-        service: "s".into(),
-        address: ([10, 0, 0, 1], 1000 + address).into(),
-        data_centre: "d".into(),
-        draining: false,
-        remaining_ms: None,
-        room: Room { cpu: 32_000, mem: 128_000, accel: 0 },
-        labels: vec!["a".into(), format!("r{}", address / 4)],
-        machine: Some(format!("m{address}")),
-        version: String::new(),
-        offset: 1,
-        warmup_ms: 0,
-        started_at: 0,
-    }
-}
-
 /// The simulated workers, owners and log.
 pub struct World {
     pub now: u64,
