Tests: parts of both mends that nothing guarded, outages of one topic, and fixtures that stood twice

Cause: with single parts of the changes taken out, some tests still passed: workers that join during an order were not drained, one wave's end freed the machine for another wave's order, an answer counted by its arrival instead of its call; nothing tested recalls without a transfer or progress beside a submission that can't be read.

Owners end at 60 moments of an outage of either topic, and their successors begin in it (`owners_end_while_a_topic_is_down`). `serving_world` and the fixtures of `common` replace the copies.

--- a/crates/owner/tests/machines/mod.rs
+++ b/crates/owner/tests/machines/mod.rs
@@ -8,9 +8,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use myrtle_job::StepSpec;
 use myrtle_owner::{Maintenance, Wave, WaveRecord};
 
-use crate::common::{FakeWorker, World};
+use crate::common::{FakeWorker, World, job, step};
 
 /// How long maintenance takes, in milliseconds.
 const DOWN: u64 = 2_000;
@@ -225,6 +226,17 @@
     }
 }
 
+/// A world of eight workers with a long-running job of which two tasks may be unavailable.
+pub fn serving_world(seed: u64, patience: u64) -> World {
+    let mut world = World::new(seed, 8);
+    world.patience = patience;
+    let mut serving = StepSpec { long_running: true, ..step(6) };
+    serving.disruption_budget = Some(2);
+    world.submit(job(vec![serving]));
+    world.run(1_000);
+    world
+}
+
 /// The worker that is up on a machine.
 fn worker_on(world: &World, machine: &str) -> Option<Arc<str>> {
     let on_machine = |w: &FakeWorker| w.listing.machine.as_deref() == Some(machine);
--- a/crates/owner/tests/parts.rs
+++ b/crates/owner/tests/parts.rs
@@ -201,6 +201,20 @@
     assert_eq!(cell.batch().records, vec![(JOB, vec![])]);
 });
 
+// Guards against recalls that stay in the log for good since the transfer that they recall never came.
+#[test]
+fn the_recall_of_a_transfer_that_never_came_is_removed() {
+    let mut cell = owner(OTHER as u32, 1, 0);
+    cell.cancel_transferred(FIRST, 10, 10);
+    let batch = cell.batch();
+    cell.committed(batch, 10);
+    assert!(cell.take_removals().is_empty());
+    let later = 3 * myrtle_owner::TimeLimits::default().status_ttl;
+    cell.remove_expired(later, later);
+    assert_eq!(cell.take_removals(), vec![vec![Key::Recall(FIRST)]]);
+    assert_eq!(cell.batch().records, vec![(JOB, vec![])]);
+}
+
 #[test]
 fn draining_workers_add_no_room_to_the_load() {
     let mut cell = owner(0, 1, 0);
--- a/crates/owner/tests/removal/log.rs
+++ b/crates/owner/tests/removal/log.rs
@@ -7,6 +7,13 @@
 /// The number of a writer's calls whose results are kept for repeats.
 const KEPT_RESULTS: usize = 5;
 
+/// A topic of the cell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Topic {
+    Jobs,
+    Progress,
+}
+
 /// The state of a topic's writer: its token, and the numbers and offsets of its last calls.
 #[derive(Debug, Default)]
 pub struct WriterState {
--- a/crates/owner/tests/removal/mod.rs
+++ b/crates/owner/tests/removal/mod.rs
@@ -8,14 +8,16 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use myrtle_base::Room;
 use myrtle_job::{
-    EndReason, EndedRun, Incarnation, JobId, JobSpec, Listing, OrderReply, Policy, Running, State,
-    StepSpec, Submission, TaskId, WorkerRuns, encode,
+    EndReason, EndedRun, Incarnation, JobId, Listing, OrderReply, Running, State, Submission,
+    TaskId, WorkerRuns, encode,
 };
 use myrtle_owner::{Order, Outcome};
 
-use log::Logs;
+use crate::common::jobs::ended;
+use crate::common::{job, listing, policy, step};
+
+use log::{Logs, Topic};
 use owner::{Attempt, Held, Owner};
 
 /// The length of a step, in milliseconds.
@@ -25,6 +27,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
     pub refused: f64,
+    /// The topic that refuses all appends.
+    pub down: Option<Topic>,
     pub unanswered: f64,
     pub late: f64,
     /// The share of steps in which an owner reads nothing.
@@ -66,31 +70,9 @@
     rng: ChaCha8Rng,
 }
 
-fn listing() -> Listing {
-    Listing {
-        service: "s".into(),
-        address: ([10, 0, 0, 1], 1_000).into(),
-        data_centre: "d".into(),
-        draining: false,
-        remaining_ms: None,
-        room: Room { cpu: 64_000, mem: 64_000, accel: 0 },
-        labels: Vec::new(),
-        machine: None,
-        version: String::new(),
-        offset: 1,
-        warmup_ms: 0,
-        started_at: 1,
-    }
-}
-
 /// A record of a job of one task that is submitted at a time.
 pub fn record(at: u64) -> Vec<u8> {
-    let room = Room { cpu: 1_000, mem: 100, accel: 0 };
-    let step = StepSpec { count: 1, room, estimate_ms: 100, ..StepSpec::default() };
-    let spec = JobSpec { body: "b".into(), steps: vec![step], repeat: None };
-    let policy =
-        Policy { queue: "q".into(), service: "s".into(), max_failures: 3, ..Policy::default() };
-    encode(&Submission { policy, spec, accepted_at: at })
+    encode(&Submission { policy: policy(), spec: job(vec![step(1)]), accepted_at: at })
 }
 
 impl World {
@@ -117,7 +99,8 @@
     /// Starts an owner, beside which an earlier one goes on until it is rejected.
     pub fn take_over(&mut self) {
         self.fence += 1;
-        let worker = (&self.worker, &listing());
+        let listing = Listing { started_at: self.worker.start(), ..listing(0) };
+        let worker = (&self.worker, &listing);
         self.owners.push(Owner::load(&mut self.logs, self.fence, worker, self.now));
     }
 
@@ -176,9 +159,12 @@
         self.look();
     }
 
-    /// What becomes of an append.
-    fn attempt(&mut self) -> Attempt {
-        let Faults { refused, unanswered, late, .. } = self.faults;
+    /// What becomes of an append to a topic.
+    fn attempt(&mut self, topic: Topic) -> Attempt {
+        let Faults { refused, unanswered, late, down, .. } = self.faults;
+        if down == Some(topic) {
+            return Attempt::Refused;
+        }
         let draw: f64 = self.rng.random();
         match draw {
             _ if draw < refused => Attempt::Refused,
@@ -201,10 +187,10 @@
         }
         self.renew(at);
         let orders = self.owners[at].cell.orders();
-        let attempt = self.attempt();
+        let attempt = self.attempt(Topic::Progress);
         let starts = self.owners[at].write(&mut self.logs, attempt, now);
         orders.into_iter().chain(starts).for_each(|order| self.carry_out(at, &order));
-        let attempt = self.attempt();
+        let attempt = self.attempt(Topic::Jobs);
         self.held.extend(self.owners[at].remove(&mut self.logs, attempt, now));
     }
 
@@ -233,8 +219,7 @@
         let now = self.now;
         for (task, (run, _)) in self.runs.running.extract_if(.., |_, (_, end)| *end <= now) {
             self.runs.count += 1;
-            let (seq, reason) = (self.runs.count, EndReason::Done);
-            self.runs.ended.push(EndedRun { seq, task, run, reason, checkpoint: String::new() });
+            self.runs.ended.push(ended(self.runs.count, task, run, EndReason::Done));
         }
         let cell = &mut self.owners[at].cell;
         if cell.fence < self.fence {
--- a/crates/owner/tests/removals.rs
+++ b/crates/owner/tests/removals.rs
@@ -1,5 +1,6 @@
 //! Jobs that are over leave the log in two appends; no owner takes what is left of one for a new job.
 
+mod common;
 mod removal;
 
 use rand::{RngExt, SeedableRng};
@@ -8,6 +9,7 @@
 
 use myrtle_job::{JobId, Key, State};
 
+use removal::log::Topic;
 use removal::owner::STATUS;
 use removal::{Faults, World, record};
 
@@ -57,6 +59,21 @@
     }
 }
 
+// The same while only one topic is down: an owner ends at any moment of the outage, and its successor begins in it.
+#[rstest]
+fn owners_end_while_a_topic_is_down(
+    #[values(Topic::Jobs, Topic::Progress)] topic: Topic,
+    #[values(0, 400, 2_000)] left: u64,
+) {
+    for after in (0..3_000).step_by(50) {
+        let mut world = about_to_remove(Faults { down: Some(topic), ..Faults::default() });
+        world.run(after);
+        world.succeed();
+        world.run(left);
+        world.finish();
+    }
+}
+
 // Guards against a removal that the store held back and that removes a job submitted anew under the same id.
 #[test]
 fn a_late_removal_leaves_a_job_that_was_submitted_anew() {
@@ -141,7 +158,7 @@
             unread: [0.0, 0.5, 0.95][rng.random_range(0..3)],
             ends: [0.0, 0.001, 0.005][rng.random_range(0..3)],
             cuts: [0.0, 0.002][rng.random_range(0..2)],
-            again: false,
+            ..Faults::default()
         };
         world.take_over();
         for _ in 0..20 {
--- a/crates/owner/tests/wave_lives.rs
+++ b/crates/owner/tests/wave_lives.rs
@@ -7,10 +7,11 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
-use myrtle_job::StepSpec;
+use myrtle_job::{Incarnation, StepSpec, WorkerRuns};
+use myrtle_owner::{Maintenance, Wave, WaveRecord};
 
-use common::{World, job, step};
-use machines::Machines;
+use common::{STEP, World, job, step};
+use machines::{Machines, serving_world};
 
 /// How long an owner waits for the reply of a machine that is down, in milliseconds.
 const PATIENCE: u64 = 900;
@@ -69,6 +70,77 @@
     machines.finish(&mut world, 60_000);
 }
 
+// Guards against a worker that joins while the order is under way and is given work which maintenance ends.
+#[test]
+fn a_worker_that_joins_while_its_order_is_under_way_gets_no_work() {
+    for seed in 0..30 {
+        let mut world = silent_world(4);
+        let mut machines = Machines::new(2, 1, seed);
+        machines.travel = 3_000;
+        while machines.orders == 0 {
+            machines.run(&mut world, 10);
+        }
+        machines.crash(&mut world, "m0", 50);
+        for _ in 0..40 {
+            world.submit(job(vec![step(16)]));
+            machines.run(&mut world, 100);
+        }
+        machines.finish(&mut world, 120_000);
+    }
+}
+
+/// Lets an owner order maintenance of the first machine for a wave of these machines, which begins now.
+fn begin(world: &mut World, number: u64, machines: &[&str]) {
+    let machines = machines.iter().map(|m| m.to_string()).collect();
+    let (now, wave) = (world.now, Wave { number, machines, duration: 60_000, limit: 1 });
+    let cell = &mut world.owner().cell;
+    cell.add_wave(wave, WaveRecord::default(), now);
+    cell.advance_waves(now);
+    assert_eq!(cell.advance_waves(now + STEP), [("m0".to_string(), number)]);
+}
+
+/// Lets a worker answer a lease renewal that was sent at a time.
+fn answer(world: &mut World, life: &Incarnation, sent: u64) {
+    let (started_at, now) = (life.start(), world.now + 100);
+    let held = WorkerRuns { started_at, clock_ms: now, running: Vec::new(), ended: Vec::new() };
+    world.owner().cell.renewed(life, held, sent, now, now);
+}
+
+// Guards against an answer that was under way when maintenance began and is taken for one of the worker after it.
+#[test]
+fn an_answer_to_an_earlier_call_ends_no_turn() {
+    let mut world = World::new(5, 2);
+    world.run(200);
+    let (life, now) = (world.life("w0"), world.now);
+    begin(&mut world, 1, &["m0", "m1"]);
+    world.owner().cell.maintenance_replied(1, "m0", Maintenance::Begun, now);
+    for (sent, orders) in [(now - 50, 0), (now, 0), (now + 50, 1)] {
+        answer(&mut world, &life, sent);
+        let cell = &mut world.owner().cell;
+        cell.advance_waves(now + 100);
+        assert_eq!(cell.advance_waves(now + 200).len(), orders, "sent {sent}, begun {now}");
+    }
+}
+
+// Guards against a worker that gets work again while another wave's order for its machine is under way.
+#[test]
+fn a_machine_stays_in_maintenance_for_the_other_wave() {
+    let mut world = World::new(5, 2);
+    world.run(200);
+    let (life, now) = (world.life("w0"), world.now);
+    let in_maintenance = |world: &mut World| world.owner().cell.workers[&life].in_maintenance;
+    for number in [1, 2] {
+        begin(&mut world, number, &["m0"]);
+        world.now += 100;
+    }
+    for (number, stays) in [(1, true), (2, false)] {
+        world.owner().cell.maintenance_replied(number, "m0", Maintenance::Begun, now);
+        answer(&mut world, &life, now + 50);
+        world.owner().cell.advance_waves(now + 300);
+        assert_eq!(in_maintenance(&mut world), stays, "after the turn of wave {number}");
+    }
+}
+
 // Guards against a wave that takes the worker after another wave's maintenance for that after its own; no disruption
 // is needed.
 #[rstest]
@@ -84,10 +156,11 @@
 }
 
 // Guards against a worker that gets work again when one wave's turn ends, though another wave is about to maintain it.
-#[test]
-fn a_machine_of_two_waves_gets_no_work_in_between() {
+#[rstest]
+fn a_machine_of_two_waves_gets_no_work_in_between(#[values(20, 1_500)] travel: u64) {
     let mut world = busy_world(4, 3_000);
     let mut machines = Machines::of(&[&[0, 1], &[0, 2], &[0, 3]], 1, 1);
+    machines.travel = travel;
     for _ in 0..30 {
         world.submit(job(vec![step(4)]));
         machines.run(&mut world, 500);
@@ -118,12 +191,7 @@
 fn drawn_courses_keep_to_the_rules() {
     for seed in 0..150 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut world = World::new(seed, 8);
-        world.patience = [0, PATIENCE][rng.random_range(0..2)];
-        let mut serving = StepSpec { long_running: true, ..step(6) };
-        serving.disruption_budget = Some(2);
-        world.submit(job(vec![serving]));
-        world.run(1_000);
+        let mut world = serving_world(seed, [0, PATIENCE][rng.random_range(0..2)]);
         let waves: Vec<Vec<usize>> = (0..rng.random_range(1..4))
             .map(|_| (0..6).filter(|_| rng.random_bool(0.6)).collect())
             .filter(|wave: &Vec<usize>| !wave.is_empty())
--- a/crates/owner/tests/waves.rs
+++ b/crates/owner/tests/waves.rs
@@ -7,11 +7,10 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
-use myrtle_job::StepSpec;
 use myrtle_owner::{Maintenance, WaveRecord};
 
 use common::{World, job, step};
-use machines::Machines;
+use machines::{Machines, serving_world};
 
 // Guards against a successor that doesn't count the machines which its predecessor has had taken down.
 #[rstest]
@@ -60,11 +59,7 @@
 fn drawn_courses_keep_to_the_limit() {
     for seed in 0..60 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut world = World::new(seed, 8);
-        let mut serving = StepSpec { long_running: true, ..step(6) };
-        serving.disruption_budget = Some(2);
-        world.submit(job(vec![serving]));
-        world.run(1_000);
+        let mut world = serving_world(seed, 0);
         let mut machines = Machines::new(6, rng.random_range(1..4), seed);
         machines.travel = [10, 200, 1_500][rng.random_range(0..3)];
         machines.lost = [0.0, 0.3][rng.random_range(0..2)];
