--- a/crates/front/tests/common/host.rs
+++ b/crates/front/tests/common/host.rs
@@ -1,7 +1,8 @@
 //! The hosts of a site, each in its own process.
 
+use std::fs::File;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
@@ -42,6 +43,35 @@
     }
 }
 
+/// How the processes of hosts are started.
+#[derive(Default)]
+pub struct Launch {
+    /// The most descriptors that the system gives a process, if that is limited.
+    pub files: Option<u32>,
+    /// The file that gets the log; without it the log is dropped.
+    pub log: Option<PathBuf>,
+}
+
+impl Launch {
+    /// The command that starts a host with a settings file.
+    fn command(&self, settings: &Path) -> Command {
+        let mut command = match self.files {
+            None => Command::new(program()),
+            Some(files) => {
+                let mut shell = Command::new("sh");
+                // The shell becomes the program, so the process id is that of the host.
+                shell.arg("-c").arg(format!("ulimit -n {files} && exec \"$0\" \"$1\""));
+                shell.arg(program());
+                shell
+            }
+        };
+        let out =
+            self.log.as_ref().map_or_else(Stdio::null, |log| File::create(log).unwrap().into());
+        command.arg(settings).stdout(out);
+        command
+    }
+}
+
 /// A port that no other test of this process uses.
 fn next_port() -> u16 {
     static NEXT: AtomicU16 = AtomicU16::new(10_000);
@@ -92,6 +122,11 @@
         self.host_with(name, |text| text + capacity).await;
     }
 
+    /// Starts a host with further settings and waits until it is ready.
+    pub async fn host_and(&mut self, name: &str, more: &str) {
+        self.host_with(name, |text| text + more).await;
+    }
+
     /// Starts a host with edited settings and waits until it is ready.
     pub(super) async fn host_with(&mut self, name: &str, edit: impl Fn(String) -> String) {
         let started = async {
@@ -113,7 +148,7 @@
         };
         let text = edit(settings(name, store_at, ports, self.lease));
         std::fs::write(&path, text).unwrap();
-        let process = Command::new(program()).arg(&path).stdout(Stdio::null()).spawn().unwrap();
+        let process = self.launch.command(&path).spawn().unwrap();
         let (clients, checks) = (at(ports[0]), at(ports[1]));
         let mut host = Host { clients, checks, process, settings: path };
         if self.reload_at_start {
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -24,7 +24,7 @@
 use myrtle_standin::{RunLog, Store, TicketService, TicketSpans, WorkerStandin};
 
 pub use call::{call, call_with, status};
-pub use host::Host;
+pub use host::{Host, Launch};
 pub use kept::{Kept, KeptAnswer};
 pub use links::Links;
 pub use relay::Relay;
@@ -54,6 +54,8 @@
     pub links: Option<Links>,
     /// Whether hosts get SIGHUP as soon as they listen.
     reload_at_start: bool,
+    /// How hosts are started.
+    pub launch: Launch,
     /// The incarnations of workers that were listed last.
     listed: Mutex<BTreeMap<String, String>>,
 }
@@ -206,6 +208,7 @@
             relays,
             links,
             reload_at_start,
+            launch: Launch::default(),
             listed,
         }
     }
