Tasks that are equal are stored once, and a job of over 10,000 tasks is refused (jobs of very many tasks)

What callers saw: a job of 1,000 steps of 10,000 tasks (30 KB) was accepted; two of them, and the owner was killed for its memory. Every successor read the same jobs and was killed in turn, and nobody's job was started any more.

Cause: the owner kept a record of about 90 bytes for each task as soon as the job was known.

Change: equal neighbours among a step's tasks are one entry (myrtle_job::Tasks), so tasks that have not begun cost nothing and those that are done are joined again. In records they are the same list of bytes as before, so builds can be mixed. What looked at each task of a job at each pass looks at the groups instead; the description for operators names the first 1,000 tasks. The largest jobs of the deployments have five steps of 160. A larger one is refused with 400 and a reason; larger ones in the log, which earlier builds accepted, are taken over and run.

Ruled out: a cap alone, as jobs of earlier builds stay in the log; a list of bits for what is done, as run numbers, failures and checkpoints have to stay.

Conclusion: an owner's memory for a job follows its bytes and the tasks that have begun.

--- a/crates/job/src/fault.rs
+++ b/crates/job/src/fault.rs
@@ -10,8 +10,12 @@
 /// The most tasks of one step; a task's index has 16 bits.
 const MAX_TASKS: u16 = 10_000;
 
+/// The most tasks of one repetition of a job that is accepted: the record of its progress has to fit in one of the
+/// store's, also when each task has a checkpoint and a worker.
+pub const MAX_JOB_TASKS: usize = 10_000;
+
 /// The most steps of one job, far above what clients send.
-const MAX_STEPS: usize = 1_000;
+pub const MAX_STEPS: usize = 1_000;
 
 /// The longest estimate, in milliseconds (30 days), so that the sum over all steps can't overflow.
 const MAX_ESTIMATE_MS: u64 = 30 * 24 * 60 * 60 * 1_000;
@@ -34,6 +38,9 @@
         /// The index of the step.
         step: usize,
     },
+    /// The steps have more than `MAX_JOB_TASKS` tasks together.
+    #[display("the steps have over 10000 tasks together; hand the job in as several jobs")]
+    ManyTasks,
     /// A step's estimate is above `MAX_ESTIMATE_MS`.
     #[display("step {step} is estimated at over 30 days; name its time in milliseconds")]
     Estimate {
@@ -49,7 +56,21 @@
 }
 
 impl JobSpec {
-    /// Checks the job's limits and the order of its steps.
+    /// Checks a job that is handed in; the log may hold larger ones, which earlier builds accepted.
+    ///
+    /// # Errors
+    ///
+    /// The job is inconsistent or over a limit.
+    pub fn check_new(&self) -> Result<(), Fault> {
+        self.check()?;
+        if self.tasks() > MAX_JOB_TASKS { Err(Fault::ManyTasks) } else { Ok(()) }
+    }
+
+    /// Checks the limits of a job that the log may hold, and the order of its steps.
+    ///
+    /// # Errors
+    ///
+    /// The job is inconsistent or over a limit.
     pub fn check(&self) -> Result<(), Fault> {
         if self.steps.is_empty() {
             return Err(Fault::NoSteps);
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -1,12 +1,14 @@
 //! The progress of a job.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Crashes, JobSpec, RecordError, Step, StepBudget, Task, TaskId, TransferId, decode, legacy,
+    Crashes, JobId, JobSpec, RecordError, Step, StepBudget, Task, TaskId, TransferId, decode,
+    legacy,
 };
 
 /// The state of a job, as clients see it.
@@ -61,6 +63,27 @@
     }
 }
 
+/// Tasks of a step that are neighbours and equal.
+#[derive(Debug, Clone)]
+pub struct TaskGroup<'a> {
+    /// The repetition.
+    pub round: u32,
+    /// The step.
+    pub step: u16,
+    /// The indices of the tasks.
+    pub indices: Range<u16>,
+    /// What each of them is.
+    pub task: &'a Task,
+}
+
+impl TaskGroup<'_> {
+    /// The ids of the tasks, which are of this job.
+    pub fn ids(&self, job: JobId) -> impl Iterator<Item = TaskId> + use<> {
+        let (round, step) = (self.round, self.step);
+        self.indices.clone().map(move |index| TaskId { job, round, step, index })
+    }
+}
+
 /// The transfer of a whole job to another cell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobTransfer {
@@ -169,6 +192,11 @@
         }
     }
 
+    /// Whether each task is transferred or not as all others are.
+    pub fn uniform(&self) -> bool {
+        self.outgoing.is_empty() && self.incoming.is_empty()
+    }
+
     /// Whether all tasks of the job are in other cells.
     pub fn all_transferred(&self) -> bool {
         (self.incoming_only || self.job_transfer.is_some()) && self.incoming.is_empty()
@@ -213,6 +241,24 @@
         round.steps.get_mut(usize::from(id.step))?.tasks.get_mut(usize::from(id.index))
     }
 
+    /// Groups of equal neighbours among the tasks of the repetitions in progress.
+    pub fn groups(&self) -> impl Iterator<Item = TaskGroup<'_>> {
+        self.rounds.iter().flat_map(|(&round, r)| {
+            r.steps.iter().zip(0u16..).flat_map(move |(s, step)| {
+                s.tasks.groups().map(move |(indices, task)| {
+                    let indices = indices.start as u16..indices.end as u16;
+                    TaskGroup { round, step, indices, task }
+                })
+            })
+        })
+    }
+
+    /// Stores tasks that have become equal once, where that saves much.
+    pub fn compact(&mut self) {
+        let steps = self.rounds.values_mut().flat_map(|round| &mut round.steps);
+        steps.for_each(|step| step.tasks.compact());
+    }
+
     /// Every task of the repetitions in progress, with its repetition, step and index.
     pub fn tasks(&self) -> impl Iterator<Item = (u32, u16, u16, &Task)> {
         self.rounds.iter().flat_map(|(&round, r)| {
@@ -225,6 +271,6 @@
 
     /// Whether the job has an active run.
     pub fn has_active(&self) -> bool {
-        self.tasks().any(|(.., t)| !t.active.is_empty())
+        self.groups().any(|group| !group.task.active.is_empty())
     }
 }
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -149,6 +149,11 @@
         self.steps.iter().map(|s| f64::from(s.count) * s.work()).sum()
     }
 
+    /// The number of tasks of one repetition.
+    pub fn tasks(&self) -> usize {
+        self.steps.iter().map(|step| usize::from(step.count)).sum()
+    }
+
     /// Whether some step is long-running.
     pub fn has_long_running(&self) -> bool {
         self.steps.iter().any(|s| s.long_running)
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Incarnation;
+use crate::{Incarnation, Tasks};
 
 /// One start of a task on a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,7 +60,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
     /// The tasks by index.
-    pub tasks: Vec<Task>,
+    pub tasks: Tasks,
     /// The numbers of failed runs of the step as a gang.
     pub failed_runs: Vec<u32>,
 }
@@ -68,11 +68,11 @@
 impl Step {
     /// A step none of whose tasks has started.
     pub fn fresh(count: u16) -> Self {
-        Self { tasks: vec![Task::default(); usize::from(count)], failed_runs: Vec::new() }
+        Self { tasks: Tasks::fresh(count), failed_runs: Vec::new() }
     }
 
     /// Whether every task is done.
     pub fn done(&self) -> bool {
-        self.tasks.iter().all(|t| t.done)
+        self.tasks.groups().all(|(_, t)| t.done)
     }
 }
--- a/crates/owner/src/jobs/balance.rs
+++ b/crates/owner/src/jobs/balance.rs
@@ -26,6 +26,9 @@
 /// milliseconds: when all owners begin together, most jobs arrive before any load has.
 const REPORT_WAIT: u64 = 1_000;
 
+/// The most waiting tasks of a job whose claims are subtracted from the free room, far above the width of usual jobs.
+const MAX_CLAIMS: usize = 1_024;
+
 /// How long the reported load of another cell is used, in milliseconds: it is requested three times
 /// a second, and transfers from this cell are added at once.
 const REPORT_TTL: u64 = 3_000;
@@ -100,7 +103,7 @@
         free.sort_unstable_by_key(|free| free.room.cpu);
         for (id, job) in self.open.iter().filter_map(|&id| Some((id, self.jobs.get(&id)?))) {
             let service = &job.submission.policy.service;
-            let tasks = waiting(id, job, now).filter(|task| first(job, *task));
+            let tasks = waiting(id, job, now).filter(|task| first(job, *task)).take(MAX_CLAIMS);
             for claim in tasks.map(|task| job.step(task.step).claim()) {
                 let fits =
                     |free: &&mut FreeRoom| free.service == *service && claim.fits(&free.room);
@@ -233,6 +236,12 @@
 fn demand(&id: &JobId, job: &Job) -> f64 {
     let long_running = job.submission.spec.steps.iter().zip(0u16..).filter(|(s, _)| s.long_running);
     let claims = long_running.map(|(spec, step)| {
+        if job.progress.uniform() {
+            // Nothing was transferred but perhaps the whole job.
+            let first = TaskId { job: id, round: 0, step, index: 0 };
+            let here = !job.progress.is_transferred(first);
+            return f64::from(if here { spec.count } else { 0 }) * f64::from(spec.claim().cpu);
+        }
         let tasks = (0..spec.count).map(|index| TaskId { job: id, round: 0, step, index });
         tasks.filter(|&t| !job.progress.is_transferred(t)).count() as f64
             * f64::from(spec.claim().cpu)
--- a/crates/owner/src/jobs/explain.rs
+++ b/crates/owner/src/jobs/explain.rs
@@ -4,6 +4,9 @@
 
 use crate::Cell;
 
+/// The most tasks that are described one by one.
+const MAX_TASKS: usize = 1_000;
+
 impl Cell {
     /// Describes a job in lines for operators.
     pub fn explain(&self, id: JobId, now: u64) -> Vec<String> {
@@ -20,7 +23,8 @@
             policy.priority,
             job.objective()
         )];
-        for (round, step, index, task) in job.progress.tasks().filter(|(.., t)| !t.done) {
+        let open = job.progress.tasks().filter(|(.., t)| !t.done);
+        for (round, step, index, task) in open.take(MAX_TASKS) {
             let runs: Vec<_> =
                 task.active.iter().map(|r| format!("run {} on {}", r.number, r.worker)).collect();
             let name = TaskId { job: id, round, step, index };
@@ -38,6 +42,11 @@
             let failed = task.failed_runs.len();
             lines.push(format!("{name}: {what}, {failed} failed, {lost} lost with their workers"));
         }
+        let open = job.progress.groups().filter(|group| !group.task.done);
+        let count: usize = open.map(|group| group.indices.len()).sum();
+        if count > MAX_TASKS {
+            lines.push(format!("and {} more tasks that are not done", count - MAX_TASKS));
+        }
         if !self.evacuated.is_empty() {
             let all = if self.all_evacuated() {
                 "every data centre of the cell is"
--- a/crates/owner/src/jobs/job.rs
+++ b/crates/owner/src/jobs/job.rs
@@ -81,6 +81,13 @@
         record.is_waiting() && !self.progress.is_transferred(task) && !self.progress.given_up(task)
     }
 
+    /// Whether each task that isn't done and has no run has to be started here.
+    fn waits_alike(&self) -> bool {
+        let progress = &self.progress;
+        let here = !progress.incoming_only && progress.job_transfer.is_none();
+        here && progress.uniform() && progress.crashes.is_empty()
+    }
+
     /// The specification of a step.
     pub fn step(&self, step: u16) -> &StepSpec {
         &self.submission.spec.steps[usize::from(step)]
@@ -120,9 +127,9 @@
         if !self.submission.spec.has_long_running() {
             return u64::MAX;
         }
-        let tasks = self.progress.tasks();
-        let named =
-            tasks.map(|(round, step, index, t)| (TaskId { job: id, round, step, index }, t));
+        // A task that never ran has no downtime.
+        let ran = self.progress.groups().filter(|group| group.task.last_run > 0);
+        let named = ran.flat_map(|group| group.ids(id).map(move |task| (task, group.task)));
         let waiting = named.filter(|(task, t)| self.waits(*task, t));
         waiting.map(|(task, _)| self.down_since(task)).min().unwrap_or(u64::MAX)
     }
@@ -142,7 +149,8 @@
         };
         let steps = round.steps.iter().zip(&self.submission.spec.steps);
         let left = steps.map(|(step, spec)| {
-            let tasks = step.tasks.iter().filter(|t| !t.done).count();
+            let open = step.tasks.groups().filter(|(_, t)| !t.done);
+            let tasks: usize = open.map(|(indices, _)| indices.len()).sum();
             tasks as f64 * spec.work()
         });
         left.sum()
@@ -161,9 +169,13 @@
             let steps = round.steps.iter().zip(&spec.steps).zip(0u16..);
             let ready = steps.filter(move |&(_, at)| round.ready(spec, usize::from(at)));
             ready.map(move |((step, spec), at)| {
-                let tasks = step.tasks.iter().zip(0u16..);
                 let named = |index| TaskId { job: id, round: number, step: at, index };
-                (spec, tasks.filter(|&(t, index)| self.waits(named(index), t)).count())
+                let waiting = step.tasks.groups().map(|(indices, t)| match t.is_waiting() {
+                    true if self.waits_alike() => indices.len(),
+                    true => indices.filter(|&index| self.waits(named(index as u16), t)).count(),
+                    false => 0,
+                });
+                (spec, waiting.sum())
             })
         })
     }
@@ -175,16 +187,13 @@
             && progress.outgoing.is_empty()
             && progress.incoming.is_empty()
             && !progress.state.over()
-            && progress.tasks().all(|(.., task)| task.last_run == 0 && !task.done)
+            && progress.groups().all(|group| group.task.last_run == 0 && !group.task.done)
     }
 
     /// Every run that may be active, with its task; `id` is the job's own.
     pub fn runs(&self, id: JobId) -> Vec<(TaskId, Run)> {
-        let tasks = self.progress.tasks();
-        let runs = tasks.flat_map(|(round, step, index, t)| {
-            let task = TaskId { job: id, round, step, index };
-            t.active.iter().map(move |r| (task, r.clone()))
-        });
-        runs.collect()
+        let active = self.progress.groups().filter(|group| !group.task.active.is_empty());
+        let named = active.flat_map(|group| group.ids(id).map(move |task| (task, group.task)));
+        named.flat_map(|(task, t)| t.active.iter().map(move |r| (task, r.clone()))).collect()
     }
 }
--- a/crates/owner/src/orders/commit.rs
+++ b/crates/owner/src/orders/commit.rs
@@ -59,6 +59,7 @@
                 continue;
             };
             job.progress.forget_settled_runs();
+            job.progress.compact();
             let job = &self.jobs[&id];
             batch.records.push((id, encode_compressed(&job.progress)));
             batch.logged_states.push((id, job.progress.state));
--- a/crates/owner/src/placing/place.rs
+++ b/crates/owner/src/placing/place.rs
@@ -8,6 +8,9 @@
 use crate::placing::tolerance::Tolerance;
 use crate::{ActiveRun, Cell, Stage};
 
+/// The most tasks of a step that never ran and are considered in one slice, far above the width of usual steps.
+const SLICE_TASKS: usize = 1_024;
+
 /// The number of workers for each filler that is assured.
 const WORKERS_PER_ASSURED: usize = 16;
 
@@ -51,6 +54,11 @@
             self.assign(task, &incarnation, None, now);
             placed += 1;
         }
+        if placed >= SLICE_TASKS && !left {
+            // The step may have more of them.
+            self.pass.interrupted = true;
+            left = true;
+        }
         let first = TaskId { job: id, round, step, index: 0 };
         self.log_placed(first, placed, wanted, now);
         if let Some(job) = self.jobs.get_mut(&id).filter(|_| !left) {
@@ -60,17 +68,19 @@
         left
     }
 
-    /// The tasks of a step that wait or want a copy, longest downtime first.
+    /// The tasks of a step that wait or want a copy, longest downtime first; of those that never ran only the first
+    /// ones.
     pub(crate) fn waiting(&self, id: JobId, round: u32, step: u16, now: u64) -> Vec<TaskId> {
         let job = &self.jobs[&id];
         let tasks = &job.progress.rounds[&round].steps[usize::from(step)].tasks;
-        let mut waiting: Vec<TaskId> = tasks
-            .iter()
-            .enumerate()
-            .map(|(index, t)| (TaskId { job: id, round, step, index: index as u16 }, t))
-            .filter(|(task, t)| job.waits(*task, t) || self.wants_copy(*task, t, now))
-            .map(|(task, _)| task)
-            .collect();
+        let mut waiting: Vec<TaskId> = Vec::new();
+        for (indices, record) in tasks.groups().filter(|(_, record)| !record.done) {
+            let named = indices.map(|index| TaskId { job: id, round, step, index: index as u16 });
+            let wanted = named
+                .filter(|task| job.waits(*task, record) || self.wants_copy(*task, record, now));
+            let most = if record.last_run == 0 { SLICE_TASKS } else { usize::MAX };
+            waiting.extend(wanted.take(most));
+        }
         waiting.sort_by_key(|task| job.down_since(*task));
         waiting
     }
@@ -79,9 +89,8 @@
     pub(crate) fn place_gang(&mut self, id: JobId, round: u32, step: u16, now: u64) -> bool {
         let job = &self.jobs[&id];
         let tasks = &job.progress.rounds[&round].steps[usize::from(step)].tasks;
-        let named = tasks.iter().zip(0u16..);
-        let mut named = named.map(|(t, index)| (TaskId { job: id, round, step, index }, t));
-        if named.any(|(task, t)| !job.waits(task, t)) {
+        let named = |index| TaskId { job: id, round, step, index };
+        if tasks.iter().zip(0u16..).any(|(t, index)| !job.waits(named(index), t)) {
             return true;
         }
         let number = tasks.iter().map(|t| t.last_run).max().unwrap_or(0) + 1;
--- a/crates/owner/src/placing/plan.rs
+++ b/crates/owner/src/placing/plan.rs
@@ -118,10 +118,10 @@
         for (&number, round) in &job.progress.rounds {
             for (at, step) in round.steps.iter().enumerate() {
                 let copies = spec.steps[at].speculative;
-                let mut tasks = step.tasks.iter().zip(0u16..);
-                let wanted = tasks.any(|(t, index)| {
-                    let task = TaskId { job: id, round: number, step: at as u16, index };
-                    job.waits(task, t) || copies && !t.done
+                let mut groups = step.tasks.groups().filter(|(_, t)| !t.done);
+                let wanted = groups.any(|(mut indices, t)| {
+                    let named = |index| TaskId { job: id, round: number, step: at as u16, index };
+                    copies || indices.any(|index| job.waits(named(index as u16), t))
                 });
                 if wanted && round.ready(spec, at) {
                     ready.push((number, at as u16));
