Of a job's overlapping times only so many are open (jobs of very many times)

What callers saw: a job of 100 bytes with 4,000,000,000 times, one each millisecond, was accepted; two of them, and the owner was killed for its memory within seconds, and each successor after it.

Cause: every time that was due got a record of all its tasks at once, however many were open already.

Change: a job's next time begins only while the open ones have under 10,000 tasks together and are fewer than 256; at least one is always open. Times that are due and not begun need no record.

A job of which 256 times overlap is late in any case, and still runs each of them.

Conclusion: the memory for a job's times is bounded, whatever its count and interval.

--- a/crates/owner/src/placing/plan.rs
+++ b/crates/owner/src/placing/plan.rs
@@ -1,6 +1,6 @@
 //! Orders the jobs with waiting tasks by urgency and places their tasks.
 
-use myrtle_job::{JobId, Round, TaskId};
+use myrtle_job::{JobId, JobSpec, MAX_JOB_TASKS, Round, TaskId};
 
 use crate::{Cell, Job};
 
@@ -15,6 +15,9 @@
 /// The part that grows with its work.
 const CREDIT_PER_WORK: f64 = 0.7;
 
+/// The most repetitions of a job that are open at a time; each needs a record, whether its tasks have begun or not.
+const MAX_ROUNDS: usize = 256;
+
 /// The scale of costs in ranks, which are integers.
 const COST_SCALE: f64 = 1e6;
 
@@ -35,7 +38,7 @@
 }
 
 impl Cell {
-    /// Begins repetitions that are due at time of day `wall`.
+    /// Begins repetitions that are due at time of day `wall`; of those of a job that overlap, only so many are open.
     pub fn begin_rounds(&mut self, now: u64, wall: u64) {
         for id in self.repeating.clone() {
             let Some(job) = self.jobs.get_mut(&id) else {
@@ -47,6 +50,7 @@
             };
             while job.progress.next_round < repeat.count
                 && wall >= repeat.due(job.progress.next_round)
+                && job.progress.rounds.len() < max_open(spec)
             {
                 job.progress.rounds.insert(job.progress.next_round, Round::fresh(spec));
                 job.account.begin_round(job.progress.next_round, now);
@@ -142,6 +146,11 @@
     }
 }
 
+/// The most repetitions of a job that are open at a time; the next ones begin as these end.
+fn max_open(spec: &JobSpec) -> usize {
+    (MAX_JOB_TASKS / spec.tasks().max(1)).clamp(1, MAX_ROUNDS)
+}
+
 /// The rank of a job; `mean` is the mean work of its queue's jobs.
 fn rank(id: JobId, job: &Job, mean: f64, now: u64) -> Rank {
     let objective = job.objective();
--- /dev/null
+++ b/crates/owner/tests/large_jobs.rs
@@ -0,0 +1,47 @@
+//! Jobs that are small in bytes and large in tasks or times take little of an owner, and leave room for others.
+
+mod common;
+
+use myrtle_job::{JobSpec, Repeat, State};
+
+use common::{World, case, job, step};
+
+/// A job of one step, all of whose times are due.
+fn due(count: u16, times: u32) -> JobSpec {
+    let repeat = Some(Repeat { first_at: 0, interval_ms: 1, count: times });
+    JobSpec { repeat, ..job(vec![step(count)]) }
+}
+
+/// The most repetitions of the only job that were open at a time while the world ran.
+fn most_open(world: &mut World, millis: u64) -> usize {
+    let mut most = 0;
+    for _ in 0..millis / 10 {
+        world.run(10);
+        let rounds = world.owner().cell.jobs.values().map(|job| job.progress.rounds.len());
+        most = most.max(rounds.sum());
+    }
+    most
+}
+
+case!(times_that_overlap_are_open_up_to_a_number_of_tasks, world, {
+    let mut spec = due(10_000, 4_000_000_000);
+    spec.steps[0].requires = Some("absent".into());
+    world.submit(spec);
+    assert_eq!(most_open(&mut world, 2_000), 1);
+});
+
+case!(times_that_overlap_are_all_carried_out, world, {
+    let id = world.submit(due(1, 600));
+    let most = most_open(&mut world, 2_000);
+    assert!((2..=256).contains(&most), "{most} were open at a time");
+    assert!(world.finish(120_000));
+    assert_eq!(world.judge.starts.len(), 600);
+    assert_eq!(world.owner().cell.state(id), Some(State::Completed));
+});
+
+case!(a_step_of_very_many_tasks_is_done, world, {
+    let id = world.submit(job(vec![step(4_000)]));
+    assert!(world.finish(60_000));
+    assert_eq!(world.judge.starts.len(), 4_000);
+    assert_eq!(world.owner().cell.state(id), Some(State::Completed));
+});
