One limit on what a host holds for its clients (bodies that never end, connections without number)

What callers saw: a few hundred clients whose bodies stop short of their end, whole, in chunks or byte by byte, took a host over its memory, and it was killed. 450 that sent a head and no body, or nothing, used up its descriptors: nobody's job was accepted, and calls to the store and to workers, which need descriptors too, failed.

Cause: a body was a list of the frames in which it came, each with its whole read buffer, and lasted as long as the client's own deadline, 300 s. Nothing bounded connections, and sockets for everything else were not set aside.

A third of the memory is for clients, half of the sockets for their connections. What a connection may hold is counted before it is allocated: its buffers, what may have arrived unread (sockets have small buffers, also those that wait to be accepted), the body as the capacity of its one buffer, and a job's record, three times, until it is answered. A body has to make least progress and be complete in a longest time, whatever its client's deadline says.

Where room is short, the connection that costs most, its bytes times the time that they have been of no use, is evicted, so that a client that behaves gets in; a request that has arrived as a whole never is, and what arrives on a connection that is being evicted is not carried out, so a refusal stays true. Without anybody to evict, a request gets 503, a connection is closed. Metrics and a log line, at most 50 a second, tell of it.

Ruled out: refusal alone (docs/design/clients.md); a limit for each connection, as their number is the client's.

Conclusion: what clients make a host hold is bounded by its settings, and the store, workers and peers have descriptors.

--- a/crates/front/src/connection/activity.rs
+++ b/crates/front/src/connection/activity.rs
@@ -21,6 +21,11 @@
 }
 
 impl Timeouts {
+    /// The time limits of a connection on which only short requests come.
+    pub fn short(limit: Duration) -> Self {
+        Self { idle: limit, head: limit }
+    }
+
     /// The time limits that the operator's configuration sets.
     pub fn new(limits: &Limits) -> Self {
         Self {
@@ -37,7 +42,9 @@
     Idle,
     /// A part of a request's head has arrived.
     Head,
-    /// A request is in progress.
+    /// The body of a request arrives.
+    Body,
+    /// A request that needs nothing more from the client is in progress.
     Serving,
 }
 
@@ -65,6 +72,22 @@
         }
     }
 
+    /// Records that a body is read from now on.
+    pub fn body_begun(&self) {
+        *self.lock() = (Phase::Body, Instant::now());
+    }
+
+    /// Records that a body is not read any more.
+    pub fn body_ended(&self) {
+        *self.lock() = (Phase::Serving, Instant::now());
+    }
+
+    /// How long the connection has waited for its client; nothing while it needs nothing from the client.
+    pub fn waits(&self, now: Instant) -> Option<Duration> {
+        let (phase, since) = *self.lock();
+        (phase != Phase::Serving).then(|| now.saturating_duration_since(since))
+    }
+
     /// Records that the head of a request has been read; the request is in progress until it is answered.
     pub fn begin(self: &Arc<Self>) -> Serving {
         *self.lock() = (Phase::Serving, Instant::now());
@@ -99,7 +122,8 @@
         match self {
             Self::Idle => Some(timeouts.idle),
             Self::Head => Some(timeouts.head),
-            Self::Serving => None,
+            // Bodies have time limits of their own.
+            Self::Body | Self::Serving => None,
         }
     }
 }
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -8,16 +8,18 @@
 use hyper::header::{CONNECTION, EXPECT, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
-use log::{info, warn};
+use log::{Level, info, warn};
 use tokio::time::{Instant, timeout_at};
 
 use myrtle_adapter::{Configuration, Queue, headers, pending_body, read_job, state_body};
 use myrtle_job::{JobId, Submission, encode};
+use myrtle_meter::Meter;
 use myrtle_peer::{Forwarded, JobReport};
 
 use crate::answer::{Answer, json, plain, refuse};
 use crate::ask::{ask, cell_of, counts, left};
-use crate::body::{self, BodyError, discard};
+use crate::body::{self, BodyError, BodyLimits, discard};
+use crate::clients::{Charge, NoRoom, OpenConnection, Reason};
 use crate::clock::wall;
 use crate::host::Host;
 use crate::intake;
@@ -32,6 +34,9 @@
 /// The longest time limit that a client may set.
 const MAX_LIMIT: Duration = Duration::from_secs(300);
 
+/// How often a job's record is in memory while it is written: here, on the way to the owner, in the append.
+const RECORD_COPIES: usize = 3;
+
 /// How long after the end of a client's time a request without an answer gets its last one. Calls that end with the
 /// client's time know better what became of the request, so they come first.
 const LAST_CHANCE: Duration = Duration::from_millis(20);
@@ -44,15 +49,20 @@
 }
 
 /// Serves one request.
-pub async fn serve(host: Arc<Host>, request: Request<Incoming>) -> Answer {
+pub async fn serve(
+    host: Arc<Host>,
+    open: &Arc<OpenConnection>,
+    request: Request<Incoming>,
+) -> Answer {
     let started = Instant::now();
     let (head, mut body) = request.into_parts();
     let mut answer = tokio::select! {
         biased;
-        answer = respond(&host, &head, &mut body, started) => answer,
+        answer = respond(&host, open, &head, &mut body, started) => answer,
         () = host.ending.cancelled() => last_answer(&host, &head),
     };
     if !head.headers.contains_key(EXPECT) {
+        open.activity.body_begun();
         tokio::select! {
             () = discard(&mut body) => {}
             () = host.ending.cancelled() => {}
@@ -67,7 +77,16 @@
 }
 
 /// Finds the queue of a request and has the request carried out there.
-async fn respond(host: &Host, head: &Parts, body: &mut Incoming, started: Instant) -> Answer {
+async fn respond(
+    host: &Host,
+    open: &Arc<OpenConnection>,
+    head: &Parts,
+    body: &mut Incoming,
+    started: Instant,
+) -> Answer {
+    if open.is_evicted() {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, &NoRoom.to_string());
+    }
     let Some(configuration) = host.configuration() else {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet");
     };
@@ -92,7 +111,7 @@
     let target = Target { queue, rest, end };
     let answer = async {
         match head.method {
-            Method::POST => submit(host, &configuration, &target, body).await,
+            Method::POST => submit(host, open, &configuration, &target, body).await,
             Method::GET if rest.is_empty() => count(host, &target).await,
             Method::GET => state(host, &target).await,
             Method::DELETE => cancel(host, &target).await,
@@ -106,7 +125,9 @@
 /// The answer to a request that is still in progress when its time is over or the process has to end.
 fn last_answer(host: &Host, head: &Parts) -> Answer {
     host.meter.count("myrtle_last_answers", head.method.as_str());
-    warn!("event=last-answer method={} path={}", head.method, head.uri.path());
+    host.clients.log(Level::Warn, || {
+        format!("event=last-answer method={} path={}", head.method, head.uri.path())
+    });
     match head.method {
         Method::POST => plain(StatusCode::GATEWAY_TIMEOUT, "the job may have been taken"),
         _ => refuse(StatusCode::SERVICE_UNAVAILABLE, "no owner has answered in time"),
@@ -123,6 +144,7 @@
 /// Accepts a job.
 async fn submit(
     host: &Host,
+    open: &Arc<OpenConnection>,
     configuration: &Configuration,
     target: &Target<'_>,
     body: &mut Incoming,
@@ -130,20 +152,29 @@
     let Ok(job) = target.rest.parse::<JobId>() else {
         return plain(StatusCode::BAD_REQUEST, "the path must end with 16 hexadecimal digits");
     };
-    let body = match body::read(body, configuration.limits.body, target.end).await {
-        Ok(body) => body,
-        Err(why) => return unread(job, &why),
-    };
-    let spec = match read_job(&body) {
-        Ok(spec) => spec,
-        Err(e) => {
+    let mut charge = Charge::new(open.clone());
+    let pace = host.settings.limits.body_pace();
+    let limits = BodyLimits { size: configuration.limits.body, end: target.end, pace };
+    open.activity.body_begun();
+    let body = body::read(body, limits, &mut charge, &host.meter).await;
+    open.activity.body_ended();
+    if open.is_evicted() {
+        return unread(host, job, &BodyError::NoRoom(NoRoom));
+    }
+    let spec = match body.map(|body| read_job(&body)) {
+        Ok(Ok(spec)) => spec,
+        Ok(Err(e)) => {
             info!("event=job-refused job={job} status=400 reason=\"{e}\"");
             return plain(StatusCode::BAD_REQUEST, &e.to_string());
         }
+        Err(why) => return unread(host, job, &why),
     };
     let steps = spec.steps.len();
     let policy = target.queue.policy.clone();
     let record = encode(&Submission { policy, spec, accepted_at: wall() });
+    if let Err(full) = hold_record(&mut charge, record.len(), &host.meter).await {
+        return unread(host, job, &BodyError::NoRoom(full));
+    }
     let cell = cell_of(host, job);
     let started = Instant::now();
     let passed = intake::accept(host, cell, job, record, left(target.end)).await;
@@ -162,13 +193,23 @@
     }
 }
 
-/// The answer to a job whose body could not be read.
-fn unread(job: JobId, why: &BodyError) -> Answer {
-    info!("event=body-unread job={job} reason=\"{why}\"");
+/// Counts the record of a job in place of its body, until the job is answered.
+async fn hold_record(charge: &mut Charge, size: usize, meter: &Meter) -> Result<(), NoRoom> {
+    charge.clear();
+    charge.add(RECORD_COPIES * size, meter).await
+}
+
+/// The answer to a job whose body could not be read; nothing of it was passed on.
+fn unread(host: &Host, job: JobId, why: &BodyError) -> Answer {
+    host.clients.log(Level::Info, || format!("event=body-unread job={job} reason=\"{why}\""));
     let status = match why {
+        BodyError::NoRoom(_) => return refuse(StatusCode::SERVICE_UNAVAILABLE, &why.to_string()),
         BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         BodyError::Broken => StatusCode::BAD_REQUEST,
-        BodyError::Late => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Late => {
+            host.meter.count("myrtle_client_evictions", &Reason::SlowBody.to_string());
+            StatusCode::REQUEST_TIMEOUT
+        }
     };
     plain(status, &why.to_string())
 }
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -13,6 +13,7 @@
 use myrtle_adapter::{Configuration, Machines, Store, Tickets, WaveOrder};
 use myrtle_meter::Meter;
 
+use crate::clients::Clients;
 use crate::clock::now;
 use crate::evacuated::Evacuated;
 use crate::hedge::Attempt;
@@ -51,6 +52,8 @@
     pub machines: Option<Machines>,
     /// The metrics.
     pub meter: Meter,
+    /// The connections of clients, and what is held for them.
+    pub clients: Arc<Clients>,
     /// The cached owners of cells.
     pub owners: Owners,
     /// The announced owners of cells.
@@ -91,6 +94,7 @@
             tickets: settings.tickets.map(Tickets::new),
             questions: Questions::default(),
             machines: settings.machines.map(Machines::new),
+            clients: Arc::new(Clients::new(settings.limits)),
             settings,
             meter: Meter::default(),
             waves: Mutex::default(),
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -34,7 +34,8 @@
     // Until a handler is installed, a signal ends the process with whatever has arrived at it.
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
-    let clients = TcpListener::bind(settings.clients).await?;
+    let backlog = settings.limits.backlog();
+    let clients = listen::bind(settings.clients, backlog)?;
     let checks = TcpListener::bind(settings.checks).await?;
     let peers = TcpListener::bind(settings.peer()).await?;
     info!(
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -10,6 +10,7 @@
 use myrtle_owner::TimeLimits;
 
 use crate::capacity::Capacity;
+use crate::clients::HostLimits;
 
 /// The number of partitions of a topic if the settings name none.
 const DEFAULT_PARTITIONS: usize = 24;
@@ -56,6 +57,9 @@
     /// The host's processors and link, if they are given.
     #[serde(default)]
     pub capacity: Option<Capacity>,
+    /// How much the process may hold.
+    #[serde(default)]
+    pub limits: HostLimits,
     /// The deployment's time limits.
     pub bounds: Figures,
 }
@@ -116,6 +120,9 @@
             let hint = "give figures above 0, or leave capacity out";
             return Err(Fault::at(&file, &text, &["capacity"], "a figure is 0".into(), hint));
         }
+        if let Some((name, what, hint)) = settings.limits.fault() {
+            return Err(Fault::at(&file, &text, &["limits", name], what, hint));
+        }
         if settings.bounds.hold == 0 || settings.member_ttl == 0 {
             let hint = "give a time above 0";
             return Err(Fault::at(&file, &text, &["bounds"], "a time is 0".into(), hint));
