The addresses for checks and metrics have the same limits (crowds at the checks)

What callers saw: heads of 400 KB at the readiness address, or checks sent ahead whose answers nobody reads, took the host over its memory; 450 idle connections there left no descriptor for anything else.

Cause: connections to the checks had hyper's default buffers of 400 KB, the system's largest socket buffers and no limit on their number.

Ruled out: one number of connections for all addresses: a crowd at one would keep the checks out.

Conclusion: no address of a host is open to what another one refuses.

--- a/crates/front/src/connection/mod.rs
+++ b/crates/front/src/connection/mod.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::{Service, service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use log::debug;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -73,18 +73,15 @@
 }
 
 /// Serves checks or readers of metrics until either end closes the connection.
-pub async fn serve_check(host: Arc<Host>, stream: TcpStream) {
-    let service = service_fn(move |request: Request<Incoming>| {
+pub async fn serve_check(host: Arc<Host>, stream: TcpStream, open: Arc<OpenConnection>) {
+    let service = service_fn(|request: Request<Incoming>| {
+        let serving = open.activity.begin();
         let answer = listen::check(&host, request.uri().path());
+        serving.answered();
         async move { Ok::<Answer, Infallible>(answer) }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(CHECK_IDLE)
-        .serve_connection(TokioIo::new(stream), service);
-    if let Err(e) = connection.await {
-        debug!("event=check-broken reason=\"{e}\"");
-    }
+    let (timeouts, never) = (Timeouts::short(CHECK_IDLE), CancellationToken::new());
+    serve(&host, stream, &open, timeouts, MIN_BUFFER, &never, service).await;
 }
 
 /// Serves a connection until either end closes it, a time limit is over, or it is evicted.
--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -55,14 +55,12 @@
     }
 }
 
-/// Serves readiness checks and readers of metrics.
-pub async fn checks(host: Arc<Host>, listener: TcpListener) {
+/// Serves readiness checks or readers of metrics.
+pub async fn checks(host: Arc<Host>, listener: TcpListener, endpoint: Endpoint) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        tokio::spawn(serve_check(host.clone(), stream));
+        if let Some((stream, open)) = accept(&host, &listener, endpoint, 0).await {
+            tokio::spawn(serve_check(host.clone(), stream, open));
+        }
     }
 }
 
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -13,6 +13,7 @@
 
 use myrtle_peer::{FrontPeer, FrontPeerRequest, FrontPeerResponse, ServerChannel};
 
+use crate::clients::Endpoint;
 use crate::host::Host;
 use crate::layout::Layout;
 use crate::ownership::{self, member, monitor};
@@ -36,7 +37,7 @@
     let hangup = signal(SignalKind::hangup())?;
     let backlog = settings.limits.backlog();
     let clients = listen::bind(settings.clients, backlog)?;
-    let checks = TcpListener::bind(settings.checks).await?;
+    let checks = listen::bind(settings.checks, backlog)?;
     let peers = TcpListener::bind(settings.peer()).await?;
     info!(
         "event=start version={} data_centre={} clients={} peer={}",
@@ -46,7 +47,7 @@
         settings.peer()
     );
     let metrics = match settings.metrics {
-        Some(at) => Some(TcpListener::bind(at).await?),
+        Some(at) => Some(listen::bind(at, backlog)?),
         None => None,
     };
     let host = Arc::new(Host::new(settings));
@@ -54,9 +55,9 @@
     let tracker = TaskTracker::new();
     tokio::spawn(operator::follow(host.clone()));
     tokio::spawn(listen::clients(host.clone(), clients, closing.clone(), tracker.clone()));
-    tokio::spawn(listen::checks(host.clone(), checks));
+    tokio::spawn(listen::checks(host.clone(), checks, Endpoint::Checks));
     if let Some(listener) = metrics {
-        tokio::spawn(listen::checks(host.clone(), listener));
+        tokio::spawn(listen::checks(host.clone(), listener, Endpoint::Metrics));
     }
     tokio::spawn(answer_peers(host.clone(), peers));
     tokio::spawn(serve_cells(host.clone()));
