Answers and log lines repeat at most 200 bytes of what a client sent (long texts)

What callers saw: 400 bodies with a text of 256 KB where a number belongs made the host write 100 MB of log, and answers of 256 KB each, which nobody read.

Cause: the decoder's error repeats the text; the answer and the log line repeated the error.

Change: reasons and paths from clients are cut, and lines about refused clients are at most 50 a second, the rest counted.

Conclusion: a crowd of refusals can't flood the log or hold memory by its answers.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -11,7 +11,7 @@
 use log::{Level, info, warn};
 use tokio::time::{Instant, timeout_at};
 
-use myrtle_adapter::{Configuration, Queue, headers, pending_body, read_job, state_body};
+use myrtle_adapter::{BadJob, Configuration, Queue, headers, pending_body, read_job, state_body};
 use myrtle_job::{JobId, Submission, encode};
 use myrtle_meter::Meter;
 use myrtle_peer::{Forwarded, JobReport};
@@ -24,6 +24,7 @@
 use crate::host::Host;
 use crate::intake;
 use crate::layout::Layout;
+use crate::log_limit::shorten;
 
 /// The part of a client's time that is reserved for the reply.
 const REPLY_TIME: Duration = Duration::from_millis(60);
@@ -126,7 +127,7 @@
 fn last_answer(host: &Host, head: &Parts) -> Answer {
     host.meter.count("myrtle_last_answers", head.method.as_str());
     host.clients.log(Level::Warn, || {
-        format!("event=last-answer method={} path={}", head.method, head.uri.path())
+        format!("event=last-answer method={} path={}", head.method, shorten(head.uri.path()))
     });
     match head.method {
         Method::POST => plain(StatusCode::GATEWAY_TIMEOUT, "the job may have been taken"),
@@ -163,10 +164,7 @@
     }
     let spec = match body.map(|body| read_job(&body)) {
         Ok(Ok(spec)) => spec,
-        Ok(Err(e)) => {
-            info!("event=job-refused job={job} status=400 reason=\"{e}\"");
-            return plain(StatusCode::BAD_REQUEST, &e.to_string());
-        }
+        Ok(Err(e)) => return unusable(host, job, &e),
         Err(why) => return unread(host, job, &why),
     };
     let steps = spec.steps.len();
@@ -199,6 +197,16 @@
     charge.add(RECORD_COPIES * size, meter).await
 }
 
+/// The answer to a body that is no job.
+fn unusable(host: &Host, job: JobId, why: &BadJob) -> Answer {
+    // The reason may repeat any part of the body.
+    let reason = why.to_string();
+    let reason = shorten(&reason);
+    host.clients
+        .log(Level::Info, || format!("event=job-refused job={job} status=400 reason=\"{reason}\""));
+    plain(StatusCode::BAD_REQUEST, reason)
+}
+
 /// The answer to a job whose body could not be read; nothing of it was passed on.
 fn unread(host: &Host, job: JobId, why: &BodyError) -> Answer {
     host.clients.log(Level::Info, || format!("event=body-unread job={job} reason=\"{why}\""));
