Beyond a number of active runs each job has only a few (jobs that ask for no room)

What callers saw: eight jobs of 60 bytes, each of 10,000 lasting tasks that ask for no room, were all started at once; an ordinary job handed in after them was not done in 30 s, and the owner's memory grew with every start.

Cause: placement is bounded by room alone, and these tasks need none. 80,000 starts wait at the workers before those of other jobs; each active run is a record, an entry in the worker's list and an order.

A gang that does not fit waits.

Ruled out: a number for each worker: large cells would still hold hundreds of thousands.

Conclusion: what an owner holds for runs is bounded, and every job goes on.

--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -64,6 +64,8 @@
     pub(crate) earlier_owners: BTreeSet<u64>,
     /// Whether there is no other cell to transfer jobs to.
     pub only_cell: bool,
+    /// The number of active runs from which on each job has only a few; tasks may ask for no room at all.
+    pub max_runs: usize,
     /// Whether the log has been read up to its end at the takeover.
     pub loaded: bool,
     /// The jobs by id.
@@ -145,6 +147,7 @@
             ended_owners: BTreeMap::new(),
             earlier_owners: BTreeSet::new(),
             only_cell: true,
+            max_runs: usize::MAX,
             loaded: false,
             jobs: HashMap::new(),
             workers: BTreeMap::new(),
--- a/crates/owner/src/placing/place.rs
+++ b/crates/owner/src/placing/place.rs
@@ -11,14 +11,19 @@
 /// The most tasks of a step that never ran and are considered in one slice, far above the width of usual steps.
 const SLICE_TASKS: usize = 1_024;
 
+/// The runs that a job may have however many are active in the cell.
+const ASSURED_RUNS: usize = 16;
+
 /// The number of workers for each filler that is assured.
 const WORKERS_PER_ASSURED: usize = 16;
 
 impl Cell {
     /// Places the tasks of a step one by one; true if some still wait.
     pub(crate) fn place_step(&mut self, id: JobId, round: u32, step: u16, now: u64) -> bool {
-        let waiting = self.waiting(id, round, step, now);
-        let mut left = false;
+        let mut waiting = self.waiting(id, round, step, now);
+        let allowed = self.allowed_runs(id);
+        let mut left = waiting.len() > allowed;
+        waiting.truncate(allowed);
         let mut placed = 0;
         let wanted = waiting.len();
         for task in waiting {
@@ -85,6 +90,16 @@
         waiting
     }
 
+    /// How many more runs of a job may be active: with many in the cell, a job has only a few.
+    fn allowed_runs(&self, id: JobId) -> usize {
+        let active: usize = self.workers.values().map(|worker| worker.active_runs.len()).sum();
+        if active < self.max_runs {
+            return self.max_runs - active;
+        }
+        let own = self.jobs.get(&id).map_or(0, |job| job.runs(id).len());
+        ASSURED_RUNS.saturating_sub(own)
+    }
+
     /// Places all tasks of a gang or none; true if it still waits.
     pub(crate) fn place_gang(&mut self, id: JobId, round: u32, step: u16, now: u64) -> bool {
         let job = &self.jobs[&id];
@@ -93,6 +108,9 @@
         if tasks.iter().zip(0u16..).any(|(t, index)| !job.waits(named(index), t)) {
             return true;
         }
+        if tasks.len() > self.allowed_runs(id) {
+            return true;
+        }
         let number = tasks.iter().map(|t| t.last_run).max().unwrap_or(0) + 1;
         let checkpoint = tasks.iter().map(|t| &t.checkpoint).max().cloned().unwrap_or_default();
         let members: Vec<TaskId> = (0..tasks.len())
--- a/crates/owner/tests/large_jobs.rs
+++ b/crates/owner/tests/large_jobs.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use myrtle_base::Room;
 use myrtle_job::{JobSpec, Repeat, State};
 
 use common::{World, case, job, step};
@@ -39,8 +40,22 @@
     assert_eq!(world.owner().cell.state(id), Some(State::Completed));
 });
 
+case!(tasks_that_ask_for_no_room_leave_runs_to_other_jobs, world, {
+    world.owner().cell.max_runs = 20;
+    let mut hog = step(200);
+    (hog.room, hog.long_running) = (Room::default(), true);
+    world.submit(job(vec![hog]));
+    world.run(1_000);
+    assert_eq!(world.judge.starts.len(), 20);
+    let id = world.submit(job(vec![step(20)]));
+    world.run(4_000);
+    assert_eq!(world.owner().cell.state(id), Some(State::Completed));
+});
+
 case!(a_step_of_very_many_tasks_is_done, world, {
-    let id = world.submit(job(vec![step(4_000)]));
+    let mut wide = step(4_000);
+    wide.room = Room::default();
+    let id = world.submit(job(vec![wide]));
     assert!(world.finish(60_000));
     assert_eq!(world.judge.starts.len(), 4_000);
     assert_eq!(world.owner().cell.state(id), Some(State::Completed));
