--- a/crates/front/tests/clients.rs
+++ b/crates/front/tests/clients.rs
@@ -1,4 +1,4 @@
-//! Who is let go where room is short, how long bodies may last, and which limits are accepted.
+//! Which connection is evicted where room is short, how long bodies may last, and which limits are accepted.
 
 use std::time::Duration;
 
@@ -25,7 +25,7 @@
 #[case::half_a_body_before_an_idle_one(vec![waits(1, 40, 14), waits(2, 300, 4)], Some(2))]
 #[case::a_newcomer_stays(vec![waits(1, 40, 2), waits(2, 300, 0)], Some(1))]
 #[case::equal_ones(vec![waits(1, 40, 2), waits(2, 40, 2)], Some(1))]
-fn the_one_that_holds_most_for_its_progress_is_let_go(
+fn the_one_that_holds_most_for_its_progress_is_evicted(
     #[case] open: Vec<Holding>,
     #[case] chosen: Option<u64>,
 ) {
