A large job is accepted only while its cell has room for it (whole jobs of the largest legal size)

What callers saw: 400 whole jobs of 256 KB, all legal and accepted, took the owner of their cell to 112 MB of 64; it would be killed, and each successor that reads them.

Cause: nothing bounded what an owner keeps for accepted jobs, and the host that accepts one does not know.

The test was written after the other crowds, with the same bounds.

Change: the host that decodes a job of over 16 KB of memory asks its cell's owner. The owner has a quarter of its memory for jobs, and a job may take at most a 32nd of what is left, so that large ones keep no small one out. A job that the owner knows is a repeat and always passes, so a refusal stays true. Without an answer in 150 ms the job is accepted as before. The new call is the last one and goes through call_newer; earlier builds close that connection, and the job is accepted.

Ruled out: refusing all jobs at a limit: a crowd of jobs that never run would then keep everyone out.

Open: many small jobs; takeover of many such jobs that an earlier build accepted.

--- a/crates/front/src/clients/limits.rs
+++ b/crates/front/src/clients/limits.rs
@@ -36,6 +36,9 @@
 /// The memory for each active run of an owner, in bytes, with the order that starts it.
 const RUN_BYTES: usize = 2 << 10;
 
+/// The part of the memory for the jobs that an owner keeps.
+const JOB_SHARE: usize = 4;
+
 /// The part of the memory for active runs.
 const RUN_SHARE: usize = 4;
 
@@ -120,6 +123,11 @@
         (self.memory << 20) / CLIENT_SHARE
     }
 
+    /// The memory for the jobs of a cell, in bytes.
+    pub fn job_bytes(&self) -> usize {
+        (self.memory << 20) / JOB_SHARE
+    }
+
     /// The number of active runs from which on an owner starts only a few of each job.
     pub fn max_runs(&self) -> usize {
         (self.memory << 20) / RUN_SHARE / RUN_BYTES
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -23,6 +23,7 @@
 use crate::clock::wall;
 use crate::host::Host;
 use crate::intake;
+use crate::job_room::has_room;
 use crate::layout::Layout;
 use crate::log_limit::shorten;
 
@@ -167,13 +168,18 @@
         Ok(Err(e)) => return unusable(host, job, &e),
         Err(why) => return unread(host, job, &why),
     };
+    let cell = cell_of(host, job);
+    if !has_room(host, cell, job, spec.memory()).await {
+        host.meter.count("myrtle_jobs_without_room", &target.queue.policy.queue);
+        host.clients.log(Level::Info, || format!("event=job-without-room job={job} cell={cell}"));
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "the cell has no room for so large a job");
+    }
     let steps = spec.steps.len();
     let policy = target.queue.policy.clone();
     let record = encode(&Submission { policy, spec, accepted_at: wall() });
     if let Err(full) = hold_record(&mut charge, record.len(), &host.meter).await {
         return unread(host, job, &BodyError::NoRoom(full));
     }
-    let cell = cell_of(host, job);
     let started = Instant::now();
     let passed = intake::accept(host, cell, job, record, left(target.end)).await;
     let took = started.elapsed().as_millis();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -23,6 +23,7 @@
 mod host;
 mod intake;
 mod job_log;
+mod job_room;
 mod layout;
 mod learned;
 mod left_behind;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -15,7 +15,7 @@
 use crate::host::Host;
 use crate::job_log::read_new;
 use crate::owned::Owned;
-use crate::{handoff, intake};
+use crate::{handoff, intake, job_room};
 
 /// The longest time in which a job from another host is written.
 const WRITE_LIMIT: Duration = Duration::from_millis(2_500);
@@ -75,6 +75,10 @@
         cell_report(&self.0, cell)
     }
 
+    async fn admits(self, _: Context, cell: u32, job: JobId, bytes: u64) -> Option<bool> {
+        job_room::answer(&self.0, cell, job, bytes as usize)
+    }
+
     async fn explain(self, _: Context, cell: u32, job: JobId) -> Vec<String> {
         self.0.owned(cell).map_or_else(Vec::new, |o| o.state().explain(job, now()))
     }
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -49,6 +49,7 @@
     state.number = cell;
     host.directory.note_end(cell, fence, state.began_at + renewal::ttl(host));
     state.ended_owners = host.directory.ended(cell);
+    state.job_room.limit = host.settings.limits.job_bytes();
     state.max_runs = host.settings.limits.max_runs();
     state.only_cell = host.layout().is_none_or(|layout| layout.count() < 2);
     let owned = Arc::new(Owned::new(cell, fence, state, confirmed, renewal::ttl(host)));
--- a/crates/front/tests/crowds/main.rs
+++ b/crates/front/tests/crowds/main.rs
@@ -24,8 +24,8 @@
 use place::{At, FEW, MANY, Place};
 use requests::{
     CHECK, JOB, MAX_BODY, NOWHERE, chunks, empty_steps, logged_tasks, logged_times, long_head,
-    long_text, many_tasks, many_times, no_room, pipelined, short_of_end, unknown_fields, with_body,
-    without_body,
+    long_job, long_text, many_tasks, many_times, no_room, pipelined, short_of_end, unknown_fields,
+    with_body, without_body,
 };
 
 /// Held during a test, so that crowds don't share the machine.
@@ -81,7 +81,7 @@
     let _lock = RUNNING.lock().await;
     let place = Place::start(MANY).await;
     for number in 0..count {
-        place.submit(&format!("00000000000010{number:02x}"), &body).await;
+        place.submit(&format!("000000000010{number:04x}"), &body).await;
     }
     place.judge().await;
 }
@@ -102,6 +102,11 @@
     large_jobs(2, many_tasks()).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn whole_jobs_of_the_largest_legal_size() {
+    large_jobs(400, long_job()).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn jobs_of_very_many_times() {
     large_jobs(2, many_times()).await;
--- a/crates/front/tests/crowds/requests.rs
+++ b/crates/front/tests/crowds/requests.rs
@@ -100,6 +100,13 @@
     format!(r#"{{"steps":[{{"count":10000,"requires":"none"}}],{repeat}}}"#).into_bytes()
 }
 
+/// A job of the largest legal size; no worker has the label that its tasks require.
+pub fn long_job() -> Vec<u8> {
+    let (begin, end) = (r#"{"steps":[{"count":1,"requires":"none"},{"count":1,"after":[0"#, "]}]}");
+    let count = (MAX_BODY - begin.len() - end.len()) / 2;
+    format!("{begin}{}{end}", ",0".repeat(count)).into_bytes()
+}
+
 /// A job of one step of many tasks that ask for no room and last.
 pub fn no_room() -> Vec<u8> {
     br#"{"steps":[{"count":10000,"long_running":true}]}"#.to_vec()
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -8,6 +8,10 @@
 
 use crate::TaskId;
 
+/// About what an owner keeps for each job and for each of its steps, in bytes, beside its texts and lists.
+const JOB_BYTES: usize = 2 << 10;
+const STEP_BYTES: usize = 512;
+
 /// A job as submitted.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -149,6 +153,17 @@
         self.steps.iter().map(|s| f64::from(s.count) * s.work()).sum()
     }
 
+    /// About how many bytes the job takes in an owner's memory before any of it has begun.
+    pub fn memory(&self) -> usize {
+        let text = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let steps = self.steps.iter().map(|step| {
+            let image = step.image.as_ref().map_or(0, |image| image.len());
+            let texts = text(&step.requires) + text(&step.data_rack) + image;
+            STEP_BYTES + 2 * step.after.len() + texts
+        });
+        JOB_BYTES + self.body.len() + steps.sum::<usize>()
+    }
+
     /// The number of tasks of one repetition.
     pub fn tasks(&self) -> usize {
         self.steps.iter().map(|step| usize::from(step.count)).sum()
--- a/crates/owner/src/cell.rs
+++ b/crates/owner/src/cell.rs
@@ -10,6 +10,7 @@
 use crate::jobs::balance::CellLoad;
 use crate::jobs::early_cancel::EarlyCancel;
 use crate::jobs::removal::Removals;
+use crate::jobs::room::JobRoom;
 use crate::jobs::spread::OwnQueues;
 use crate::placing::mean_work::MeanWork;
 use crate::placing::pass::Pass;
@@ -66,6 +67,8 @@
     pub only_cell: bool,
     /// The number of active runs from which on each job has only a few; tasks may ask for no room at all.
     pub max_runs: usize,
+    /// The memory for jobs.
+    pub job_room: JobRoom,
     /// Whether the log has been read up to its end at the takeover.
     pub loaded: bool,
     /// The jobs by id.
@@ -148,6 +151,7 @@
             earlier_owners: BTreeSet::new(),
             only_cell: true,
             max_runs: usize::MAX,
+            job_room: JobRoom::default(),
             loaded: false,
             jobs: HashMap::new(),
             workers: BTreeMap::new(),
--- a/crates/owner/src/jobs/mod.rs
+++ b/crates/owner/src/jobs/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod job;
 pub(crate) mod offer;
 pub(crate) mod removal;
+pub(crate) mod room;
 pub(crate) mod spread;
 pub(crate) mod termination;
 pub(crate) mod transfer;
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -26,6 +26,7 @@
 pub use jobs::delivery::Delivery;
 pub use jobs::job::Job;
 pub use jobs::removal::{History, RemovalGroup};
+pub use jobs::room::JobRoom;
 pub use limits::TimeLimits;
 pub use orders::active_run::{ActiveRun, Stage};
 pub use orders::active_runs::ActiveRuns;
--- a/crates/owner/tests/large_jobs.rs
+++ b/crates/owner/tests/large_jobs.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use myrtle_base::Room;
-use myrtle_job::{JobSpec, Repeat, State};
+use myrtle_job::{JobId, JobSpec, Repeat, State};
 
 use common::{World, case, job, step};
 
@@ -60,3 +60,23 @@
     assert_eq!(world.judge.starts.len(), 4_000);
     assert_eq!(world.owner().cell.state(id), Some(State::Completed));
 });
+
+case!(large_jobs_keep_no_small_one_out, world, {
+    let mut large = job(vec![step(1)]);
+    large.steps[0].requires = Some("absent".repeat(20_000));
+    let (bytes, now) = (large.memory(), world.now);
+    world.owner().cell.job_room.limit = 64 * bytes;
+    let mut accepted = Vec::new();
+    for n in 0..100 {
+        if world.owner().cell.admits(JobId(1_000 + n), bytes, now) {
+            accepted.push(world.submit(large.clone()));
+        }
+    }
+    world.run(300);
+    assert!((20..=40).contains(&accepted.len()), "{} of 100 were accepted", accepted.len());
+    let (small, now) = (job(vec![step(1)]), world.now);
+    let cell = &mut world.owner().cell;
+    assert!(!cell.admits(JobId(9_999), bytes, now), "the sum counts what was accepted");
+    assert!(cell.admits(accepted[0], bytes, now), "a repeat is no new job");
+    assert!(cell.admits(JobId(9_999), small.memory(), now));
+});
--- a/crates/peer/src/front.rs
+++ b/crates/peer/src/front.rs
@@ -79,4 +79,10 @@
     ///
     /// Hosts of earlier builds close a connection on which this is asked.
     async fn cell_report(cell: u32) -> Option<CellReport>;
+
+    /// Whether a cell has room for a new job that takes so many bytes in its owner's memory; nothing
+    /// if the host does not own the cell or has not read its log yet.
+    ///
+    /// Hosts of earlier builds close a connection on which this is asked.
+    async fn admits(cell: u32, job: JobId, bytes: u64) -> Option<bool>;
 }
--- a/crates/peer/tests/bytes.rs
+++ b/crates/peer/tests/bytes.rs
@@ -41,6 +41,8 @@
         (hex(&FrontPeerRequest::Explain { cell: 1, job }), "060107"),
         (hex(&FrontPeerRequest::CanWrite { cell: 1 }), "0701"),
         (hex(&FrontPeerRequest::ReportEnds { cell: 1, fence: 3, ends: vec![] }), "08010300"),
+        (hex(&FrontPeerRequest::CellReport { cell: 1 }), "0901"),
+        (hex(&FrontPeerRequest::Admits { cell: 1, job, bytes: 9 }), "0a010709"),
     ];
     for (ours, recorded) in calls {
         assert_eq!(ours, recorded);
--- a/crates/peer/tests/common/mod.rs
+++ b/crates/peer/tests/common/mod.rs
@@ -78,6 +78,10 @@
         None
     }
 
+    async fn admits(self, _: Context, _: u32, _: JobId, _: u64) -> Option<bool> {
+        None
+    }
+
     async fn report_ends(self, _: Context, _: u32, _: u64, _: Vec<RunEnd>) -> bool {
         false
     }
