Clients: one file a concept, and what is short as one type

No behaviour changes. The decision whether something is short, and whether what is being evicted is enough, stood in three places with six arguments; it is State::is_short for a Shortage now.

--- a/crates/front/src/clients/mod.rs
+++ b/crates/front/src/clients/mod.rs
@@ -5,14 +5,16 @@
 //! has arrived as a whole is never evicted.
 
 mod charge;
+mod endpoint;
 mod holding;
 mod limits;
+mod open_connection;
+mod reason;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use derive_more::Display;
 use log::{Level, info, log};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
@@ -24,43 +26,15 @@
 use crate::log_limit::LogLimit;
 
 pub use charge::{Charge, NoRoom};
+pub use endpoint::Endpoint;
 pub use holding::{Holding, choose};
 pub use limits::{BodyPace, HostLimits, SOCKET_BUFFER, UNREAD_BYTES};
+pub use open_connection::OpenConnection;
+pub use reason::Reason;
 
 /// How long room is waited for while connections are evicted.
 const ROOM_LIMIT: Duration = Duration::from_millis(500);
 
-/// An address of the host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
-pub enum Endpoint {
-    /// That for clients.
-    #[display("clients")]
-    Clients,
-    /// That for readiness checks.
-    #[display("checks")]
-    Checks,
-    /// That for readers of metrics.
-    #[display("metrics")]
-    Metrics,
-}
-
-/// Why a connection was evicted or refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum Reason {
-    /// The memory for clients was used up.
-    #[display("memory")]
-    Memory,
-    /// The connections of its address were used up.
-    #[display("connections")]
-    Connections,
-    /// A body came too slowly.
-    #[display("slow-body")]
-    SlowBody,
-    /// A head was not complete in time, or the next request did not come.
-    #[display("expired")]
-    Expired,
-}
-
 /// All connections of clients.
 #[derive(Debug)]
 pub struct Clients {
@@ -98,32 +72,61 @@
     Never,
 }
 
-impl State {
-    /// The bytes of connections that are being evicted.
-    fn leaving(&self) -> usize {
-        self.open.values().filter(|e| e.evicted.is_cancelled()).map(|e| e.held).sum()
+/// What there is too little of.
+#[derive(Debug, Clone, Copy)]
+enum Shortage {
+    /// Connections of an address, which may have `most`.
+    Connections { endpoint: Endpoint, most: usize },
+    /// Memory up to `limit`, of which `bytes` are wanted, perhaps for a connection that is open.
+    Memory { bytes: usize, limit: usize, asks: Option<u64> },
+}
+
+impl Shortage {
+    fn reason(&self) -> Reason {
+        match self {
+            Self::Connections { .. } => Reason::Connections,
+            Self::Memory { .. } => Reason::Memory,
+        }
     }
+}
 
-    /// The connections at an address, and how many of them are being evicted.
-    fn count(&self, endpoint: Endpoint) -> (usize, usize) {
-        let here = self.open.values().filter(|e| e.endpoint == endpoint);
-        here.fold((0, 0), |(all, leaving), e| {
-            (all + 1, leaving + usize::from(e.evicted.is_cancelled()))
-        })
+impl State {
+    /// Whether there is too little of something, without what is being evicted if `soon`.
+    fn is_short(&self, shortage: &Shortage, soon: bool) -> bool {
+        let counted = |e: &&Entry| !(soon && e.evicted.is_cancelled());
+        match *shortage {
+            Shortage::Connections { endpoint, most } => {
+                let here = self.open.values().filter(|e| e.endpoint == endpoint);
+                here.filter(counted).count() >= most
+            }
+            Shortage::Memory { bytes, limit, .. } if !soon => self.held + bytes > limit,
+            Shortage::Memory { bytes, limit, .. } => {
+                let held: usize = self.open.values().filter(counted).map(|e| e.held).sum();
+                held + bytes > limit
+            }
+        }
     }
 
-    /// The connection to evict, of those at `endpoint` or of all.
-    fn choose(&self, endpoint: Option<Endpoint>) -> Option<u64> {
+    /// The connection to evict; none if the one that asks holds most itself.
+    fn choose(&self, shortage: &Shortage) -> Option<&Entry> {
+        let (endpoint, asks) = match *shortage {
+            Shortage::Connections { endpoint, .. } => (Some(endpoint), None),
+            Shortage::Memory { asks, .. } => (None, asks),
+        };
         let now = Instant::now();
-        let open = self
-            .open
-            .iter()
-            .filter(|(_, e)| endpoint.is_none_or(|endpoint| e.endpoint == endpoint));
+        let open = self.open.iter().filter(|(_, e)| endpoint.is_none_or(|at| e.endpoint == at));
         let staying = open.filter(|(_, e)| !e.evicted.is_cancelled());
-        choose(staying.map(|(&number, e)| {
+        let holdings = staying.map(|(&number, e)| {
             let waits = e.activity.waits(now);
             Holding { number, held: e.held, waits }
-        }))
+        });
+        let chosen = choose(holdings).filter(|chosen| asks != Some(*chosen))?;
+        self.open.get(&chosen)
+    }
+
+    /// The number of connections at an address.
+    fn count(&self, endpoint: Endpoint) -> usize {
+        self.open.values().filter(|e| e.endpoint == endpoint).count()
     }
 }
 
@@ -165,30 +168,20 @@
         Some(Arc::new(OpenConnection { clients: self.clone(), number, activity, evicted }))
     }
 
+    /// Admits a connection if there is room for it; returns its number.
     fn try_admit(&self, endpoint: Endpoint, bytes: usize, meter: &Meter) -> (Room, u64) {
         let mut state = self.lock();
         let number = state.next;
-        let (open, leaving) = state.count(endpoint);
         let most = match endpoint {
             Endpoint::Clients => self.limits.client_sockets(),
             Endpoint::Checks | Endpoint::Metrics => self.limits.check_sockets(),
         };
-        if open >= most {
-            let enough = open - leaving < most;
-            let room = self.make_room(
-                &mut state,
-                enough,
-                Some(endpoint),
-                None,
-                Reason::Connections,
-                meter,
-            );
-            return (room, number);
-        }
-        if state.held + bytes > self.limits.client_bytes() {
-            let enough = state.held - state.leaving() + bytes <= self.limits.client_bytes();
-            let room = self.make_room(&mut state, enough, None, None, Reason::Memory, meter);
-            return (room, number);
+        let connections = Shortage::Connections { endpoint, most };
+        let memory = Shortage::Memory { bytes, limit: self.limits.client_bytes(), asks: None };
+        for shortage in [connections, memory] {
+            if state.is_short(&shortage, false) {
+                return (self.make_room(&mut state, &shortage, meter), number);
+            }
         }
         let (activity, evicted) = (Arc::new(Activity::new()), CancellationToken::new());
         state.open.insert(number, Entry { endpoint, held: bytes, activity, evicted });
@@ -201,9 +194,9 @@
     fn try_take(&self, number: u64, bytes: usize, meter: &Meter) -> Room {
         let mut state = self.lock();
         let limit = self.limits.client_bytes();
-        if state.held + bytes > limit {
-            let enough = state.held - state.leaving() + bytes <= limit;
-            return self.make_room(&mut state, enough, None, Some(number), Reason::Memory, meter);
+        let shortage = Shortage::Memory { bytes, limit, asks: Some(number) };
+        if state.is_short(&shortage, false) {
+            return self.make_room(&mut state, &shortage, meter);
         }
         let Some(entry) = state.open.get_mut(&number) else {
             return Room::Never;
@@ -214,26 +207,15 @@
     }
 
     /// Evicts a connection unless those that are being evicted are enough.
-    fn make_room(
-        &self,
-        state: &mut State,
-        enough: bool,
-        endpoint: Option<Endpoint>,
-        asks: Option<u64>,
-        reason: Reason,
-        meter: &Meter,
-    ) -> Room {
-        if enough {
+    fn make_room(&self, state: &mut State, shortage: &Shortage, meter: &Meter) -> Room {
+        if !state.is_short(shortage, true) {
             return Room::Coming;
         }
-        let Some(chosen) = state.choose(endpoint).filter(|chosen| asks != Some(*chosen)) else {
-            return Room::Never;
-        };
-        let Some(entry) = state.open.get(&chosen) else {
+        let Some(Entry { endpoint, held, evicted, .. }) = state.choose(shortage) else {
             return Room::Never;
         };
-        entry.evicted.cancel();
-        let (endpoint, held) = (entry.endpoint, entry.held);
+        evicted.cancel();
+        let reason = shortage.reason();
         meter.count("myrtle_client_evictions", &reason.to_string());
         self.log(Level::Info, || {
             format!("event=client-evicted at={endpoint} reason={reason} held={held}")
@@ -241,6 +223,16 @@
         Room::Coming
     }
 
+    /// Removes a connection and what is held for it.
+    fn remove(&self, number: u64) {
+        let mut state = self.lock();
+        if let Some(entry) = state.open.remove(&number) {
+            state.held -= entry.held;
+        }
+        drop(state);
+        self.freed.notify_waiters();
+    }
+
     /// Gives bytes of a connection back.
     fn give_back(&self, number: u64, bytes: usize) {
         let mut state = self.lock();
@@ -266,7 +258,7 @@
     pub fn report(&self, meter: &Meter) {
         let state = self.lock();
         for endpoint in [Endpoint::Clients, Endpoint::Checks, Endpoint::Metrics] {
-            let (open, _) = state.count(endpoint);
+            let open = state.count(endpoint);
             meter.level("myrtle_client_connections", &endpoint.to_string(), open as i64);
         }
         meter.level("myrtle_client_bytes", "held", state.held as i64);
@@ -277,36 +269,3 @@
         self.state.lock().expect("no holder panics")
     }
 }
-
-/// An open connection; dropping the last reference ends what is held for it.
-#[derive(Debug)]
-pub struct OpenConnection {
-    clients: Arc<Clients>,
-    number: u64,
-    /// What happens on it.
-    pub activity: Arc<Activity>,
-    evicted: CancellationToken,
-}
-
-impl OpenConnection {
-    /// Waits until the connection is evicted.
-    pub async fn wait_evicted(&self) {
-        self.evicted.cancelled().await;
-    }
-
-    /// Whether the connection is being evicted; what arrives on it from then on is not carried out.
-    pub fn is_evicted(&self) -> bool {
-        self.evicted.is_cancelled()
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        let mut state = self.clients.lock();
-        if let Some(entry) = state.open.remove(&self.number) {
-            state.held -= entry.held;
-        }
-        drop(state);
-        self.clients.freed.notify_waiters();
-    }
-}
