Tests: a macro names the crowds of jobs, as one does those of connections

Cause: six cases repeated the same five lines. Change: the macro 'jobs'; names, numbers, bodies, bounds and checks are as they were. Conclusion: a case is one line, in both groups.

--- a/crates/front/tests/crowds/main.rs
+++ b/crates/front/tests/crowds/main.rs
@@ -97,34 +97,23 @@
     place.judge().await;
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn jobs_of_very_many_tasks() {
-    large_jobs(2, many_tasks()).await;
-}
-
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn whole_jobs_of_the_largest_legal_size() {
-    large_jobs(400, long_job()).await;
-}
-
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn jobs_of_very_many_times() {
-    large_jobs(2, many_times()).await;
-}
-
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn jobs_that_ask_for_no_room() {
-    large_jobs(8, no_room()).await;
-}
-
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn inherited_jobs_of_very_many_tasks() {
-    inherited_jobs(2, logged_tasks()).await;
+/// Names a test for each number of jobs that are handed in or found in the log.
+macro_rules! jobs {
+    ($($name:ident: $jobs:expr;)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            $jobs.await;
+        }
+    )*};
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn inherited_jobs_of_very_many_times() {
-    inherited_jobs(2, logged_times()).await;
+jobs! {
+    jobs_of_very_many_tasks: large_jobs(2, many_tasks());
+    whole_jobs_of_the_largest_legal_size: large_jobs(400, long_job());
+    jobs_of_very_many_times: large_jobs(2, many_times());
+    jobs_that_ask_for_no_room: large_jobs(8, no_room());
+    inherited_jobs_of_very_many_tasks: inherited_jobs(2, logged_tasks());
+    inherited_jobs_of_very_many_times: inherited_jobs(2, logged_times());
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
